--- /dev/null
+++ b/include/rackroute/balancer.hpp
@@ -0,0 +1,88 @@
+#pragma once
+
+#include <memory>
+#include <optional>
+#include <span>
+
+#include "rackroute/terms.hpp"
+
+namespace rackroute {
+
+enum class Lifecycle { serving, draining, gone };
+
+struct ListedServer {
+  ServerId id;
+  Lifecycle lifecycle = Lifecycle::serving;
+  ZoneId zone;
+  CellId cell;
+  double size = 1;
+  std::optional<Span> startedAt;  // absent: long ago
+};
+
+enum class Listing { persisted, complete, changes };
+
+struct Query {
+  QueryId id;
+  UseCaseId useCase;
+  Span timeLeft{};  // until its client gives up
+  std::optional<KeyId> key;
+  std::optional<AccountId> account;
+};
+
+enum class Outcome { completed, error, full, timeout, connectFailed, reset, cancelled, moot };
+
+/// What the balancer asks of its surroundings.
+class Host {
+ public:
+  Host() = default;
+  Host(const Host&) = delete;
+  Host& operator=(const Host&) = delete;
+  virtual ~Host() = default;
+
+  virtual void execute(QueryId query, ServerId server, Span timeout) = 0;
+  virtual void cancel(QueryId query, ExecutionNo execution) = 0;
+  virtual void reject(QueryId query, Span comeBackAfter) = 0;  // 0: no advice
+  virtual void abort(QueryId query) = 0;
+  virtual void wakeAt(Span time) = 0;
+  virtual void watchServers() = 0;
+  virtual void listServers() = 0;
+};
+
+class Decider;
+
+/// A query that a balancer has taken. It must not outlive the balancer; calls on one that is over do nothing.
+class QueryHandle {
+ public:
+  void executionEnded(Span now, ExecutionNo execution, Outcome outcome, bool terminal);
+  void answerStarted(ExecutionNo execution);
+  void clientLeft(Span now);
+  [[nodiscard]] bool over() const;
+
+ private:
+  friend class Balancer;
+  QueryHandle(Decider& decider, std::uint32_t slot, std::uint32_t turn)
+      : decider_(&decider), slot_(slot), turn_(turn) {}
+
+  Decider* decider_;
+  std::uint32_t slot_;
+  std::uint32_t turn_;
+};
+
+/// One instance, sharing nothing with others. The host must outlive it and must not call back into it.
+class Balancer {
+ public:
+  Balancer(Terms terms, Host& host);
+  Balancer(const Balancer&) = delete;
+  Balancer& operator=(const Balancer&) = delete;
+  ~Balancer();
+
+  QueryHandle take(Span now, const Query& query);
+  void serversListed(Span now, Listing listing, std::span<const ListedServer> servers);
+  void discoveryFailed(Span now);
+  void wake(Span now);
+
+ private:
+  std::unique_ptr<Decider> decider_;
+};
+
+}  // namespace rackroute
--- /dev/null
+++ b/src/decide/balancer.cpp
@@ -0,0 +1,690 @@
+// The decision module: which server gets a query, when it goes out again, and when it is given up.
+//
+// How it is called: a client process owns one Balancer (include/rackroute/balancer.hpp). The surroundings
+// hand it queries with take(), server lists with serversListed() and discoveryFailed(), and the time with
+// wake(); what becomes of a query is told on the QueryHandle that take() returned. The module answers by
+// calls on Host (execute, cancel, reject, abort, wakeAt, watchServers, listServers). It never blocks, reads
+// no clock and draws all chance from the seed in Terms: the same calls give the same answers.
+//
+// Read on from top to bottom: constants, what is known of a server and of a query, then the Decider in the
+// order of a query's life: the list, the pool, the pick, the execution, its outcome, the final answer.
+
+#include "rackroute/balancer.hpp"
+
+#include <algorithm>
+#include <array>
+#include <cmath>
+#include <cstddef>
+#include <random>
+#include <utility>
+
+namespace rackroute {
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr std::uint32_t kFailuresToEject = 5;  // in a row; the design page's figure
+constexpr Span kEjectTime = 10s;               // the design page's start value; troubles last 5 s to 35 s
+constexpr double kEjectSpread = 0.3;           // share of the eject time; trials must not all fall together
+constexpr double kMostOut = 0.5;               // share of the pool; the design page's self-preservation
+constexpr double kWeightStep = 0.1;            // of full weight 1, a success; the design page's figure
+constexpr double kWeightFloor = 0.05;          // of full weight 1; keeps a failing server in sight
+constexpr double kCrowded = 1.25;       // of the pool's mean expected answer time; "well above" begins here
+constexpr double kNearer = 3.0;         // draw weight of the own zone; crossing costs time and money
+constexpr double kDropDoubted = 0.5;    // share of the held servers; losing more at once is doubted
+constexpr double kColdMargin = 0.5;     // share of the tipping budget; queries' work varies about twofold
+constexpr double kFirstLimit = 4.0;     // executions; about the queue that still answers within an SLO time
+constexpr double kMostLimit = 64.0;     // executions; only keeps the limit from growing for ever
+constexpr double kLimitStep = 0.5;      // executions per limit's worth of timely answers
+constexpr double kLimitCut = 0.8;       // of the limit, per late answer; twice in a row is a third off
+constexpr double kTimely = 0.6;         // of the SLO time; slower answers mean a queue at the server
+constexpr Span kFirstAsk = 250ms;       // first repeat of a failed discovery call; a tick or two is too soon
+constexpr Span kLastAsk = 4s;           // longest backoff; well inside the time a held list may go unasked
+constexpr Span kBucket = 500ms;         // measuring bucket; some ten answers of a busy server
+constexpr std::size_t kBuckets = 16;    // buckets in a ring: 8 s, the shortest troubles' length
+constexpr std::size_t kTipBuckets = 8;  // buckets over the tipping window
+constexpr Span kAdvice = 500ms;         // when to come back; about one SLO time
+constexpr double kUnmeasured = 0.15;    // seconds; answer time assumed before the first answer
+
+double seconds(Span span) { return std::chrono::duration<double>(span).count(); }
+
+/// Sums over the last buckets of time; buckets are reused in a ring.
+template <std::size_t Buckets>
+class Ring {
+ public:
+  explicit Ring(Span width) : width_(std::max(width, Span{1})) {}
+
+  void add(Span now, double value) {
+    Bucket& bucket = buckets_[index(now)];
+    if (bucket.turn != turn(now)) bucket = Bucket{turn(now), 0, 0};
+    bucket.sum += value;
+    ++bucket.count;
+  }
+  [[nodiscard]] double count(Span now) const { return total(now).count; }
+  [[nodiscard]] double mean(Span now, double otherwise) const {
+    const Bucket all = total(now);
+    return all.count > 0 ? all.sum / all.count : otherwise;
+  }
+
+ private:
+  struct Bucket {
+    std::int64_t turn = -1;
+    double sum = 0;
+    double count = 0;
+  };
+  [[nodiscard]] std::int64_t turn(Span now) const { return now / width_; }
+  [[nodiscard]] std::size_t index(Span now) const { return static_cast<std::size_t>(turn(now)) % Buckets; }
+  [[nodiscard]] Bucket total(Span now) const {
+    Bucket all;
+    for (const Bucket& bucket : buckets_) {
+      if (bucket.turn < 0 || bucket.turn + static_cast<std::int64_t>(Buckets) <= turn(now)) continue;
+      all.sum += bucket.sum;
+      all.count += bucket.count;
+    }
+    return all;
+  }
+
+  Span width_;
+  std::array<Bucket, Buckets> buckets_{};
+};
+
+using ServerSlot = std::size_t;
+using QuerySlot = std::uint32_t;
+
+struct Pending {  // an execution that is out at a server
+  QuerySlot query;
+  ExecutionNo no;
+  Span sentAt;
+  double others;         // executions that were out there when it was sent
+  bool started = false;  // its answer streams to the client
+};
+
+struct Server {
+  explicit Server(Span tipWindow) : coldSent(tipWindow / static_cast<int>(kTipBuckets - 1)) {}
+
+  ServerId id;
+  ZoneId zone;
+  CellId cell;
+  double size = 1;
+  std::optional<Span> startedAt;
+  Span closedFrom = Span::max();  // nothing new from then on
+  bool held = false;              // in the last good list
+  double weight = 1;
+  std::uint32_t run = 0;  // failures in a row
+  bool ejected = false;
+  Span trialAt{};
+  bool onTrial = false;
+  double limit = kFirstLimit;  // executions that may be out here
+  std::vector<Pending> out;
+  Ring<kBuckets> pace{kBucket};  // seconds an answer took for each execution out, itself included
+  Ring<kTipBuckets> coldSent;
+};
+
+enum class Fate { out, neverRan, mayHaveRun };
+
+struct Execution {
+  ServerSlot server;
+  Span sentAt;
+  ZoneId zone;
+  CellId cell;
+  Fate fate = Fate::out;
+};
+
+struct Held {  // a query that is owed its final answer, or still has executions out
+  Query query;
+  Span arrived{};
+  Span deadline{};
+  std::uint32_t turn = 0;
+  std::uint32_t out = 0;
+  bool inUse = false;
+  bool answered = false;
+  bool waiting = false;
+  std::vector<Execution> executions;
+};
+
+Fate fateAfter(Outcome outcome) {
+  switch (outcome) {
+    case Outcome::full:
+    case Outcome::connectFailed:
+    case Outcome::moot:
+      return Fate::neverRan;
+    default:
+      return Fate::mayHaveRun;
+  }
+}
+
+bool isFailure(Outcome outcome) {  // full is back pressure; cancelled and moot say nothing
+  return outcome == Outcome::error || outcome == Outcome::timeout || outcome == Outcome::connectFailed ||
+         outcome == Outcome::reset;
+}
+
+}  // namespace
+
+class Decider {
+ public:
+  Decider(Terms terms, Host& host)
+      : terms_(std::move(terms)), host_(host), chance_(static_cast<std::uint_fast32_t>(terms_.seed)) {
+    if (terms_.discoveryOnRequest) host_.watchServers();
+  }
+
+  // ---- The list: the last good set is held through errors and doubtful lists.
+
+  void serversListed(Span now, Listing listing, std::span<const ListedServer> servers) {
+    if (listing != Listing::persisted) askBackoff_ = kFirstAsk;
+    if (listing != Listing::changes) dropAbsent(now, listing, servers);
+    for (const ListedServer& listed : servers) update(now, listed);
+    placeWaiting(now);
+    arm(now);
+  }
+
+  // Guards against a registry that is out of reach: the held set stays, and the call is repeated later.
+  void discoveryFailed(Span now) {
+    askAt_ = now + scaled(askBackoff_, 0.75 + 0.5 * draw());
+    askBackoff_ = std::min(2 * askBackoff_, kLastAsk);
+    arm(now);
+  }
+
+  // ---- Time and queries
+
+  std::pair<QuerySlot, std::uint32_t> take(Span now, const Query& query) {
+    const QuerySlot slot = freeSlot();
+    Held& held = queries_[slot];
+    const std::uint32_t turn = held.turn;
+    held.query = query;
+    held.arrived = now;
+    held.deadline = now + query.timeLeft;
+    held.inUse = true;
+    if (!place(now, slot)) waitOrGiveUp(now, slot);
+    arm(now);
+    return {slot, turn};
+  }
+
+  void wake(Span now) {
+    if (wakeAt_ <= now) wakeAt_ = Span::max();
+    if (askAt_ <= now) {
+      askAt_ = Span::max();
+      host_.watchServers();
+    }
+    if (listAgain_) {
+      listAgain_ = false;
+      host_.listServers();
+    }
+    placeWaiting(now);
+    arm(now);
+  }
+
+  // ---- What a handle is told
+
+  void executionEnded(Span now, QuerySlot slot, ExecutionNo no, Outcome outcome, bool terminal) {
+    Held& held = queries_[slot];
+    if (no.value >= held.executions.size() || held.executions[no.value].fate != Fate::out) return;
+    Execution& execution = held.executions[no.value];
+    execution.fate = fateAfter(outcome);
+    --held.out;
+    judge(now, slot, no, execution, outcome);
+    if (terminal) held.answered = true;
+    if (!held.answered && held.out == 0) {
+      if (now >= held.deadline || hopeless(now, held) || !place(now, slot)) {
+        if (mayExecute(now, held) && !hopeless(now, held)) {
+          waitOrGiveUp(now, slot);
+        } else {
+          answer(now, slot);
+        }
+      }
+    }
+    release(slot);
+    placeWaiting(now);
+    arm(now);
+  }
+
+  void answerStarted(QuerySlot slot, ExecutionNo no) {
+    const Held& held = queries_[slot];
+    if (no.value >= held.executions.size()) return;
+    for (Pending& pending : servers_[held.executions[no.value].server].out) {
+      if (pending.query == slot && pending.no == no) pending.started = true;
+    }
+  }
+
+  void clientLeft(Span now, QuerySlot slot) {
+    stopWaiting(slot);
+    queries_[slot].answered = true;
+    release(slot);
+    arm(now);
+  }
+
+  [[nodiscard]] bool current(QuerySlot slot, std::uint32_t turn) const {
+    return queries_[slot].inUse && queries_[slot].turn == turn;
+  }
+
+ private:
+  double draw() { return std::generate_canonical<double, 24>(chance_); }
+  static Span scaled(Span span, double by) {
+    return Span{static_cast<Span::rep>(static_cast<double>(span.count()) * by)};
+  }
+  [[nodiscard]] const UseCase& useCase(const Held& held) const {
+    return terms_.useCases[held.query.useCase.value];
+  }
+
+  // ---- The list
+
+  void dropAbsent(Span now, Listing listing, std::span<const ListedServer> servers) {
+    std::size_t before = 0;
+    std::size_t lost = 0;
+    const auto absent = [&](const Server& server) {
+      return std::none_of(servers.begin(), servers.end(),
+                          [&](const ListedServer& listed) { return listed.id == server.id; });
+    };
+    for (const Server& server : servers_) {
+      if (!server.held) continue;
+      ++before;
+      if (absent(server)) ++lost;
+    }
+    // Guards against a registry that lost sight of the fleet: an empty list, or one that drops over half at
+    // once, is asked for again, and what it left out serves on until the drain grace would run out.
+    const bool doubted =
+        listing == Listing::complete && !doubting_ && before > 0 &&
+        (servers.empty() || static_cast<double>(lost) > kDropDoubted * static_cast<double>(before));
+    for (Server& server : servers_) {
+      if (!server.held || !absent(server)) continue;
+      close(server, doubted ? now + std::max(terms_.drainGrace - 2 * terms_.tick, Span{0}) : now);
+    }
+    doubting_ = doubted;
+    if (doubted) listAgain_ = true;
+  }
+
+  void close(Server& server, Span from) {
+    server.closedFrom = std::min(server.closedFrom, from);
+    server.held = false;
+  }
+
+  void update(Span now, const ListedServer& listed) {
+    auto at =
+        std::find_if(servers_.begin(), servers_.end(), [&](const Server& s) { return s.id == listed.id; });
+    if (listed.lifecycle != Lifecycle::serving) {
+      if (at != servers_.end()) close(*at, now);
+      return;
+    }
+    const bool known = at != servers_.end();
+    if (!known) {
+      at = std::find_if(servers_.begin(), servers_.end(),
+                        [&](const Server& s) { return !s.held && s.closedFrom <= now && s.out.empty(); });
+      if (at == servers_.end()) at = servers_.emplace(servers_.end(), terms_.tipWindow);
+    }
+    const bool restarted = known && at->startedAt != listed.startedAt && listed.startedAt;
+    if (!known || restarted) {
+      std::vector<Pending> out = std::move(at->out);
+      *at = Server(terms_.tipWindow);
+      at->out = std::move(out);
+      at->weight = meanWeight(now);
+    }
+    at->id = listed.id;
+    at->zone = listed.zone;
+    at->cell = listed.cell;
+    at->size = std::max(listed.size, 1e-3);
+    at->startedAt = listed.startedAt;
+    at->closedFrom = Span::max();
+    at->held = true;
+  }
+
+  [[nodiscard]] double meanWeight(Span now) const {
+    double sum = 0;
+    double count = 0;
+    for (const Server& server : servers_) {
+      if (!server.held || !open(now, server)) continue;
+      sum += server.weight;
+      ++count;
+    }
+    return count > 0 ? sum / count : 1.0;
+  }
+
+  // ---- The pool: failure runs eject until a trial, and ejection halts at a capped share.
+
+  [[nodiscard]] static bool open(Span now, const Server& server) { return now < server.closedFrom; }
+
+  void judge(Span now, QuerySlot slot, ExecutionNo no, const Execution& execution, Outcome outcome) {
+    Server& server = servers_[execution.server];
+    const auto at = std::find_if(server.out.begin(), server.out.end(),
+                                 [&](const Pending& p) { return p.query == slot && p.no == no; });
+    if (at == server.out.end()) return;
+    const Pending pending = *at;
+    server.out.erase(at);
+    if (server.startedAt && execution.sentAt < *server.startedAt) return;  // says nothing of the new process
+    const Span took = now - execution.sentAt;
+    if (outcome == Outcome::completed) {
+      server.pace.add(now, seconds(took) / (pending.others + 1));
+      answers_.add(now, seconds(took));
+      if (ramp(now, server) >= 1) warmAnswers_.add(now, 1);
+      const bool timely = took <= scaled(useCase(queries_[slot]).sloTime, kTimely);
+      if (timely && static_cast<double>(server.out.size()) + 2 > server.limit) {
+        server.limit = std::min(kMostLimit, server.limit + kLimitStep / server.limit);
+      }
+      if (took > useCase(queries_[slot]).sloTime) server.limit = std::max(1.0, server.limit * kLimitCut);
+      server.weight = std::min(1.0, server.weight + kWeightStep);
+      server.run = 0;
+      server.ejected = false;
+      server.onTrial = false;
+    } else if (isFailure(outcome)) {
+      server.weight = std::max(kWeightFloor, server.weight / 2);
+      ++server.run;
+      if (server.ejected || (server.run >= kFailuresToEject && mayEject(now))) eject(now, server);
+    } else if (outcome == Outcome::full) {
+      server.limit = std::max(1.0, server.limit * kLimitCut);
+    }
+    server.onTrial = server.onTrial && !server.out.empty();
+  }
+
+  void eject(Span now, Server& server) {
+    if (server.ejected && now < server.trialAt) return;  // an old execution's end, not the trial's
+    server.ejected = true;
+    server.onTrial = false;
+    server.trialAt = now + scaled(kEjectTime, 1.0 + kEjectSpread * draw());
+  }
+
+  // Self-preservation. Guards against a failure detector that is itself what broke.
+  [[nodiscard]] bool mayEject(Span now) const {
+    double pool = 0;
+    double out = 0;
+    for (const Server& server : servers_) {
+      if (!server.held || !open(now, server)) continue;
+      ++pool;
+      if (server.ejected) ++out;
+    }
+    return out + 1 <= kMostOut * pool;
+  }
+
+  // ---- Cold servers
+
+  // The house way: a fresh server counts for less, by its age.
+  [[nodiscard]] double ramp(Span now, const Server& server) const {
+    if (!server.startedAt || terms_.coldTime <= Span{0}) return 1;
+    const double age = std::max(0.0, seconds(now - *server.startedAt)) / seconds(terms_.coldTime);
+    return std::min(1.0, terms_.coldShare + (1 - terms_.coldShare) * age);
+  }
+
+  // Guards against pushing a cold server over, also when most of the fleet is out and all would flow to it.
+  // Measured by what warm servers answered this balancer: each balancer then stays within its own part.
+  [[nodiscard]] bool coldRoom(Span now, const Server& server) {
+    const double part = ramp(now, server);
+    if (part >= 1) return true;
+    measureWarmRate(now);
+    const double budget =
+        part * terms_.tipMultiple * kColdMargin * warmRate_ * server.size * seconds(terms_.tipWindow);
+    return server.coldSent.count(now) + 1 <= std::max(1.0, budget);
+  }
+
+  // Answers a second that a warm server gave this balancer, for each unit of size.
+  void measureWarmRate(Span now) {
+    double size = 0;
+    for (const Server& server : servers_) {
+      if (server.held && !server.ejected && ramp(now, server) >= 1) size += server.size;
+    }
+    const double span = std::min(seconds(now), seconds(kBucket) * static_cast<double>(kBuckets));
+    if (size > 0 && span > 1) warmRate_ = warmAnswers_.count(now) / size / span;
+  }
+
+  // ---- The pick
+
+  // How long an answer would take: the server's recent pace times what would then be out there.
+  [[nodiscard]] double expected(Span now, const Server& server, double usual) const {
+    double estimate =
+        server.pace.mean(now, usual / server.size) * (static_cast<double>(server.out.size()) + 1);
+    // Guards against silence: nothing is quicker than the execution that is still unanswered.
+    for (const Pending& pending : server.out) {
+      if (!pending.started) estimate = std::max(estimate, seconds(now - pending.sentAt));
+    }
+    return estimate;
+  }
+
+  [[nodiscard]] bool triedBefore(const Held& held, ServerSlot slot) const {
+    return std::any_of(held.executions.begin(), held.executions.end(),
+                       [&](const Execution& e) { return e.server == slot; });
+  }
+
+  std::optional<ServerSlot> pick(Span now, const Held& held) {
+    const double usual = answers_.mean(now, kUnmeasured);
+    expected_.assign(servers_.size(), 0.0);
+    double inverse = 0;
+    double pool = 0;
+    for (ServerSlot slot = 0; slot < servers_.size(); ++slot) {
+      const Server& server = servers_[slot];
+      if (!open(now, server) || !groupAllows(now, held, server)) continue;
+      if (server.ejected) {
+        if (trialDue(now, server, held) && coldRoom(now, server) && !triedBefore(held, slot)) return slot;
+        continue;
+      }
+      expected_[slot] = expected(now, server, usual);
+      inverse += 1 / std::max(expected_[slot], 1e-6);
+      ++pool;
+    }
+    const double crowded =
+        kCrowded * pool / std::max(inverse, 1e-9);  // the harmonic mean: no outlier moves it
+    std::optional<ServerSlot> least;
+    double sum = 0;
+    odds_.assign(servers_.size(), 0.0);
+    for (ServerSlot slot = 0; slot < servers_.size(); ++slot) {
+      const Server& server = servers_[slot];
+      if (expected_[slot] <= 0 || !room(now, server) || triedBefore(held, slot)) continue;
+      if (!least || expected_[slot] < expected_[*least]) least = slot;
+      if (expected_[slot] > crowded) continue;
+      odds_[slot] =
+          server.weight * server.size * ramp(now, server) * (server.zone == terms_.zone ? kNearer : 1.0);
+      sum += odds_[slot];
+    }
+    if (sum <= 0) return least;
+    double rest = draw() * sum;
+    for (ServerSlot slot = 0; slot < servers_.size(); ++slot) {
+      if (odds_[slot] <= 0) continue;
+      least = slot;
+      rest -= odds_[slot];
+      if (rest < 0) break;
+    }
+    return least;
+  }
+
+  // A trial costs what its query costs: one that may run again goes first, another only if none came for
+  // long.
+  [[nodiscard]] bool trialDue(Span now, const Server& server, const Held& held) const {
+    if (server.onTrial || now < server.trialAt || !server.out.empty()) return false;
+    return useCase(held).repeat == Repeat::idempotent || now >= server.trialAt + kEjectTime;
+  }
+
+  [[nodiscard]] bool room(Span now, const Server& server) {
+    return static_cast<double>(server.out.size()) + 1 <= server.limit && coldRoom(now, server);
+  }
+
+  // ---- Executions: a further one only as the use case's kind allows.
+
+  [[nodiscard]] static const Execution* mayHaveRun(const Held& held) {
+    const auto at = std::find_if(held.executions.begin(), held.executions.end(),
+                                 [](const Execution& e) { return e.fate != Fate::neverRan; });
+    return at == held.executions.end() ? nullptr : &*at;
+  }
+
+  // Guards against a second effect: a repeat only where, and while, the servers discard it.
+  [[nodiscard]] bool groupAllows(Span now, const Held& held, const Server& server) const {
+    const Execution* first = mayHaveRun(held);
+    const UseCase& use = useCase(held);
+    if (first == nullptr || use.repeat == Repeat::idempotent) return true;
+    if (use.repeat == Repeat::nonIdempotent) return false;
+    if (now + 2 * terms_.tick >= first->sentAt + use.dedupWindow) return false;
+    switch (use.group) {
+      case DedupGroup::all:
+        return true;
+      case DedupGroup::zone:
+        return server.zone == first->zone;
+      case DedupGroup::cell:
+        return server.cell == first->cell && server.zone == first->zone;
+    }
+    return false;
+  }
+
+  [[nodiscard]] bool mayExecute(Span now, const Held& held) const {
+    if (held.answered || held.out > 0 || now + terms_.tick >= held.deadline) return false;
+    if (held.executions.size() >= terms_.mostExecutions) return false;
+    return std::any_of(servers_.begin(), servers_.end(),
+                       [&](const Server& s) { return open(now, s) && groupAllows(now, held, s); });
+  }
+
+  [[nodiscard]] Span worthUntil(const Held& held) const {
+    const UseCase& use = useCase(held);
+    return use.lateImportance > 0 ? held.deadline : std::min(held.deadline, held.arrived + use.sloTime);
+  }
+  [[nodiscard]] bool hopeless(Span now, const Held& held) const { return now >= worthUntil(held); }
+
+  bool place(Span now, QuerySlot slot) {
+    Held& held = queries_[slot];
+    if (!mayExecute(now, held)) return false;
+    const std::optional<ServerSlot> picked = pick(now, held);
+    if (!picked) return false;
+    Server& server = servers_[*picked];
+    const ExecutionNo no{static_cast<std::uint32_t>(held.executions.size())};
+    server.onTrial = server.ejected;
+    server.out.push_back({slot, no, now, static_cast<double>(server.out.size())});
+    if (ramp(now, server) < 1) server.coldSent.add(now, 1);
+    held.executions.push_back({*picked, now, server.zone, server.cell});
+    ++held.out;
+    stopWaiting(slot);
+    host_.execute(held.query.id, server.id, held.deadline - now);
+    return true;
+  }
+
+  // ---- Waiting here for room, in the order of importance
+
+  void waitOrGiveUp(Span now, QuerySlot slot) {
+    Held& held = queries_[slot];
+    if (!mayExecute(now, held) || now >= giveUpAt(now, held)) return answer(now, slot);
+    const auto before = [&](QuerySlot a, QuerySlot b) {
+      return importance(queries_[a]) > importance(queries_[b]);
+    };
+    const auto at = std::upper_bound(waiting_.begin(), waiting_.end(), slot, before);
+    // Guards against waiting in vain: what is ahead must be gone in time at the rate of late.
+    const double ahead = static_cast<double>(at - waiting_.begin()) + 1;
+    const double rate = answers_.count(now) / std::clamp(seconds(now), 1.0, seconds(kBucket) * kBuckets);
+    if (ahead > rate * seconds(giveUpAt(now, held) - now)) return answer(now, slot);
+    waiting_.insert(at, slot);
+    held.waiting = true;
+  }
+
+  [[nodiscard]] double importance(const Held& held) const { return useCase(held).importance; }
+
+  // The last moment at which an execution may still be answered within the SLO time.
+  [[nodiscard]] Span giveUpAt(Span now, const Held& held) const {
+    const Span usual = scaled(1s, answers_.mean(now, kUnmeasured));
+    return std::min(held.deadline, held.arrived + useCase(held).sloTime) - usual;
+  }
+
+  void stopWaiting(QuerySlot slot) {
+    if (!queries_[slot].waiting) return;
+    queries_[slot].waiting = false;
+    std::erase(waiting_, slot);
+  }
+
+  void placeWaiting(Span now) {
+    for (std::size_t i = 0; i < waiting_.size();) {
+      const QuerySlot slot = waiting_[i];
+      if (now >= giveUpAt(now, queries_[slot]) || !mayExecute(now, queries_[slot])) {
+        stopWaiting(slot);
+        answer(now, slot);
+      } else if (!place(now, slot)) {
+        ++i;
+      }
+    }
+  }
+
+  // ---- The final answer, once
+
+  void answer(Span now, QuerySlot slot) {
+    Held& held = queries_[slot];
+    if (held.answered) return;
+    held.answered = true;
+    const UseCase& use = useCase(held);
+    const bool harmless = mayHaveRun(held) == nullptr || use.repeat == Repeat::idempotent ||
+                          (use.repeat == Repeat::deduplicated && use.group == DedupGroup::all);
+    if (harmless && now < held.deadline) {
+      host_.reject(held.query.id, std::min(kAdvice, terms_.longestAdvice));
+    } else {
+      host_.abort(held.query.id);
+    }
+    release(slot);
+  }
+
+  // ---- Housekeeping
+
+  QuerySlot freeSlot() {
+    if (!free_.empty()) {
+      const QuerySlot slot = free_.back();
+      free_.pop_back();
+      return slot;
+    }
+    queries_.emplace_back();
+    return static_cast<QuerySlot>(queries_.size() - 1);
+  }
+
+  void release(QuerySlot slot) {
+    Held& held = queries_[slot];
+    if (!held.inUse || !held.answered || held.out > 0) return;
+    std::vector<Execution> executions = std::move(held.executions);
+    executions.clear();
+    const std::uint32_t turn = held.turn + 1;
+    held = Held{};
+    held.turn = turn;
+    held.executions = std::move(executions);
+    free_.push_back(slot);
+  }
+
+  // One pending wake at the earliest time that anything is due.
+  void arm(Span now) {
+    Span due = listAgain_ ? now : askAt_;
+    for (const QuerySlot slot : waiting_) due = std::min(due, giveUpAt(now, queries_[slot]));
+    due = std::max(due, now + terms_.tick);
+    if (due >= wakeAt_ || due == Span::max()) return;
+    wakeAt_ = due;
+    host_.wakeAt(due);
+  }
+
+  Terms terms_;
+  Host& host_;
+  std::ranlux24_base chance_;
+  std::vector<Server> servers_;
+  std::vector<Held> queries_;
+  std::vector<QuerySlot> free_;
+  std::vector<QuerySlot> waiting_;  // the most important first
+  std::vector<double> expected_;    // scratch of pick(), by server slot
+  std::vector<double> odds_;        // scratch of pick(), by server slot
+  Ring<kBuckets> answers_{kBucket};
+  Ring<kBuckets> warmAnswers_{kBucket};
+  double warmRate_ = 0;
+  Span askAt_ = Span::max();
+  Span askBackoff_ = kFirstAsk;
+  Span wakeAt_ = Span::max();
+  bool doubting_ = false;
+  bool listAgain_ = false;
+};
+
+// ---- The public face
+
+Balancer::Balancer(Terms terms, Host& host) : decider_(std::make_unique<Decider>(std::move(terms), host)) {}
+Balancer::~Balancer() = default;
+
+QueryHandle Balancer::take(Span now, const Query& query) {
+  const auto [slot, turn] = decider_->take(now, query);
+  return {*decider_, slot, turn};
+}
+void Balancer::serversListed(Span now, Listing listing, std::span<const ListedServer> servers) {
+  decider_->serversListed(now, listing, servers);
+}
+void Balancer::discoveryFailed(Span now) { decider_->discoveryFailed(now); }
+void Balancer::wake(Span now) { decider_->wake(now); }
+
+void QueryHandle::executionEnded(Span now, ExecutionNo execution, Outcome outcome, bool terminal) {
+  if (!over()) decider_->executionEnded(now, slot_, execution, outcome, terminal);
+}
+void QueryHandle::answerStarted(ExecutionNo execution) {
+  if (!over()) decider_->answerStarted(slot_, execution);
+}
+void QueryHandle::clientLeft(Span now) {
+  if (!over()) decider_->clientLeft(now, slot_);
+}
+bool QueryHandle::over() const { return !decider_->current(slot_, turn_); }
+
+}  // namespace rackroute
--- /dev/null
+++ b/src/simwire/session.hpp
@@ -0,0 +1,60 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <stdexcept>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "rackroute/balancer.hpp"
+
+namespace rackroute::simwire {
+
+struct Malformed : std::runtime_error {
+  using std::runtime_error::runtime_error;
+};
+
+class Instance;
+
+/// The simulator's wire, line by line: each event becomes a call on a balancer, each answer a line of the
+/// reply.
+class Session {
+ public:
+  Session();
+  Session(const Session&) = delete;
+  Session& operator=(const Session&) = delete;
+  ~Session();
+
+  /// Reads one line without its end. Returns true when it closed a batch: reply() is then to be written.
+  bool read(std::string_view line);
+  /// The reply to the batch just closed; empty again afterwards.
+  std::string takeReply();
+  [[nodiscard]] bool betweenBatches() const { return !inBatch_; }
+
+ private:
+  struct Entry {
+    std::string name;
+    std::string zone;
+    Lifecycle lifecycle;
+    double size;
+    std::int64_t since;
+    std::int64_t cell;
+  };
+  void event(const std::vector<std::string_view>& parts);
+  void start(const std::vector<std::string_view>& parts);
+  void defineList(const std::vector<std::string_view>& parts);
+  void entry(const std::vector<std::string_view>& parts);
+
+  std::map<std::int64_t, std::unique_ptr<Instance>> instances_;
+  std::vector<std::vector<Entry>> lists_;
+  std::vector<std::string_view> parts_;
+  std::string reply_;
+  std::int64_t clock_ = 0;  // microseconds
+  std::size_t entriesDue_ = 0;
+  std::size_t slot_ = 0;
+  bool inBatch_ = false;
+};
+
+}  // namespace rackroute::simwire
