Count silence as a time-out when it is noticed

Cause: a hung server's failures were seen only when the clients gave up. An execution over its SLO time and three times the usual answer time counts once.

--- a/src/decide/balancer.cpp
+++ b/src/decide/balancer.cpp
@@ -38,6 +38,7 @@
 constexpr double kLimitStep = 0.5;      // executions per limit's worth of timely answers
 constexpr double kLimitCut = 0.8;       // of the limit, per late answer; twice in a row is a third off
 constexpr double kTimely = 0.6;         // of the SLO time; slower answers mean a queue at the server
+constexpr double kOverdue = 3.0;        // of the usual answer time; no healthy server strays that far
 constexpr Span kFirstAsk = 250ms;       // first repeat of a failed discovery call; a tick or two is too soon
 constexpr Span kLastAsk = 4s;           // longest backoff; well inside the time a held list may go unasked
 constexpr Span kBucket = 500ms;         // measuring bucket; some ten answers of a busy server
@@ -97,6 +98,7 @@
   Span sentAt;
   double others;         // executions that were out there when it was sent
   bool started = false;  // its answer streams to the client
+  bool overdue = false;  // counted as a time-out before its end
 };
 
 struct Server {
@@ -209,6 +211,7 @@
       listAgain_ = false;
       host_.listServers();
     }
+    countOverdue(now);
     placeWaiting(now);
     arm(now);
   }
@@ -364,15 +367,37 @@
       server.ejected = false;
       server.onTrial = false;
     } else if (isFailure(outcome)) {
-      server.weight = std::max(kWeightFloor, server.weight / 2);
-      ++server.run;
-      if (server.ejected || (server.run >= kFailuresToEject && mayEject(now))) eject(now, server);
+      if (!pending.overdue) countFailure(now, server);
     } else if (outcome == Outcome::full) {
       server.limit = std::max(1.0, server.limit * kLimitCut);
     }
     server.onTrial = server.onTrial && !server.out.empty();
   }
 
+  void countFailure(Span now, Server& server) {
+    server.weight = std::max(kWeightFloor, server.weight / 2);
+    ++server.run;
+    if (server.ejected || (server.run >= kFailuresToEject && mayEject(now))) eject(now, server);
+  }
+
+  // Guards against servers that take work and answer none: an execution far over the usual counts at once as
+  // one time-out, not only when its client gives up. Where all answers are slow the usual grows with them.
+  [[nodiscard]] Span overdueAt(Span now, const Pending& pending) const {
+    const Span slo = useCase(queries_[pending.query]).sloTime;
+    return pending.sentAt + std::max(slo, scaled(1s, kOverdue * answers_.mean(now, kUnmeasured)));
+  }
+
+  void countOverdue(Span now) {
+    for (Server& server : servers_) {
+      for (Pending& pending : server.out) {
+        if (pending.overdue || pending.started || now < overdueAt(now, pending)) continue;
+        pending.overdue = true;
+        server.limit = std::max(1.0, server.limit * kLimitCut);
+        countFailure(now, server);
+      }
+    }
+  }
+
   void eject(Span now, Server& server) {
     if (server.ejected && now < server.trialAt) return;  // an old execution's end, not the trial's
     server.ejected = true;
@@ -636,6 +661,11 @@
   void arm(Span now) {
     Span due = listAgain_ ? now : askAt_;
     for (const QuerySlot slot : waiting_) due = std::min(due, giveUpAt(now, queries_[slot]));
+    for (const Server& server : servers_) {
+      for (const Pending& pending : server.out) {
+        if (!pending.overdue && !pending.started) due = std::min(due, overdueAt(now, pending));
+      }
+    }
     due = std::max(due, now + terms_.tick);
     if (due >= wakeAt_ || due == Span::max()) return;
     wakeAt_ = due;
