--- a/src/decide/balancer.cpp
+++ b/src/decide/balancer.cpp
@@ -33,12 +33,13 @@
 constexpr double kNearer = 3.0;         // draw weight of the own zone; crossing costs time and money
 constexpr double kDropDoubted = 0.5;    // share of the held servers; losing more at once is doubted
 constexpr double kColdMargin = 0.5;     // share of the tipping budget; queries' work varies about twofold
-constexpr double kFirstLimit = 4.0;     // executions; about the queue that still answers within an SLO time
+constexpr double kFirstLimit = 2.0;     // executions; about the queue that still answers within an SLO time
 constexpr double kMostLimit = 64.0;     // executions; only keeps the limit from growing for ever
 constexpr double kLimitStep = 0.5;      // executions per limit's worth of timely answers
 constexpr double kLimitCut = 0.8;       // of the limit, per late answer; twice in a row is a third off
-constexpr double kTimely = 0.6;         // of the SLO time; slower answers mean a queue at the server
+constexpr double kTimely = 0.4;         // of the SLO time; slower answers mean a queue at the server
 constexpr double kOverdue = 3.0;        // of the usual answer time; no healthy server strays that far
+constexpr double kLate = 0.7;           // of the SLO time; leaves the rest for waiting here
 constexpr Span kFirstAsk = 250ms;       // first repeat of a failed discovery call; a tick or two is too soon
 constexpr Span kLastAsk = 4s;           // longest backoff; well inside the time a held list may go unasked
 constexpr Span kBucket = 500ms;         // measuring bucket; some ten answers of a busy server
@@ -361,7 +362,8 @@
       if (timely && static_cast<double>(server.out.size()) + 2 > server.limit) {
         server.limit = std::min(kMostLimit, server.limit + kLimitStep / server.limit);
       }
-      if (took > useCase(queries_[slot]).sloTime) server.limit = std::max(1.0, server.limit * kLimitCut);
+      if (took > scaled(useCase(queries_[slot]).sloTime, kLate))
+        server.limit = std::max(1.0, server.limit * kLimitCut);
       server.weight = std::min(1.0, server.weight + kWeightStep);
       server.run = 0;
       server.ejected = false;
