Let limits go below one execution and share the first limit over the balancers

The pool's limits add up now and the first limit is shared over the number of balancers told at start.

--- a/include/rackroute/terms.hpp
+++ b/include/rackroute/terms.hpp
@@ -43,6 +43,7 @@
   std::vector<double> accounts;  // each account's part of the service
   double beyondShareImportance = 1;
   ZoneId zone;
+  std::uint32_t balancers = 1;
   bool discoveryOnRequest = false;
   Span longestAdvice{};  // 0 where clients take no advice on when to come back
   std::uint32_t mostExecutions = 1;
--- a/src/decide/balancer.cpp
+++ b/src/decide/balancer.cpp
@@ -33,9 +33,10 @@
 constexpr double kNearer = 3.0;         // draw weight of the own zone; crossing costs time and money
 constexpr double kDropDoubted = 0.5;    // share of the held servers; losing more at once is doubted
 constexpr double kColdMargin = 0.5;     // share of the tipping budget; queries' work varies about twofold
-constexpr double kFirstLimit = 2.0;     // executions; about the queue that still answers within an SLO time
+constexpr double kFirstLimit = 6.0;     // executions of all balancers; a queue answered within an SLO time
+constexpr double kLeastLimit = 0.2;     // executions; one at a time on every fifth server
 constexpr double kMostLimit = 64.0;     // executions; only keeps the limit from growing for ever
-constexpr double kLimitStep = 0.5;      // executions per limit's worth of timely answers
+constexpr double kLimitStep = 0.1;      // executions per limit's worth of timely answers
 constexpr double kLimitCut = 0.8;       // of the limit, per late answer; twice in a row is a third off
 constexpr double kTimely = 0.4;         // of the SLO time; slower answers mean a queue at the server
 constexpr double kOverdue = 3.0;        // of the usual answer time; no healthy server strays that far
@@ -117,7 +118,7 @@
   bool ejected = false;
   Span trialAt{};
   bool onTrial = false;
-  double limit = kFirstLimit;  // executions that may be out here
+  double limit = 1;  // executions that may be out here
   std::vector<Pending> out;
   Ring<kBuckets> pace{kBucket};  // seconds an answer took for each execution out, itself included
   Ring<kTipBuckets> coldSent;
@@ -320,6 +321,7 @@
       *at = Server(terms_.tipWindow);
       at->out = std::move(out);
       at->weight = meanWeight(now);
+      at->limit = std::max(kLeastLimit, kFirstLimit / terms_.balancers);
     }
     at->id = listed.id;
     at->zone = listed.zone;
@@ -359,11 +361,11 @@
       answers_.add(now, seconds(took));
       if (ramp(now, server) >= 1) warmAnswers_.add(now, 1);
       const bool timely = took <= scaled(useCase(queries_[slot]).sloTime, kTimely);
-      if (timely && static_cast<double>(server.out.size()) + 2 > server.limit) {
-        server.limit = std::min(kMostLimit, server.limit + kLimitStep / server.limit);
+      if (timely && (static_cast<double>(server.out.size()) + 2 > server.limit || poolFull(now))) {
+        server.limit = std::min(kMostLimit, server.limit + kLimitStep / std::max(1.0, server.limit));
       }
       if (took > scaled(useCase(queries_[slot]).sloTime, kLate))
-        server.limit = std::max(1.0, server.limit * kLimitCut);
+        server.limit = std::max(kLeastLimit, server.limit * kLimitCut);
       server.weight = std::min(1.0, server.weight + kWeightStep);
       server.run = 0;
       server.ejected = false;
@@ -371,7 +373,7 @@
     } else if (isFailure(outcome)) {
       if (!pending.overdue) countFailure(now, server);
     } else if (outcome == Outcome::full) {
-      server.limit = std::max(1.0, server.limit * kLimitCut);
+      server.limit = std::max(kLeastLimit, server.limit * kLimitCut);
     }
     server.onTrial = server.onTrial && !server.out.empty();
   }
@@ -394,7 +396,7 @@
       for (Pending& pending : server.out) {
         if (pending.overdue || pending.started || now < overdueAt(now, pending)) continue;
         pending.overdue = true;
-        server.limit = std::max(1.0, server.limit * kLimitCut);
+        server.limit = std::max(kLeastLimit, server.limit * kLimitCut);
         countFailure(now, server);
       }
     }
@@ -468,6 +470,7 @@
   }
 
   std::optional<ServerSlot> pick(Span now, const Held& held) {
+    if (poolFull(now)) return std::nullopt;
     const double usual = answers_.mean(now, kUnmeasured);
     expected_.assign(servers_.size(), 0.0);
     double inverse = 0;
@@ -516,7 +519,19 @@
   }
 
   [[nodiscard]] bool room(Span now, const Server& server) {
-    return static_cast<double>(server.out.size()) + 1 <= server.limit && coldRoom(now, server);
+    return static_cast<double>(server.out.size()) + 1 <= std::max(1.0, server.limit) && coldRoom(now, server);
+  }
+
+  // The limits' sum binds too: below one execution a server, this balancer uses only some of them at a time.
+  [[nodiscard]] bool poolFull(Span now) const {
+    double out = 0;
+    double limits = 0;
+    for (const Server& server : servers_) {
+      if (!open(now, server) || server.ejected) continue;
+      out += static_cast<double>(server.out.size());
+      limits += server.limit;
+    }
+    return out + 1 > std::max(1.0, limits);
   }
 
   // ---- Executions: a further one only as the use case's kind allows.
