Lean each key's draw to its home in the own zone

Cause: where met keys are cheap, spreading a key over all servers loses the saving. The home is the highest hash among the own zone's pool; it may be twice as crowded.

--- a/src/decide/balancer.cpp
+++ b/src/decide/balancer.cpp
@@ -31,6 +31,8 @@
 constexpr double kWeightFloor = 0.05;          // of full weight 1; keeps a failing server in sight
 constexpr double kCrowded = 1.25;       // of the pool's mean expected answer time; "well above" begins here
 constexpr double kNearer = 3.0;         // draw weight of the own zone; crossing costs time and money
+constexpr double kHome = 20.0;          // draw weight of a key's home; a met key saves over half the work
+constexpr double kHomeCrowded = 2.0;    // of the common bound; the met key takes under half as long
 constexpr double kDropDoubted = 0.5;    // share of the held servers; losing more at once is doubted
 constexpr double kColdMargin = 0.5;     // share of the tipping budget; queries' work varies about twofold
 constexpr double kFirstLimit = 4.0;     // executions of all balancers; a queue answered within an SLO time
@@ -146,6 +148,12 @@
   std::vector<Execution> executions;
 };
 
+std::uint64_t mixed(std::uint64_t value) {  // splitmix64's finish
+  value = (value ^ (value >> 30U)) * 0xbf58476d1ce4e5b9U;
+  value = (value ^ (value >> 27U)) * 0x94d049bb133111ebU;
+  return value ^ (value >> 31U);
+}
+
 Fate fateAfter(Outcome outcome) {
   switch (outcome) {
     case Outcome::full:
@@ -488,6 +496,7 @@
     }
     const double crowded =
         kCrowded * pool / std::max(inverse, 1e-9);  // the harmonic mean: no outlier moves it
+    const std::optional<ServerSlot> home = homeOf(now, held);
     std::optional<ServerSlot> least;
     double sum = 0;
     odds_.assign(servers_.size(), 0.0);
@@ -495,9 +504,10 @@
       const Server& server = servers_[slot];
       if (expected_[slot] <= 0 || !room(now, server) || triedBefore(held, slot)) continue;
       if (!least || expected_[slot] < expected_[*least]) least = slot;
-      if (expected_[slot] > crowded) continue;
-      odds_[slot] =
-          server.weight * server.size * ramp(now, server) * (server.zone == terms_.zone ? kNearer : 1.0);
+      if (expected_[slot] > (home == slot ? kHomeCrowded * crowded : crowded)) continue;
+      odds_[slot] = server.weight * server.size * ramp(now, server);
+      if (server.zone == terms_.zone) odds_[slot] *= kNearer;
+      if (home == slot) odds_[slot] *= kHome;
       sum += odds_[slot];
     }
     if (sum <= 0) return least;
@@ -511,6 +521,23 @@
     return least;
   }
 
+  // Where a server that met a key does its queries cheaper, every balancer leans the same key to the same
+  // server, found by the highest hash; crowding still skips it, so that a popular key does not pile up.
+  [[nodiscard]] std::optional<ServerSlot> homeOf(Span now, const Held& held) const {
+    std::optional<ServerSlot> home;
+    if (!terms_.warmKeys || !held.query.key) return home;
+    std::uint64_t highest = 0;
+    for (ServerSlot slot = 0; slot < servers_.size(); ++slot) {
+      const Server& server = servers_[slot];
+      if (!open(now, server) || server.ejected || server.zone != terms_.zone) continue;
+      const std::uint64_t hash = mixed(held.query.key->value ^ mixed(server.id.value));
+      if (home && hash <= highest) continue;
+      home = slot;
+      highest = hash;
+    }
+    return home;
+  }
+
   // A trial costs what its query costs: one that may run again goes first, another only if none came for
   // long.
   [[nodiscard]] bool trialDue(Span now, const Server& server, const Held& held) const {
