--- a/src/decide/balancer.cpp
+++ b/src/decide/balancer.cpp
@@ -490,8 +490,8 @@
         if (trialDue(now, server, held) && coldRoom(now, server) && !triedBefore(held, slot)) return slot;
         continue;
       }
-      expected_[slot] = expected(now, server, usual);
-      inverse += 1 / std::max(expected_[slot], 1e-6);
+      expected_[slot] = std::max(expected(now, server, usual), 1e-6);
+      inverse += 1 / expected_[slot];
       ++pool;
     }
     const double crowded =
--- a/tests/mechanism_test.cpp
+++ b/tests/mechanism_test.cpp
@@ -0,0 +1,142 @@
+#include "story.hpp"
+
+using namespace rackroute;
+using namespace rackroute::story;
+
+TEST_CASE("a discovery error leaves the held list and is asked again later") {
+  Terms asked = terms();
+  asked.discoveryOnRequest = true;
+  Fleet fleet(asked);
+  REQUIRE(fleet.watches == 1);
+  fleet.hold(3);
+  fleet.balancer.discoveryFailed(fleet.now);
+  CHECK(fleet.play(kIdempotent, Outcome::completed).value <= 3);
+  REQUIRE(!fleet.wakes.empty());
+  fleet.now += 1s;
+  fleet.balancer.wake(fleet.now);
+  CHECK(fleet.watches == 2);
+}
+
+TEST_CASE("an empty list or one that drops over half is doubted, but not past the drain grace") {
+  const auto left = GENERATE(std::uint64_t{0}, std::uint64_t{1});
+  Fleet fleet(terms());
+  fleet.hold(4);
+  std::vector<ListedServer> doubtful;
+  for (std::uint64_t id = 1; id <= left; ++id) doubtful.push_back(server(id));
+  fleet.list(Listing::complete, doubtful);
+  fleet.now += 10ms;
+  fleet.balancer.wake(fleet.now);
+  CHECK(fleet.lists == 1);
+  CHECK(fleet.share({4}, 30) > 0);
+  SECTION("a good list makes it whole again") {
+    fleet.list(Listing::complete, {server(1), server(2), server(3), server(4)});
+    fleet.now += 2s;
+    CHECK(fleet.share({4}, 60) > 0);
+  }
+  SECTION("without one nothing new goes out once the grace is over") {
+    fleet.now += 1s;
+    const std::size_t before = fleet.sent.size();
+    for (int i = 0; i < 20; ++i) fleet.take(kIdempotent);
+    for (std::size_t i = before; i < fleet.sent.size(); ++i) CHECK(fleet.sent[i].server.value <= left);
+  }
+}
+
+TEST_CASE("a list that drops half or less is believed at once") {
+  Fleet fleet(terms());
+  fleet.hold(4);
+  fleet.list(Listing::complete, {server(1), server(2)});
+  CHECK(fleet.share({3}, 50) + fleet.share({4}, 50) == 0);
+}
+
+TEST_CASE("five failures in a row eject, four do not, and full is no failure") {
+  const auto outcome = GENERATE(Outcome::error, Outcome::timeout, Outcome::reset, Outcome::connectFailed);
+  Fleet fleet(terms());
+  fleet.hold(3);
+  fleet.spoil({2}, outcome, 4);
+  fleet.spoil({2}, Outcome::full, 3);
+  fleet.spoil({2}, Outcome::completed, 1);
+  fleet.spoil({2}, outcome, 5);
+  CHECK(fleet.share({2}, 200) == 0);
+}
+
+TEST_CASE("after the eject time one trial decides") {
+  Fleet fleet(terms());
+  fleet.hold(3);
+  fleet.spoil({2}, Outcome::error, 5);
+  fleet.now += 14s;
+  fleet.take(kIdempotent);
+  const auto trial = fleet.last();
+  REQUIRE(trial.server.value == 2);
+  SECTION("it fails: out for the same time again") {
+    CHECK(fleet.share({2}, 20) == 0);  // one trial at a time
+    fleet.end(trial, Outcome::error);
+    fleet.now += 9s;
+    CHECK(fleet.share({2}, 30, kIdempotent) == 0);
+    fleet.now += 5s;
+    CHECK(fleet.share({2}, 1, kIdempotent) == 1);
+  }
+  SECTION("it succeeds: back in the pool") {
+    fleet.now += 20ms;
+    fleet.end(trial, Outcome::completed);
+    CHECK(fleet.share({2}, 200) > 0);
+  }
+}
+
+TEST_CASE("once half the pool is out, ejection stops") {
+  Fleet fleet(terms());
+  fleet.hold(4);
+  fleet.spoil({1}, Outcome::error, 5);
+  fleet.spoil({2}, Outcome::error, 5);
+  fleet.spoil({3}, Outcome::error, 7);
+  const int others = fleet.share({1}, 60) + fleet.share({2}, 60);
+  CHECK(others == 0);
+  CHECK(fleet.share({3}, 200) > 0);
+}
+
+TEST_CASE("a silent server is noticed before its clients give up") {
+  Fleet fleet(terms());
+  fleet.hold(3);
+  for (int i = 0; i < 60; ++i) fleet.play(kNonIdempotent, Outcome::completed);
+  for (int i = 0; i < 400; ++i) {  // server 2 takes work and answers none
+    fleet.take(kNonIdempotent, 30s);
+    fleet.now += 20ms;
+    if (fleet.last().server.value != 2) fleet.end(fleet.last(), Outcome::completed);
+    fleet.balancer.wake(fleet.now);
+  }
+  const auto stuck = std::count_if(fleet.sent.begin() + 60, fleet.sent.end(),
+                                   [](const auto& sent) { return sent.server.value == 2; });
+  CHECK(stuck <= 8);
+}
+
+TEST_CASE("a restarted server starts afresh") {
+  Fleet fleet(terms());
+  fleet.hold(3);
+  fleet.spoil({2}, Outcome::error, 5);
+  ListedServer again = server(2);
+  again.startedAt = fleet.now;
+  fleet.list(Listing::changes, {again});
+  fleet.now += 25s;
+  CHECK(fleet.share({2}, 200) > 0);
+}
+
+TEST_CASE("queries of one key go to one server where met keys are cheap") {
+  Terms warm = terms();
+  warm.warmKeys = true;
+  Fleet fleet(warm);
+  fleet.hold(8);
+  std::map<ServerId, int> hits;
+  for (std::uint32_t i = 0; i < 200; ++i) {
+    Query query;
+    query.id = {i};
+    query.useCase = kIdempotent;
+    query.timeLeft = 2s;
+    query.key = KeyId{42};
+    fleet.handles.push_back(fleet.balancer.take(fleet.now, query));
+    fleet.now += 20ms;
+    fleet.end(fleet.last(), Outcome::completed);
+    ++hits[fleet.last().server];
+  }
+  const auto most = std::max_element(hits.begin(), hits.end(),
+                                     [](const auto& a, const auto& b) { return a.second < b.second; });
+  CHECK(most->second > 100);
+}
