--- a/src/decide/balancer.cpp
+++ b/src/decide/balancer.cpp
@@ -546,6 +546,9 @@
   }
 
   [[nodiscard]] bool room(Span now, const Server& server) {
+    // Guards against a real mass failure, in which the cap keeps dead servers in the pool: one that failed
+    // often enough to be ejected stays in it, but gets one execution at a time, as in a trial.
+    if (server.run >= kFailuresToEject && !server.out.empty()) return false;
     return static_cast<double>(server.out.size()) + 1 <= std::max(1.0, server.limit) && coldRoom(now, server);
   }
 
