--- a/src/decide/balancer.cpp
+++ b/src/decide/balancer.cpp
@@ -48,7 +48,7 @@
 constexpr Span kBucket = 500ms;         // measuring bucket; some ten answers of a busy server
 constexpr std::size_t kBuckets = 16;    // buckets in a ring: 8 s, the shortest troubles' length
 constexpr std::size_t kTipBuckets = 8;  // buckets over the tipping window
-constexpr Span kAdvice = 500ms;         // when to come back; about one SLO time
+constexpr Span kAdvice = 150ms;                     // when to come back; leaves a client's retry a chance within the SLO time
 constexpr double kUnmeasured = 0.15;    // seconds; answer time assumed before the first answer
 
 double seconds(Span span) { return std::chrono::duration<double>(span).count(); }
