--- a/src/decide/balancer.cpp
+++ b/src/decide/balancer.cpp
@@ -48,8 +48,9 @@
 constexpr Span kBucket = 500ms;         // measuring bucket; some ten answers of a busy server
 constexpr std::size_t kBuckets = 16;    // buckets in a ring: 8 s, the shortest troubles' length
 constexpr std::size_t kTipBuckets = 8;  // buckets over the tipping window
-constexpr Span kAdvice = 150ms;                     // when to come back; leaves a client's retry a chance within the SLO time
-constexpr double kUnmeasured = 0.15;    // seconds; answer time assumed before the first answer
+constexpr double kLeastServed = 0.2;    // share of a use case's queries; bounds what starving adds
+constexpr Span kAdvice = 150ms;  // when to come back; leaves a client's retry a chance within the SLO time
+constexpr double kUnmeasured = 0.15;  // seconds; answer time assumed before the first answer
 
 double seconds(Span span) { return std::chrono::duration<double>(span).count(); }
 
@@ -145,6 +146,7 @@
   bool inUse = false;
   bool answered = false;
   bool waiting = false;
+  double rank = 0;  // among those waiting
   std::vector<Execution> executions;
 };
 
@@ -175,7 +177,10 @@
 class Decider {
  public:
   Decider(Terms terms, Host& host)
-      : terms_(std::move(terms)), host_(host), chance_(static_cast<std::uint_fast32_t>(terms_.seed)) {
+      : terms_(std::move(terms)),
+        host_(host),
+        chance_(static_cast<std::uint_fast32_t>(terms_.seed)),
+        served_(terms_.useCases.size(), Ring<kBuckets>(kBucket)) {
     if (terms_.discoveryOnRequest) host_.watchServers();
   }
 
@@ -367,6 +372,7 @@
     if (outcome == Outcome::completed) {
       server.pace.add(now, seconds(took) / (pending.others + 1));
       answers_.add(now, seconds(took));
+      if (!queries_[slot].answered) served_[queries_[slot].query.useCase.value].add(now, 1);
       if (ramp(now, server) >= 1) warmAnswers_.add(now, 1);
       const bool timely = took <= scaled(useCase(queries_[slot]).sloTime, kTimely);
       if (timely && (static_cast<double>(server.out.size()) + 2 > server.limit || poolFull(now))) {
@@ -625,9 +631,8 @@
   void waitOrGiveUp(Span now, QuerySlot slot) {
     Held& held = queries_[slot];
     if (!mayExecute(now, held) || now >= giveUpAt(now, held)) return answer(now, slot);
-    const auto before = [&](QuerySlot a, QuerySlot b) {
-      return importance(queries_[a]) > importance(queries_[b]);
-    };
+    held.rank = importance(now, held);
+    const auto before = [&](QuerySlot a, QuerySlot b) { return queries_[a].rank > queries_[b].rank; };
     const auto at = std::upper_bound(waiting_.begin(), waiting_.end(), slot, before);
     // Guards against waiting in vain: what is ahead must be gone in time at the rate of late.
     const double ahead = static_cast<double>(at - waiting_.begin()) + 1;
@@ -637,7 +642,11 @@
     held.waiting = true;
   }
 
-  [[nodiscard]] double importance(const Held& held) const { return useCase(held).importance; }
+  // Guards against starving a use case in a long overload: what was served least lately moves forward.
+  [[nodiscard]] double importance(Span now, const Held& held) const {
+    const double served = std::max(kLeastServed, served_[held.query.useCase.value].mean(now, 1.0));
+    return useCase(held).importance / (served * served);
+  }
 
   // The last moment at which an execution may still be answered within the SLO time.
   [[nodiscard]] Span giveUpAt(Span now, const Held& held) const {
@@ -669,6 +678,7 @@
     Held& held = queries_[slot];
     if (held.answered) return;
     held.answered = true;
+    served_[held.query.useCase.value].add(now, 0);
     const UseCase& use = useCase(held);
     const bool harmless = mayHaveRun(held) == nullptr || use.repeat == Repeat::idempotent ||
                           (use.repeat == Repeat::deduplicated && use.group == DedupGroup::all);
@@ -729,6 +739,7 @@
   std::vector<double> expected_;    // scratch of pick(), by server slot
   std::vector<double> odds_;        // scratch of pick(), by server slot
   Ring<kBuckets> answers_{kBucket};
+  std::vector<Ring<kBuckets>> served_;  // by use case: 1 for each query completed, 0 for each given up
   Ring<kBuckets> warmAnswers_{kBucket};
   double warmRate_ = 0;
   Span askAt_ = Span::max();
