--- a/src/decide/balancer.cpp
+++ b/src/decide/balancer.cpp
@@ -48,7 +48,7 @@
 constexpr Span kBucket = 500ms;         // measuring bucket; some ten answers of a busy server
 constexpr std::size_t kBuckets = 16;    // buckets in a ring: 8 s, the shortest troubles' length
 constexpr std::size_t kTipBuckets = 8;  // buckets over the tipping window
-constexpr double kLeastServed = 0.2;    // share of a use case's queries; bounds what starving adds
+constexpr double kLeastServed = 0.5;    // share of a use case's queries; bounds what starving adds
 constexpr Span kAdvice = 150ms;  // when to come back; leaves a client's retry a chance within the SLO time
 constexpr double kUnmeasured = 0.15;  // seconds; answer time assumed before the first answer
 
@@ -645,7 +645,7 @@
   // Guards against starving a use case in a long overload: what was served least lately moves forward.
   [[nodiscard]] double importance(Span now, const Held& held) const {
     const double served = std::max(kLeastServed, served_[held.query.useCase.value].mean(now, 1.0));
-    return useCase(held).importance / (served * served);
+    return useCase(held).importance / served;
   }
 
   // The last moment at which an execution may still be answered within the SLO time.
