--- a/include/rackroute/terms.hpp
+++ b/include/rackroute/terms.hpp
@@ -48,7 +48,6 @@
   Span longestAdvice{};  // 0 where clients take no advice on when to come back
   std::uint32_t mostExecutions = 1;
   bool secondCopies = false;
-  bool mayCancel = false;
   bool warmKeys = false;
   Span tick{};
   Span drainGrace{};
--- a/src/decide/balancer.cpp
+++ b/src/decide/balancer.cpp
@@ -103,7 +103,6 @@
   Span sentAt;
   double others;         // executions that were out there when it was sent
   bool started = false;  // its answer streams to the client
-  bool calledOff = false;
   bool overdue = false;  // counted as a time-out before its end
 };
 
@@ -409,13 +408,6 @@
   void countOverdue(Span now) {
     for (Server& server : servers_) {
       for (Pending& pending : server.out) {
-        // Guards against a queue of answers that come too late, while others wait that could come in time.
-        const Held& held = queries_[pending.query];
-        if (terms_.mayCancel && !waiting_.empty() && !pending.started && !pending.calledOff &&
-            now >= held.arrived + useCase(held).sloTime) {
-          pending.calledOff = true;
-          host_.cancel(held.query.id, pending.no);
-        }
         if (pending.overdue || pending.started || now < overdueAt(now, pending)) continue;
         pending.overdue = true;
         server.limit = std::max(kLeastLimit, server.limit * kLimitCut);
