--- a/src/decide/balancer.cpp
+++ b/src/decide/balancer.cpp
@@ -43,9 +43,6 @@
 constexpr double kTimely = 0.5;         // of the SLO time; slower answers mean a queue at the server
 constexpr double kOverdue = 3.0;        // of the usual answer time; no healthy server strays that far
 constexpr double kLate = 0.6;           // of the SLO time; leaves the rest for waiting here
-constexpr double kFarLonger = 2.5;      // of the unloaded answer time; beyond what works of queries vary
-constexpr double kLatest = 0.9;         // of the SLO time; slower is late whatever is usual
-constexpr double kEnough = 30;          // answers; fewer make no mean
 constexpr Span kFirstAsk = 250ms;       // first repeat of a failed discovery call; a tick or two is too soon
 constexpr Span kLastAsk = 4s;           // longest backoff; well inside the time a held list may go unasked
 constexpr Span kBucket = 500ms;         // measuring bucket; some ten answers of a busy server
@@ -375,14 +372,13 @@
     if (outcome == Outcome::completed) {
       server.pace.add(now, seconds(took) / (pending.others + 1));
       answers_.add(now, seconds(took));
-      if (answers_.count(now) >= kEnough) unloaded_ = std::min(unloaded_, answers_.mean(now, kUnmeasured));
       if (!queries_[slot].answered) served_[queries_[slot].query.useCase.value].add(now, 1);
       if (ramp(now, server) >= 1) warmAnswers_.add(now, 1);
       const bool timely = took <= scaled(useCase(queries_[slot]).sloTime, kTimely);
       if (timely && (static_cast<double>(server.out.size()) + 2 > server.limit || poolFull(now))) {
         server.limit = std::min(kMostLimit, server.limit + kLimitStep / std::max(1.0, server.limit));
       }
-      if (took > lateAfter(useCase(queries_[slot])))
+      if (took > scaled(useCase(queries_[slot]).sloTime, kLate))
         server.limit = std::max(kLeastLimit, server.limit * kLimitCut);
       server.weight = std::min(1.0, server.weight + kWeightStep);
       server.run = 0;
@@ -396,12 +392,6 @@
     server.onTrial = server.onTrial && !server.out.empty();
   }
 
-  // An answer is late when it leaves little of the SLO time and took far longer than answers do unloaded.
-  [[nodiscard]] Span lateAfter(const UseCase& use) const {
-    const Span unloaded = std::min(scaled(1s, kFarLonger * unloaded_), scaled(use.sloTime, kLatest));
-    return std::max(scaled(use.sloTime, kLate), unloaded);
-  }
-
   void countFailure(Span now, Server& server) {
     server.weight = std::max(kWeightFloor, server.weight / 2);
     ++server.run;
@@ -752,7 +742,6 @@
   std::vector<Ring<kBuckets>> served_;  // by use case: 1 for each query completed, 0 for each given up
   Ring<kBuckets> warmAnswers_{kBucket};
   double warmRate_ = 0;
-  double unloaded_ = 1;  // seconds; the least mean answer time so far
   Span askAt_ = Span::max();
   Span askBackoff_ = kFirstAsk;
   Span wakeAt_ = Span::max();
