--- a/src/decide/balancer.cpp
+++ b/src/decide/balancer.cpp
@@ -49,6 +49,7 @@
 constexpr std::size_t kBuckets = 16;    // buckets in a ring: 8 s, the shortest troubles' length
 constexpr std::size_t kTipBuckets = 8;  // buckets over the tipping window
 constexpr double kLeastServed = 0.5;    // share of a use case's queries; bounds what starving adds
+constexpr double kAnswerRoom = 1.5;     // of the usual answer time; sent later, half would come too late
 constexpr Span kAdvice = 150ms;  // when to come back; leaves a client's retry a chance within the SLO time
 constexpr double kUnmeasured = 0.15;  // seconds; answer time assumed before the first answer
 
@@ -650,7 +651,7 @@
 
   // The last moment at which an execution may still be answered within the SLO time.
   [[nodiscard]] Span giveUpAt(Span now, const Held& held) const {
-    const Span usual = scaled(1s, answers_.mean(now, kUnmeasured));
+    const Span usual = scaled(1s, kAnswerRoom * answers_.mean(now, kUnmeasured));
     return std::min(held.deadline, held.arrived + useCase(held).sloTime) - usual;
   }
 
