--- a/src/decide/balancer.cpp
+++ b/src/decide/balancer.cpp
@@ -33,7 +33,6 @@
 constexpr double kNearer = 3.0;         // draw weight of the own zone; crossing costs time and money
 constexpr double kHome = 20.0;          // draw weight of a key's home; a met key saves over half the work
 constexpr double kHomeCrowded = 2.0;    // of the common bound; the met key takes under half as long
-constexpr double kNearCrowded = 1.5;    // of the common bound, for the own zone
 constexpr double kDropDoubted = 0.5;    // share of the held servers; losing more at once is doubted
 constexpr double kColdMargin = 0.5;     // share of the tipping budget; queries' work varies about twofold
 constexpr double kFirstLimit = 4.0;     // executions of all balancers; a queue answered within an SLO time
@@ -512,8 +511,7 @@
       const Server& server = servers_[slot];
       if (expected_[slot] <= 0 || !room(now, server) || triedBefore(held, slot)) continue;
       if (!least || expected_[slot] < expected_[*least]) least = slot;
-      const double leeway = home == slot ? kHomeCrowded : server.zone == terms_.zone ? kNearCrowded : 1.0;
-      if (expected_[slot] > leeway * crowded) continue;
+      if (expected_[slot] > (home == slot ? kHomeCrowded * crowded : crowded)) continue;
       odds_[slot] = server.weight * server.size * ramp(now, server);
       if (server.zone == terms_.zone) odds_[slot] *= kNearer;
       if (home == slot) odds_[slot] *= kHome;
