--- a/src/decide/balancer.cpp
+++ b/src/decide/balancer.cpp
@@ -36,7 +36,7 @@
 constexpr double kDropDoubted = 0.5;    // share of the held servers; losing more at once is doubted
 constexpr double kColdMargin = 0.5;     // share of the tipping budget; queries' work varies about twofold
 constexpr double kFirstLimit = 4.0;     // executions of all balancers; a queue answered within an SLO time
-constexpr double kLeastLimit = 0.2;     // executions; one at a time on every fifth server
+constexpr double kLeastLimit = 0.05;    // executions; one at a time on every fifth server
 constexpr double kMostLimit = 64.0;     // executions; only keeps the limit from growing for ever
 constexpr double kLimitStep = 0.05;     // executions per limit's worth of timely answers
 constexpr double kLimitCut = 0.7;       // of the limit, per late answer; twice in a row is a third off
@@ -377,7 +377,8 @@
       if (ramp(now, server) >= 1) warmAnswers_.add(now, 1);
       const bool timely = took <= scaled(useCase(queries_[slot]).sloTime, kTimely);
       if (timely && (static_cast<double>(server.out.size()) + 2 > server.limit || poolFull(now))) {
-        server.limit = std::min(kMostLimit, server.limit + kLimitStep / std::max(1.0, server.limit));
+        server.limit =
+            std::min(kMostLimit, server.limit + kLimitStep * std::min(server.limit, 1 / server.limit));
       }
       if (took > scaled(useCase(queries_[slot]).sloTime, kLate))
         server.limit = std::max(kLeastLimit, server.limit * kLimitCut);
