--- a/src/decide/balancer.cpp
+++ b/src/decide/balancer.cpp
@@ -43,6 +43,7 @@
 constexpr double kTimely = 0.5;         // of the SLO time; slower answers mean a queue at the server
 constexpr double kOverdue = 3.0;        // of the usual answer time; no healthy server strays that far
 constexpr double kLate = 0.6;           // of the SLO time; leaves the rest for waiting here
+constexpr double kEnough = 15;          // answers; fewer make no mean
 constexpr Span kFirstAsk = 250ms;       // first repeat of a failed discovery call; a tick or two is too soon
 constexpr Span kLastAsk = 4s;           // longest backoff; well inside the time a held list may go unasked
 constexpr Span kBucket = 500ms;         // measuring bucket; some ten answers of a busy server
@@ -276,6 +277,7 @@
   }
 
  private:
+  static double measuredSpan(Span now) { return std::clamp(seconds(now), 1.0, seconds(kBucket) * kBuckets); }
   double draw() { return std::generate_canonical<double, 24>(chance_); }
   static Span scaled(Span span, double by) {
     return Span{static_cast<Span::rep>(static_cast<double>(span.count()) * by)};
@@ -373,6 +375,7 @@
     if (outcome == Outcome::completed) {
       server.pace.add(now, seconds(took) / (pending.others + 1));
       answers_.add(now, seconds(took));
+      if (answers_.count(now) >= kEnough) unloaded_ = std::min(unloaded_, answers_.mean(now, kUnmeasured));
       if (!queries_[slot].answered) served_[queries_[slot].query.useCase.value].add(now, 1);
       if (ramp(now, server) >= 1) warmAnswers_.add(now, 1);
       const bool timely = took <= scaled(useCase(queries_[slot]).sloTime, kTimely);
@@ -380,8 +383,7 @@
         server.limit =
             std::min(kMostLimit, server.limit + kLimitStep * std::min(server.limit, 1 / server.limit));
       }
-      if (took > scaled(useCase(queries_[slot]).sloTime, kLate))
-        server.limit = std::max(kLeastLimit, server.limit * kLimitCut);
+      if (took > scaled(useCase(queries_[slot]).sloTime, kLate)) server.limit = cut(now, server);
       server.weight = std::min(1.0, server.weight + kWeightStep);
       server.run = 0;
       server.ejected = false;
@@ -389,11 +391,17 @@
     } else if (isFailure(outcome)) {
       if (!pending.overdue) countFailure(now, server);
     } else if (outcome == Outcome::full) {
-      server.limit = std::max(kLeastLimit, server.limit * kLimitCut);
+      server.limit = cut(now, server);
     }
     server.onTrial = server.onTrial && !server.out.empty();
   }
 
+  // Guards against cutting below what the server lately finished: that much is out there without any queue.
+  [[nodiscard]] double cut(Span now, const Server& server) const {
+    const double needed = server.pace.count(now) / measuredSpan(now) * unloaded_;
+    return std::max({kLeastLimit, needed, server.limit * kLimitCut});
+  }
+
   void countFailure(Span now, Server& server) {
     server.weight = std::max(kWeightFloor, server.weight / 2);
     ++server.run;
@@ -412,7 +420,7 @@
       for (Pending& pending : server.out) {
         if (pending.overdue || pending.started || now < overdueAt(now, pending)) continue;
         pending.overdue = true;
-        server.limit = std::max(kLeastLimit, server.limit * kLimitCut);
+        server.limit = cut(now, server);
         countFailure(now, server);
       }
     }
@@ -744,6 +752,7 @@
   std::vector<Ring<kBuckets>> served_;  // by use case: 1 for each query completed, 0 for each given up
   Ring<kBuckets> warmAnswers_{kBucket};
   double warmRate_ = 0;
+  double unloaded_ = 1;  // seconds; the least mean answer time so far
   Span askAt_ = Span::max();
   Span askBackoff_ = kFirstAsk;
   Span wakeAt_ = Span::max();
