--- a/src/decide/balancer.cpp
+++ b/src/decide/balancer.cpp
@@ -43,6 +43,7 @@
 constexpr double kTimely = 0.5;         // of the SLO time; slower answers mean a queue at the server
 constexpr double kOverdue = 3.0;        // of the usual answer time; no healthy server strays that far
 constexpr double kLate = 0.6;           // of the SLO time; leaves the rest for waiting here
+constexpr double kFlow = 1.4;           // of the executions that the finishing rate needs; room to grow again
 constexpr double kEnough = 15;          // answers; fewer make no mean
 constexpr Span kFirstAsk = 250ms;       // first repeat of a failed discovery call; a tick or two is too soon
 constexpr Span kLastAsk = 4s;           // longest backoff; well inside the time a held list may go unasked
@@ -399,7 +400,7 @@
   // Guards against cutting below what the server lately finished: that much is out there without any queue.
   [[nodiscard]] double cut(Span now, const Server& server) const {
     const double needed = server.pace.count(now) / measuredSpan(now) * unloaded_;
-    return std::max({kLeastLimit, needed, server.limit * kLimitCut});
+    return std::max({kLeastLimit, kFlow * needed, server.limit * kLimitCut});
   }
 
   void countFailure(Span now, Server& server) {
