--- a/src/decide/balancer.cpp
+++ b/src/decide/balancer.cpp
@@ -120,7 +120,9 @@
   Span closedFrom = Span::max();  // nothing new from then on
   bool held = false;              // in the last good list
   double weight = 1;
-  std::uint32_t run = 0;  // failures in a row
+  std::uint32_t run = 0;               // failures in a row
+  std::vector<std::uint32_t> useRuns;  // failures in a row of each use case
+  std::vector<Span> useShutUntil;      // and until when that use case keeps away
   bool ejected = false;
   Span trialAt{};
   bool onTrial = false;
@@ -338,6 +340,8 @@
       *at = Server(terms_.tipWindow);
       at->out = std::move(out);
       at->weight = meanWeight(now);
+      at->useRuns.assign(terms_.useCases.size(), 0);
+      at->useShutUntil.assign(terms_.useCases.size(), Span::min());
       at->limit = std::max(kLeastLimit, kFirstLimit / terms_.balancers);
     }
     at->id = listed.id;
@@ -373,6 +377,7 @@
     server.out.erase(at);
     if (server.startedAt && execution.sentAt < *server.startedAt) return;  // says nothing of the new process
     const Span took = now - execution.sentAt;
+    const std::size_t use = queries_[slot].query.useCase.value;
     if (outcome == Outcome::completed) {
       server.pace.add(now, seconds(took) / (pending.others + 1));
       answers_.add(now, seconds(took));
@@ -387,10 +392,14 @@
       if (took > scaled(useCase(queries_[slot]).sloTime, kLate)) server.limit = cut(now, server);
       server.weight = std::min(1.0, server.weight + kWeightStep);
       server.run = 0;
+      server.useRuns[use] = 0;
       server.ejected = false;
       server.onTrial = false;
     } else if (isFailure(outcome)) {
       if (!pending.overdue) countFailure(now, server);
+      if (outcome == Outcome::error && ++server.useRuns[use] >= kFailuresToEject && mayShut(now, use)) {
+        server.useShutUntil[use] = now + scaled(kEjectTime, 1.0 + kEjectSpread * draw());
+      }
     } else if (outcome == Outcome::full) {
       server.limit = cut(now, server);
     }
@@ -434,6 +443,19 @@
     server.trialAt = now + scaled(kEjectTime, 1.0 + kEjectSpread * draw());
   }
 
+  // Guards against a server that fails one use case only and so never builds a run: that use case keeps away
+  // from it for the eject time, then one more failure renews it. The cap is the same.
+  [[nodiscard]] bool mayShut(Span now, std::size_t use) const {
+    double pool = 0;
+    double out = 0;
+    for (const Server& server : servers_) {
+      if (!server.held || !open(now, server)) continue;
+      ++pool;
+      if (server.ejected || now < server.useShutUntil[use]) ++out;
+    }
+    return out + 1 <= kMostOut * pool;
+  }
+
   // Self-preservation. Guards against a failure detector that is itself what broke.
   [[nodiscard]] bool mayEject(Span now) const {
     double pool = 0;
@@ -507,6 +529,7 @@
         if (trialDue(now, server, held) && coldRoom(now, server) && !triedBefore(held, slot)) return slot;
         continue;
       }
+      if (now < server.useShutUntil[held.query.useCase.value]) continue;
       expected_[slot] = std::max(expected(now, server, usual), 1e-6);
       inverse += 1 / expected_[slot];
       ++pool;
