--- a/src/decide/balancer.cpp
+++ b/src/decide/balancer.cpp
@@ -24,11 +24,13 @@
 using namespace std::chrono_literals;
 
 constexpr std::uint32_t kFailuresToEject = 5;  // in a row; the design page's figure
-constexpr Span kEjectTime = 10s;               // the design page's start value; troubles last 5 s to 35 s
-constexpr double kEjectSpread = 0.3;           // share of the eject time; trials must not all fall together
-constexpr double kMostOut = 0.5;               // share of the pool; the design page's self-preservation
-constexpr double kWeightStep = 0.1;            // of full weight 1, a success; the design page's figure
-constexpr double kWeightFloor = 0.05;          // of full weight 1; keeps a failing server in sight
+constexpr std::uint32_t kErrorsToShut =
+    2;                                  // in a row in one use case; its part of the traffic builds no five
+constexpr Span kEjectTime = 10s;        // the design page's start value; troubles last 5 s to 35 s
+constexpr double kEjectSpread = 0.3;    // share of the eject time; trials must not all fall together
+constexpr double kMostOut = 0.5;        // share of the pool; the design page's self-preservation
+constexpr double kWeightStep = 0.1;     // of full weight 1, a success; the design page's figure
+constexpr double kWeightFloor = 0.05;   // of full weight 1; keeps a failing server in sight
 constexpr double kCrowded = 1.25;       // of the pool's mean expected answer time; "well above" begins here
 constexpr double kNearer = 3.0;         // draw weight of the own zone; crossing costs time and money
 constexpr double kHome = 20.0;          // draw weight of a key's home; a met key saves over half the work
@@ -43,7 +45,7 @@
 constexpr double kTimely = 0.5;         // of the SLO time; slower answers mean a queue at the server
 constexpr double kOverdue = 3.0;        // of the usual answer time; no healthy server strays that far
 constexpr double kLate = 0.6;           // of the SLO time; leaves the rest for waiting here
-constexpr double kFlow = 1.4;           // of the executions that the finishing rate needs; room to grow again
+constexpr double kFlow = 1.5;           // of the executions that the finishing rate needs; room to grow again
 constexpr double kEnough = 15;          // answers; fewer make no mean
 constexpr Span kFirstAsk = 250ms;       // first repeat of a failed discovery call; a tick or two is too soon
 constexpr Span kLastAsk = 4s;           // longest backoff; well inside the time a held list may go unasked
@@ -397,7 +399,7 @@
       server.onTrial = false;
     } else if (isFailure(outcome)) {
       if (!pending.overdue) countFailure(now, server);
-      if (outcome == Outcome::error && ++server.useRuns[use] >= kFailuresToEject && mayShut(now, use)) {
+      if (outcome == Outcome::error && ++server.useRuns[use] >= kErrorsToShut && mayShut(now, use)) {
         server.useShutUntil[use] = now + scaled(kEjectTime, 1.0 + kEjectSpread * draw());
       }
     } else if (outcome == Outcome::full) {
