--- a/src/decide/balancer.cpp
+++ b/src/decide/balancer.cpp
@@ -410,7 +410,11 @@
 
   // Guards against cutting below what the server lately finished: that much is out there without any queue.
   [[nodiscard]] double cut(Span now, const Server& server) const {
-    const double needed = server.pace.count(now) / measuredSpan(now) * unloaded_;
+    double sizes = 0;
+    for (const Server& other : servers_) {
+      if (open(now, other) && !other.ejected) sizes += other.size;
+    }
+    const double needed = answers_.count(now) / measuredSpan(now) * unloaded_ * server.size / std::max(sizes, server.size);
     return std::max({kLeastLimit, kFlow * needed, server.limit * kLimitCut});
   }
 
