--- a/src/decide/balancer.cpp
+++ b/src/decide/balancer.cpp
@@ -54,6 +54,7 @@
 constexpr std::size_t kTipBuckets = 8;  // buckets over the tipping window
 constexpr double kLeastServed = 0.5;    // share of a use case's queries; bounds what starving adds
 constexpr double kAnswerRoom = 1.5;     // of the usual answer time; sent later, half would come too late
+constexpr double kShareSlack = 1.15;    // of an account's part; a balancer sees no exact mix
 constexpr Span kAdvice = 150ms;  // when to come back; leaves a client's retry a chance within the SLO time
 constexpr double kUnmeasured = 0.15;  // seconds; answer time assumed before the first answer
 
@@ -187,6 +188,7 @@
       : terms_(std::move(terms)),
         host_(host),
         chance_(static_cast<std::uint_fast32_t>(terms_.seed)),
+        accountAnswers_(terms_.accounts.size(), Ring<kBuckets>(kBucket)),
         served_(terms_.useCases.size(), Ring<kBuckets>(kBucket)) {
     if (terms_.discoveryOnRequest) host_.watchServers();
   }
@@ -383,6 +385,7 @@
     if (outcome == Outcome::completed) {
       server.pace.add(now, seconds(took) / (pending.others + 1));
       answers_.add(now, seconds(took));
+      if (queries_[slot].query.account) accountAnswers_[queries_[slot].query.account->value].add(now, 1);
       if (answers_.count(now) >= kEnough) unloaded_ = std::min(unloaded_, answers_.mean(now, kUnmeasured));
       if (!queries_[slot].answered) served_[queries_[slot].query.useCase.value].add(now, 1);
       if (ramp(now, server) >= 1) warmAnswers_.add(now, 1);
@@ -414,7 +417,8 @@
     for (const Server& other : servers_) {
       if (open(now, other) && !other.ejected) sizes += other.size;
     }
-    const double needed = answers_.count(now) / measuredSpan(now) * unloaded_ * server.size / std::max(sizes, server.size);
+    const double needed =
+        answers_.count(now) / measuredSpan(now) * unloaded_ * server.size / std::max(sizes, server.size);
     return std::max({kLeastLimit, kFlow * needed, server.limit * kLimitCut});
   }
 
@@ -685,7 +689,16 @@
   // Guards against starving a use case in a long overload: what was served least lately moves forward.
   [[nodiscard]] double importance(Span now, const Held& held) const {
     const double served = std::max(kLeastServed, served_[held.query.useCase.value].mean(now, 1.0));
-    return useCase(held).importance / served;
+    const double part = beyondShare(now, held) ? terms_.beyondShareImportance : 1.0;
+    return part * useCase(held).importance / served;
+  }
+
+  // Guards against one account's surge: while it gets more of the answers than its part, it goes behind.
+  [[nodiscard]] bool beyondShare(Span now, const Held& held) const {
+    if (!held.query.account) return false;
+    const std::size_t account = held.query.account->value;
+    const double allowed = kShareSlack * terms_.accounts[account] * answers_.count(now);
+    return accountAnswers_[account].count(now) > allowed + 1;
   }
 
   // The last moment at which an execution may still be answered within the SLO time.
@@ -779,6 +792,7 @@
   std::vector<double> expected_;    // scratch of pick(), by server slot
   std::vector<double> odds_;        // scratch of pick(), by server slot
   Ring<kBuckets> answers_{kBucket};
+  std::vector<Ring<kBuckets>> accountAnswers_;
   std::vector<Ring<kBuckets>> served_;  // by use case: 1 for each query completed, 0 for each given up
   Ring<kBuckets> warmAnswers_{kBucket};
   double warmRate_ = 0;
