--- a/src/decide/balancer.cpp
+++ b/src/decide/balancer.cpp
@@ -31,7 +31,7 @@
 constexpr double kMostOut = 0.5;        // share of the pool; the design page's self-preservation
 constexpr double kWeightStep = 0.1;     // of full weight 1, a success; the design page's figure
 constexpr double kWeightFloor = 0.05;   // of full weight 1; keeps a failing server in sight
-constexpr double kCrowded = 1.25;       // of the pool's mean expected answer time; "well above" begins here
+constexpr double kCrowded = 1.25;        // of the pool's mean expected answer time; "well above" begins here
 constexpr double kNearer = 3.0;         // draw weight of the own zone; crossing costs time and money
 constexpr double kHome = 20.0;          // draw weight of a key's home; a met key saves over half the work
 constexpr double kHomeCrowded = 2.0;    // of the common bound; the met key takes under half as long
@@ -395,7 +395,8 @@
             std::min(kMostLimit, server.limit + kLimitStep * std::min(server.limit, 1 / server.limit));
       }
       if (took > scaled(useCase(queries_[slot]).sloTime, kLate)) server.limit = cut(now, server);
-      server.weight = std::min(1.0, server.weight + kWeightStep);
+      // Guards against servers that are slow but answer: an answer past its SLO time earns no weight.
+      if (took <= useCase(queries_[slot]).sloTime) server.weight = std::min(1.0, server.weight + kWeightStep);
       server.run = 0;
       server.useRuns[use] = 0;
       server.ejected = false;
