--- a/src/decide/balancer.cpp
+++ b/src/decide/balancer.cpp
@@ -31,7 +31,7 @@
 constexpr double kMostOut = 0.5;        // share of the pool; the design page's self-preservation
 constexpr double kWeightStep = 0.1;     // of full weight 1, a success; the design page's figure
 constexpr double kWeightFloor = 0.05;   // of full weight 1; keeps a failing server in sight
-constexpr double kCrowded = 1.25;        // of the pool's mean expected answer time; "well above" begins here
+constexpr double kCrowded = 1.25;       // of the pool's mean expected answer time; "well above" begins here
 constexpr double kNearer = 3.0;         // draw weight of the own zone; crossing costs time and money
 constexpr double kHome = 20.0;          // draw weight of a key's home; a met key saves over half the work
 constexpr double kHomeCrowded = 2.0;    // of the common bound; the met key takes under half as long
@@ -71,10 +71,11 @@
     if (bucket.turn != turn(now)) bucket = Bucket{turn(now), 0, 0};
     bucket.sum += value;
     ++bucket.count;
+    total_.turn = -1;
   }
   [[nodiscard]] double count(Span now) const { return total(now).count; }
   [[nodiscard]] double mean(Span now, double otherwise) const {
-    const Bucket all = total(now);
+    const Bucket& all = total(now);
     return all.count > 0 ? all.sum / all.count : otherwise;
   }
 
@@ -86,18 +87,20 @@
   };
   [[nodiscard]] std::int64_t turn(Span now) const { return now / width_; }
   [[nodiscard]] std::size_t index(Span now) const { return static_cast<std::size_t>(turn(now)) % Buckets; }
-  [[nodiscard]] Bucket total(Span now) const {
-    Bucket all;
+  [[nodiscard]] const Bucket& total(Span now) const {
+    if (total_.turn == turn(now)) return total_;
+    total_ = Bucket{turn(now), 0, 0};
     for (const Bucket& bucket : buckets_) {
       if (bucket.turn < 0 || bucket.turn + static_cast<std::int64_t>(Buckets) <= turn(now)) continue;
-      all.sum += bucket.sum;
-      all.count += bucket.count;
+      total_.sum += bucket.sum;
+      total_.count += bucket.count;
     }
-    return all;
+    return total_;
   }
 
   Span width_;
   std::array<Bucket, Buckets> buckets_{};
+  mutable Bucket total_;  // of the turn it names; large fleets read far more often than they add
 };
 
 using ServerSlot = std::size_t;
@@ -493,7 +496,6 @@
   [[nodiscard]] bool coldRoom(Span now, const Server& server) {
     const double part = ramp(now, server);
     if (part >= 1) return true;
-    measureWarmRate(now);
     const double budget =
         part * terms_.tipMultiple * kColdMargin * warmRate_ * server.size * seconds(terms_.tipWindow);
     return server.coldSent.count(now) + 1 <= std::max(1.0, budget);
@@ -529,6 +531,7 @@
 
   std::optional<ServerSlot> pick(Span now, const Held& held) {
     if (poolFull(now)) return std::nullopt;
+    measureWarmRate(now);
     const double usual = answers_.mean(now, kUnmeasured);
     expected_.assign(servers_.size(), 0.0);
     double inverse = 0;
