--- a/src/decide/balancer.cpp
+++ b/src/decide/balancer.cpp
@@ -55,6 +55,8 @@
 constexpr double kLeastServed = 0.5;    // share of a use case's queries; bounds what starving adds
 constexpr double kAnswerRoom = 1.5;     // of the usual answer time; sent later, half would come too late
 constexpr double kShareSlack = 1.15;    // of an account's part; a balancer sees no exact mix
+constexpr Span kRest = 50ms;            // after one full; about one query's work
+constexpr std::uint32_t kMostDoublings = 5;  // of the rest: 1.6 s at the most
 constexpr Span kAdvice = 150ms;  // when to come back; leaves a client's retry a chance within the SLO time
 constexpr double kUnmeasured = 0.15;  // seconds; answer time assumed before the first answer
 
@@ -129,6 +131,8 @@
   std::uint32_t run = 0;               // failures in a row
   std::vector<std::uint32_t> useRuns;  // failures in a row of each use case
   std::vector<Span> useShutUntil;      // and until when that use case keeps away
+  std::uint32_t fulls = 0;             // in a row
+  Span restUntil{};                    // full, and left alone until then
   bool ejected = false;
   Span trialAt{};
   bool onTrial = false;
@@ -401,6 +405,7 @@
       // Guards against servers that are slow but answer: an answer past its SLO time earns no weight.
       if (took <= useCase(queries_[slot]).sloTime) server.weight = std::min(1.0, server.weight + kWeightStep);
       server.run = 0;
+      server.fulls = 0;
       server.useRuns[use] = 0;
       server.ejected = false;
       server.onTrial = false;
@@ -410,6 +415,8 @@
         server.useShutUntil[use] = now + scaled(kEjectTime, 1.0 + kEjectSpread * draw());
       }
     } else if (outcome == Outcome::full) {
+      // Guards against a server that turns all away at once and so always looks the emptiest.
+      server.restUntil = now + kRest * (1U << std::min(server.fulls++, kMostDoublings));
       server.limit = cut(now, server);
     }
     server.onTrial = server.onTrial && !server.out.empty();
@@ -600,6 +607,7 @@
   }
 
   [[nodiscard]] bool room(Span now, const Server& server) {
+    if (now < server.restUntil) return false;
     // Guards against a real mass failure, in which the cap keeps dead servers in the pool: one that failed
     // often enough to be ejected stays in it, but gets one execution at a time, as in a trial.
     if (server.run >= kFailuresToEject && !server.out.empty()) return false;
