--- a/src/decide/balancer.cpp
+++ b/src/decide/balancer.cpp
@@ -130,9 +130,8 @@
   double weight = 1;
   std::uint32_t run = 0;               // failures in a row
   std::vector<std::uint32_t> useRuns;  // failures in a row of each use case
+  std::vector<std::uint32_t> fulls;    // in a row of each use case
   std::vector<Span> useShutUntil;      // and until when that use case keeps away
-  std::uint32_t fulls = 0;             // in a row
-  Span restUntil{};                    // full, and left alone until then
   bool ejected = false;
   Span trialAt{};
   bool onTrial = false;
@@ -352,6 +351,7 @@
       at->out = std::move(out);
       at->weight = meanWeight(now);
       at->useRuns.assign(terms_.useCases.size(), 0);
+      at->fulls.assign(terms_.useCases.size(), 0);
       at->useShutUntil.assign(terms_.useCases.size(), Span::min());
       at->limit = std::max(kLeastLimit, kFirstLimit / terms_.balancers);
     }
@@ -405,7 +405,7 @@
       // Guards against servers that are slow but answer: an answer past its SLO time earns no weight.
       if (took <= useCase(queries_[slot]).sloTime) server.weight = std::min(1.0, server.weight + kWeightStep);
       server.run = 0;
-      server.fulls = 0;
+      server.fulls[use] = 0;
       server.useRuns[use] = 0;
       server.ejected = false;
       server.onTrial = false;
@@ -415,9 +415,10 @@
         server.useShutUntil[use] = now + scaled(kEjectTime, 1.0 + kEjectSpread * draw());
       }
     } else if (outcome == Outcome::full) {
-      // Guards against a server that turns all away at once and so always looks the emptiest.
-      server.restUntil = now + kRest * (1U << std::min(server.fulls++, kMostDoublings));
-      server.limit = cut(now, server);
+      // Guards against a server that turns a use case away at once and so always looks the emptiest: that use
+      // case keeps away for a while. The others go on, as theirs may be a room of its own.
+      const Span rest = kRest * (1U << std::min(server.fulls[use]++, kMostDoublings));
+      server.useShutUntil[use] = std::max(server.useShutUntil[use], now + rest);
     }
     server.onTrial = server.onTrial && !server.out.empty();
   }
@@ -607,7 +608,6 @@
   }
 
   [[nodiscard]] bool room(Span now, const Server& server) {
-    if (now < server.restUntil) return false;
     // Guards against a real mass failure, in which the cap keeps dead servers in the pool: one that failed
     // often enough to be ejected stays in it, but gets one execution at a time, as in a trial.
     if (server.run >= kFailuresToEject && !server.out.empty()) return false;
