--- a/src/decide/balancer.cpp
+++ b/src/decide/balancer.cpp
@@ -411,7 +411,8 @@
       server.onTrial = false;
     } else if (isFailure(outcome)) {
       if (!pending.overdue) countFailure(now, server);
-      if (outcome == Outcome::error && ++server.useRuns[use] >= kErrorsToShut && mayShut(now, use)) {
+      if ((outcome == Outcome::error || outcome == Outcome::reset) &&
+          ++server.useRuns[use] >= kErrorsToShut && mayShut(now, use)) {
         server.useShutUntil[use] = now + scaled(kEjectTime, 1.0 + kEjectSpread * draw());
       }
     } else if (outcome == Outcome::full) {
