--- a/include/rackroute/terms.hpp
+++ b/include/rackroute/terms.hpp
@@ -47,7 +47,6 @@
   bool discoveryOnRequest = false;
   Span longestAdvice{};  // 0 where clients take no advice on when to come back
   std::uint32_t mostExecutions = 1;
-  bool secondCopies = false;
   bool warmKeys = false;
   Span tick{};
   Span drainGrace{};
--- a/src/simwire/session.cpp
+++ b/src/simwire/session.cpp
@@ -277,7 +277,6 @@
     terms.discoveryOnRequest = pairs.text("registry_mode") == "on_request";
     terms.longestAdvice = pairs.yes("bounds.retry_after") ? pairs.span("bounds.max_retry_after_ms") : Span{0};
     terms.mostExecutions = pairs.value<std::uint32_t>("bounds.max_executions", 1);
-    terms.secondCopies = pairs.yes("bounds.second_copies");
     terms.warmKeys = pairs.yes("family_info.warm_keys");
     terms.tick = pairs.span("granularity_ms");
     terms.drainGrace = pairs.span("rules.drain_grace_ms");
