--- a/src/decide/balancer.cpp
+++ b/src/decide/balancer.cpp
@@ -24,13 +24,12 @@
 using namespace std::chrono_literals;
 
 constexpr std::uint32_t kFailuresToEject = 5;  // in a row; the design page's figure
-constexpr std::uint32_t kErrorsToShut =
-    2;                                  // in a row in one use case; its part of the traffic builds no five
-constexpr Span kEjectTime = 10s;        // the design page's start value; troubles last 5 s to 35 s
-constexpr double kEjectSpread = 0.3;    // share of the eject time; trials must not all fall together
-constexpr double kMostOut = 0.5;        // share of the pool; the design page's self-preservation
-constexpr double kWeightStep = 0.1;     // of full weight 1, a success; the design page's figure
-constexpr double kWeightFloor = 0.05;   // of full weight 1; keeps a failing server in sight
+constexpr std::uint32_t kErrorsToShut = 2;     // in a row in one use case, too rare there for five
+constexpr Span kEjectTime = 10s;               // the design page's start value; troubles last 5 s to 35 s
+constexpr double kEjectSpread = 0.3;           // share of the eject time; trials must not all fall together
+constexpr double kMostOut = 0.5;               // share of the pool; the design page's self-preservation
+constexpr double kWeightStep = 0.1;            // of full weight 1, a success; the design page's figure
+constexpr double kWeightFloor = 0.05;          // of full weight 1; keeps a failing server in sight
 constexpr double kCrowded = 1.25;       // of the pool's mean expected answer time; "well above" begins here
 constexpr double kNearer = 6.0;         // draw weight of the own zone; crossing costs time and money
 constexpr double kHome = 20.0;          // draw weight of a key's home; a met key saves over half the work
@@ -38,10 +37,10 @@
 constexpr double kDropDoubted = 0.5;    // share of the held servers; losing more at once is doubted
 constexpr double kColdMargin = 0.5;     // share of the tipping budget; queries' work varies about twofold
 constexpr double kFirstLimit = 4.0;     // executions of all balancers; a queue answered within an SLO time
-constexpr double kLeastLimit = 0.05;    // executions; one at a time on every fifth server
+constexpr double kLeastLimit = 0.05;    // executions; one at a time on every twentieth server
 constexpr double kMostLimit = 64.0;     // executions; only keeps the limit from growing for ever
-constexpr double kLimitStep = 0.05;     // executions per limit's worth of timely answers
-constexpr double kLimitCut = 0.7;       // of the limit, per late answer; twice in a row is a third off
+constexpr double kLimitStep = 0.05;     // of the limit, per quick answer; a late one undoes seven
+constexpr double kLimitCut = 0.7;       // of the limit, per late answer; two in a row halve it
 constexpr double kTimely = 0.5;         // of the SLO time; slower answers mean a queue at the server
 constexpr double kOverdue = 3.0;        // of the usual answer time; no healthy server strays that far
 constexpr double kLate = 0.6;           // of the SLO time; leaves the rest for waiting here
@@ -466,29 +465,27 @@
     server.trialAt = now + scaled(kEjectTime, 1.0 + kEjectSpread * draw());
   }
 
-  // Guards against a server that fails one use case only and so never builds a run: that use case keeps away
-  // from it for the eject time, then one more failure renews it. The cap is the same.
-  [[nodiscard]] bool mayShut(Span now, std::size_t use) const {
+  // Self-preservation. Guards against a failure detector that is itself what broke: one more may go out only
+  // while that leaves half the pool.
+  template <class Out>
+  [[nodiscard]] bool underCap(Span now, Out isOut) const {
     double pool = 0;
     double out = 0;
     for (const Server& server : servers_) {
       if (!server.held || !open(now, server)) continue;
       ++pool;
-      if (server.ejected || now < server.useShutUntil[use]) ++out;
+      if (isOut(server)) ++out;
     }
     return out + 1 <= kMostOut * pool;
   }
-
-  // Self-preservation. Guards against a failure detector that is itself what broke.
   [[nodiscard]] bool mayEject(Span now) const {
-    double pool = 0;
-    double out = 0;
-    for (const Server& server : servers_) {
-      if (!server.held || !open(now, server)) continue;
-      ++pool;
-      if (server.ejected) ++out;
-    }
-    return out + 1 <= kMostOut * pool;
+    return underCap(now, [](const Server& server) { return server.ejected; });
+  }
+  // Guards against a server that fails one use case only and so never builds a run: that use case keeps away
+  // from it for the eject time, then one more failure renews it. The cap is the same.
+  [[nodiscard]] bool mayShut(Span now, std::size_t use) const {
+    return underCap(now,
+                    [&](const Server& server) { return server.ejected || now < server.useShutUntil[use]; });
   }
 
   // ---- Cold servers
