Take a key's home by a chance that no fleet size dilutes

Cause: the home's draw weight of 20 stands against the sum of all others' weights; with two hundred servers a home got a fifth of its key's queries and nearly all work was done twice.

--- a/src/decide/balancer.cpp
+++ b/src/decide/balancer.cpp
@@ -32,7 +32,7 @@
 constexpr double kWeightFloor = 0.05;          // of full weight 1; keeps a failing server in sight
 constexpr double kCrowded = 1.25;       // of the pool's mean expected answer time; "well above" begins here
 constexpr double kNearer = 6.0;         // draw weight of the own zone; crossing costs time and money
-constexpr double kHome = 20.0;          // draw weight of a key's home; a met key saves over half the work
+constexpr double kHome = 0.9;           // chance of a key's home while uncrowded; the rest keep measured
 constexpr double kHomeCrowded = 2.0;    // of the common bound; the met key takes under half as long
 constexpr double kDropDoubted = 0.5;    // share of the held servers; losing more at once is doubted
 constexpr double kColdMargin = 0.5;     // share of the tipping budget; queries' work varies about twofold
@@ -567,10 +567,11 @@
       if (expected_[slot] > (home == slot ? kHomeCrowded * crowded : crowded)) continue;
       odds_[slot] = server.weight * server.size * ramp(now, server);
       if (server.zone == terms_.zone) odds_[slot] *= kNearer;
-      if (home == slot) odds_[slot] *= kHome;
       sum += odds_[slot];
     }
     if (sum <= 0) return least;
+    // A chance, not a weight: among two hundred servers any fixed weight would be lost.
+    if (home && odds_[*home] > 0 && draw() < kHome) return home;
     double rest = draw() * sum;
     for (ServerSlot slot = 0; slot < servers_.size(); ++slot) {
       if (odds_[slot] <= 0) continue;
