Save up what a limit below one allows, and let thin evidence move all limits

Cause: each balancer might always have one execution out, which a thousand balancers turn into a thousand; a full answer cut no limit; and at two queries a second no server's own limit ever moved. Change: the limits' sum below one is saved up over time, a full answer cuts, one answer moves the other servers' limits too, the more the fewer answers there are for each; floors are shared by the number of balancers.

--- a/src/decide/balancer.cpp
+++ b/src/decide/balancer.cpp
@@ -37,7 +37,7 @@
 constexpr double kDropDoubted = 0.5;    // share of the held servers; losing more at once is doubted
 constexpr double kColdMargin = 0.5;     // share of the tipping budget; queries' work varies about twofold
 constexpr double kFirstLimit = 4.0;     // executions of all balancers; a queue answered within an SLO time
-constexpr double kLeastLimit = 0.05;    // executions; one at a time on every twentieth server
+constexpr double kLeastLimit = 0.2;     // executions of all balancers; one at a time on every fifth server
 constexpr double kMostLimit = 64.0;     // executions; only keeps the limit from growing for ever
 constexpr double kLimitStep = 0.05;     // of the limit, per quick answer; a late one undoes seven
 constexpr double kLimitCut = 0.7;       // of the limit, per late answer; two in a row halve it
@@ -46,6 +46,7 @@
 constexpr double kLate = 0.6;           // of the SLO time; leaves the rest for waiting here
 constexpr double kFlow = 1.7;           // of the executions that the finishing rate needs; room to grow again
 constexpr double kEnough = 15;          // answers; fewer make no mean
+constexpr double kSaved = 3;            // usual executions saved up below a limit; a short run of queries
 constexpr Span kFirstAsk = 250ms;       // first repeat of a failed discovery call; a tick or two is too soon
 constexpr Span kLastAsk = 4s;           // longest backoff; well inside the time a held list may go unasked
 constexpr Span kBucket = 500ms;         // measuring bucket; some ten answers of a busy server
@@ -352,7 +353,7 @@
       at->useRuns.assign(terms_.useCases.size(), 0);
       at->fulls.assign(terms_.useCases.size(), 0);
       at->useShutUntil.assign(terms_.useCases.size(), Span::min());
-      at->limit = std::max(kLeastLimit, kFirstLimit / terms_.balancers);
+      at->limit = kFirstLimit / terms_.balancers;
     }
     at->id = listed.id;
     at->zone = listed.zone;
@@ -396,11 +397,9 @@
       if (!queries_[slot].answered) served_[queries_[slot].query.useCase.value].add(now, 1);
       if (ramp(now, server) >= 1) warmAnswers_.add(now, 1);
       const bool timely = took <= scaled(useCase(queries_[slot]).sloTime, kTimely);
-      if (timely && (static_cast<double>(server.out.size()) + 2 > server.limit || poolFull(now))) {
-        server.limit =
-            std::min(kMostLimit, server.limit + kLimitStep * std::min(server.limit, 1 / server.limit));
-      }
-      if (took > scaled(useCase(queries_[slot]).sloTime, kLate)) server.limit = cut(now, server);
+      const bool tight = poolFull(now) || static_cast<double>(server.out.size()) + 2 > server.limit;
+      if (timely && tight) moveLimits(now, server, 1 + kLimitStep);
+      if (took > scaled(useCase(queries_[slot]).sloTime, kLate)) moveLimits(now, server, kLimitCut);
       // Guards against servers that are slow but answer: an answer past its SLO time earns no weight.
       if (took <= useCase(queries_[slot]).sloTime) server.weight = std::min(1.0, server.weight + kWeightStep);
       server.run = 0;
@@ -419,19 +418,32 @@
       // case keeps away for a while. The others go on, as theirs may be a room of its own.
       const Span rest = kRest * (1U << std::min(server.fulls[use]++, kMostDoublings));
       server.useShutUntil[use] = std::max(server.useShutUntil[use], now + rest);
+      moveLimits(now, server, kLimitCut);
     }
     server.onTrial = server.onTrial && !server.out.empty();
   }
 
-  // Guards against cutting below what the server lately finished: that much is out there without any queue.
-  [[nodiscard]] double cut(Span now, const Server& server) const {
+  // One answer moves its server's limit. Guards against evidence too thin for any one server's limit: then it
+  // moves the others' too, the more the fewer answers there are for each. A cut goes no lower than what the
+  // server lately finished: that much is out there without any queue.
+  void moveLimits(Span now, const Server& moved, double by) {
     double sizes = 0;
-    for (const Server& other : servers_) {
-      if (open(now, other) && !other.ejected) sizes += other.size;
+    double pool = 0;
+    for (const Server& server : servers_) {
+      if (!open(now, server) || server.ejected) continue;
+      sizes += server.size;
+      ++pool;
+    }
+    const double others = std::pow(by, std::max(0.0, 1 - answers_.count(now) / (kEnough * pool)));
+    const double flow = kFlow * answers_.count(now) / measuredSpan(now) * unloaded_;
+    for (Server& server : servers_) {
+      if (&server != &moved && others == 1) continue;
+      const double step = &server == &moved ? by : others;
+      const double grown = server.limit + (step - 1) * std::min(server.limit, 1 / server.limit);
+      const double least =
+          std::max(kLeastLimit / terms_.balancers, flow * server.size / std::max(sizes, server.size));
+      server.limit = step > 1 ? std::min(kMostLimit, grown) : std::max(least, server.limit * step);
     }
-    const double needed =
-        answers_.count(now) / measuredSpan(now) * unloaded_ * server.size / std::max(sizes, server.size);
-    return std::max({kLeastLimit, kFlow * needed, server.limit * kLimitCut});
   }
 
   void countFailure(Span now, Server& server) {
@@ -452,7 +464,7 @@
       for (Pending& pending : server.out) {
         if (pending.overdue || pending.started || now < overdueAt(now, pending)) continue;
         pending.overdue = true;
-        server.limit = cut(now, server);
+        moveLimits(now, server, kLimitCut);
         countFailure(now, server);
       }
     }
@@ -613,8 +625,12 @@
     return static_cast<double>(server.out.size()) + 1 <= std::max(1.0, server.limit) && coldRoom(now, server);
   }
 
-  // The limits' sum binds too: below one execution a server, this balancer uses only some of them at a time.
-  [[nodiscard]] bool poolFull(Span now) const {
+  // The limits' sum binds too. Guards against a thousand balancers that may each have one execution out: what
+  // a limit allows below one is saved up over time, and an execution out uses it up.
+  [[nodiscard]] bool poolFull(Span now) { return poolWait(now) > Span{0}; }
+
+  // How long until this balancer may have one more execution out.
+  [[nodiscard]] Span poolWait(Span now) {
     double out = 0;
     double limits = 0;
     for (const Server& server : servers_) {
@@ -622,7 +638,11 @@
       out += static_cast<double>(server.out.size());
       limits += server.limit;
     }
-    return out + 1 > std::max(1.0, limits);
+    const double usual = answers_.mean(now, kUnmeasured);
+    saved_ = std::clamp(saved_ + (limits - out) * seconds(now - savedAt_), -kSaved * usual, kSaved * usual);
+    savedAt_ = now;
+    if (out + 1 <= limits || saved_ >= usual * (out + 1)) return Span{0};
+    return limits > out ? scaled(1s, (usual * (out + 1) - saved_) / (limits - out)) + Span{1} : Span::max();
   }
 
   // ---- Executions: a further one only as the use case's kind allows.
@@ -782,6 +802,8 @@
   void arm(Span now) {
     Span due = listAgain_ ? now : askAt_;
     for (const QuerySlot slot : waiting_) due = std::min(due, giveUpAt(now, queries_[slot]));
+    const Span room = waiting_.empty() ? Span::max() : poolWait(now);
+    if (room > Span{0} && room < Span{10s}) due = std::min(due, now + room);
     for (const Server& server : servers_) {
       for (const Pending& pending : server.out) {
         if (!pending.overdue && !pending.started) due = std::min(due, overdueAt(now, pending));
@@ -808,6 +830,8 @@
   Ring<kBuckets> warmAnswers_{kBucket};
   double warmRate_ = 0;
   double unloaded_ = 1;  // seconds; the least mean answer time so far
+  double saved_ = 0;     // seconds of execution that the limits' sum has left unused, or was overdrawn by
+  Span savedAt_{};
   Span askAt_ = Span::max();
   Span askBackoff_ = kFirstAsk;
   Span wakeAt_ = Span::max();
