--- a/src/decide/balancer.cpp
+++ b/src/decide/balancer.cpp
@@ -534,7 +534,7 @@
   // How long an answer would take: the server's recent pace times what would then be out there.
   [[nodiscard]] double expected(Span now, const Server& server, double usual) const {
     double estimate =
-        server.pace.mean(now, usual / server.size) * (static_cast<double>(server.out.size()) + 1);
+        server.pace.mean(now, usual) * (static_cast<double>(server.out.size()) + 1);
     // Guards against silence: nothing is quicker than the execution that is still unanswered.
     for (const Pending& pending : server.out) {
       if (!pending.started) estimate = std::max(estimate, seconds(now - pending.sentAt));
