Keep a small set of servers, location by location, where not all can be used

Change: a set as large as the balancer's own answers can tell apart (four at least), each member from the next part of the list sorted by location, placed by the balancer's number so that sets cover servers evenly; members stay until they go or are ejected. Small fleets use all servers as before.

--- a/include/rackroute/terms.hpp
+++ b/include/rackroute/terms.hpp
@@ -44,6 +44,7 @@
   double beyondShareImportance = 1;
   ZoneId zone;
   std::uint32_t balancers = 1;
+  std::uint32_t number = 0;  // this balancer's among them
   bool discoveryOnRequest = false;
   Span longestAdvice{};  // 0 where clients take no advice on when to come back
   std::uint32_t mostExecutions = 1;
--- a/src/decide/balancer.cpp
+++ b/src/decide/balancer.cpp
@@ -46,6 +46,9 @@
 constexpr double kLate = 0.6;           // of the SLO time; leaves the rest for waiting here
 constexpr double kFlow = 1.7;           // of the executions that the finishing rate needs; room to grow again
 constexpr double kEnough = 15;          // answers; fewer make no mean
+constexpr double kLeastSet = 4;         // servers; a set survives two failures and can still compare
+constexpr double kCover = 8;            // balancers in each server's sets, at least; fewer would be uneven
+constexpr double kSetAnswers = 4;       // answers for each member in a ring's time; fewer tell nothing
 constexpr double kSaved = 3;            // usual executions saved up below a limit; a short run of queries
 constexpr Span kFirstAsk = 250ms;       // first repeat of a failed discovery call; a tick or two is too soon
 constexpr Span kLastAsk = 4s;           // longest backoff; well inside the time a held list may go unasked
@@ -58,6 +61,8 @@
 constexpr Span kRest = 50ms;            // after one full; about one query's work
 constexpr std::uint32_t kMostDoublings = 5;  // of the rest: 1.6 s at the most
 constexpr Span kAdvice = 150ms;  // when to come back; leaves a client's retry a chance within the SLO time
+constexpr double kGolden = 0.6180339887498949;  // with the root of two: multiples spread evenly over 1
+constexpr double kRootOfTwo = 1.4142135623730951;
 constexpr double kUnmeasured = 0.15;  // seconds; answer time assumed before the first answer
 
 double seconds(Span span) { return std::chrono::duration<double>(span).count(); }
@@ -127,6 +132,7 @@
   std::optional<Span> startedAt;
   Span closedFrom = Span::max();  // nothing new from then on
   bool held = false;              // in the last good list
+  bool used = false;              // in this balancer's set, its pool
   double weight = 1;
   std::uint32_t run = 0;               // failures in a row
   std::vector<std::uint32_t> useRuns;  // failures in a row of each use case
@@ -205,6 +211,7 @@
     if (listing != Listing::persisted) askBackoff_ = kFirstAsk;
     if (listing != Listing::changes) dropAbsent(now, listing, servers);
     for (const ListedServer& listed : servers) update(now, listed);
+    fillSet(now);
     placeWaiting(now);
     arm(now);
   }
@@ -226,6 +233,7 @@
     held.arrived = now;
     held.deadline = now + query.timeLeft;
     held.inUse = true;
+    fillSet(now);
     if (!place(now, slot)) waitOrGiveUp(now, slot);
     arm(now);
     return {slot, turn};
@@ -347,13 +355,16 @@
     const bool restarted = known && at->startedAt != listed.startedAt && listed.startedAt;
     if (!known || restarted) {
       std::vector<Pending> out = std::move(at->out);
+      const bool used = at->used;
       *at = Server(terms_.tipWindow);
       at->out = std::move(out);
+      // Guards against a grown fleet whose new servers are in nobody's set: each joins its part of the sets.
+      at->used = known ? used : setSize_ > 0 && draw() * listedCount_ < setSize_;
       at->weight = meanWeight(now);
       at->useRuns.assign(terms_.useCases.size(), 0);
       at->fulls.assign(terms_.useCases.size(), 0);
       at->useShutUntil.assign(terms_.useCases.size(), Span::min());
-      at->limit = kFirstLimit / terms_.balancers;
+      at->limit = perMember(kFirstLimit);
     }
     at->id = listed.id;
     at->zone = listed.zone;
@@ -364,6 +375,58 @@
     at->held = true;
   }
 
+  // ---- The set: a balancer that can't use all servers has a few of them as its pool, location by location.
+
+  // Guards against a thousand balancers that each hold connections to every server and know nothing of any.
+  // The set is as large as this balancer's own answers can tell apart; each member is the next of a part of
+  // the list, which goes by location, so that a location is in the set by what it can carry. The places
+  // within the parts are spread evenly over the balancers by their numbers. Members stay until they go.
+  void fillSet(Span now) {
+    double usable = 0;
+    double size = 0;
+    listedCount_ = 0;
+    for (const Server& server : servers_) {
+      if (!server.held || !open(now, server)) continue;
+      ++listedCount_;
+      size += server.size;
+      if (server.used && !server.ejected) ++usable;
+    }
+    const double told = answers_.count(now) / measuredSpan(now) * seconds(kBucket) * kBuckets / kSetAnswers;
+    setSize_ = std::max({setSize_, kLeastSet, kCover * listedCount_ / terms_.balancers, told});
+    if (usable >= std::min(setSize_, listedCount_)) return;
+    std::vector<ServerSlot> order;
+    double unused = 0;
+    for (ServerSlot slot = 0; slot < servers_.size(); ++slot) {
+      if (!servers_[slot].held || !open(now, servers_[slot])) continue;
+      order.push_back(slot);
+      if (!servers_[slot].used) ++unused;
+    }
+    std::sort(order.begin(), order.end(), [&](ServerSlot a, ServerSlot b) {
+      return std::pair(servers_[a].zone, servers_[a].id) < std::pair(servers_[b].zone, servers_[b].id);
+    });
+    const double parts = std::ceil(std::min(setSize_, listedCount_));
+    for (; unused > 0 && usable < std::min(setSize_, listedCount_); --unused, ++usable, ++setPicks_) {
+      const double part = std::fmod(setPicks_, parts);
+      const double place = std::fmod(terms_.number * (kGolden + part * kRootOfTwo), 1.0);
+      double before = (part + place) / parts * size;
+      std::size_t at = 0;
+      for (; at + 1 < order.size() && before >= servers_[order[at]].size; ++at)
+        before -= servers_[order[at]].size;
+      while (servers_[order[at]].used) at = (at + 1) % order.size();
+      servers_[order[at]].used = true;
+      servers_[order[at]].limit = perMember(kFirstLimit);
+    }
+  }
+
+  // One balancer's part, at one member of its set, of what all balancers may do at one server.
+  [[nodiscard]] double perMember(double ofAll) const {
+    return ofAll / terms_.balancers * std::max(1.0, listedCount_ / std::max(setSize_, 1.0));
+  }
+
+  [[nodiscard]] static bool inPool(Span now, const Server& server) {
+    return server.used && open(now, server);
+  }
+
   [[nodiscard]] double meanWeight(Span now) const {
     double sum = 0;
     double count = 0;
@@ -430,18 +493,19 @@
     double sizes = 0;
     double pool = 0;
     for (const Server& server : servers_) {
-      if (!open(now, server) || server.ejected) continue;
+      if (!inPool(now, server) || server.ejected) continue;
       sizes += server.size;
       ++pool;
     }
-    const double others = std::pow(by, std::max(0.0, 1 - answers_.count(now) / (kEnough * pool)));
+    const double others =
+        std::pow(by, std::max(0.0, 1 - answers_.count(now) / (kEnough * std::max(pool, 1.0))));
     const double flow = kFlow * answers_.count(now) / measuredSpan(now) * unloaded_;
     for (Server& server : servers_) {
       if (&server != &moved && others == 1) continue;
       const double step = &server == &moved ? by : others;
       const double grown = server.limit + (step - 1) * std::min(server.limit, 1 / server.limit);
       const double least =
-          std::max(kLeastLimit / terms_.balancers, flow * server.size / std::max(sizes, server.size));
+          std::max(perMember(kLeastLimit), flow * server.size / std::max(sizes, server.size));
       server.limit = step > 1 ? std::min(kMostLimit, grown) : std::max(least, server.limit * step);
     }
   }
@@ -484,7 +548,7 @@
     double pool = 0;
     double out = 0;
     for (const Server& server : servers_) {
-      if (!server.held || !open(now, server)) continue;
+      if (!server.held || !inPool(now, server)) continue;
       ++pool;
       if (isOut(server)) ++out;
     }
@@ -533,8 +597,7 @@
 
   // How long an answer would take: the server's recent pace times what would then be out there.
   [[nodiscard]] double expected(Span now, const Server& server, double usual) const {
-    double estimate =
-        server.pace.mean(now, usual) * (static_cast<double>(server.out.size()) + 1);
+    double estimate = server.pace.mean(now, usual) * (static_cast<double>(server.out.size()) + 1);
     // Guards against silence: nothing is quicker than the execution that is still unanswered.
     for (const Pending& pending : server.out) {
       if (!pending.started) estimate = std::max(estimate, seconds(now - pending.sentAt));
@@ -551,12 +614,14 @@
     if (poolFull(now)) return std::nullopt;
     measureWarmRate(now);
     const double usual = answers_.mean(now, kUnmeasured);
+    const std::optional<ServerSlot> home = homeOf(now, held);
     expected_.assign(servers_.size(), 0.0);
     double inverse = 0;
     double pool = 0;
     for (ServerSlot slot = 0; slot < servers_.size(); ++slot) {
       const Server& server = servers_[slot];
       if (!open(now, server) || !groupAllows(now, held, server)) continue;
+      if (!server.used && home != slot && mayHaveRun(held) == nullptr) continue;
       if (server.ejected) {
         if (trialDue(now, server, held) && coldRoom(now, server) && !triedBefore(held, slot)) return slot;
         continue;
@@ -568,7 +633,6 @@
     }
     const double crowded =
         kCrowded * pool / std::max(inverse, 1e-9);  // the harmonic mean: no outlier moves it
-    const std::optional<ServerSlot> home = homeOf(now, held);
     std::optional<ServerSlot> least;
     double sum = 0;
     odds_.assign(servers_.size(), 0.0);
@@ -634,9 +698,8 @@
     double out = 0;
     double limits = 0;
     for (const Server& server : servers_) {
-      if (!open(now, server) || server.ejected) continue;
       out += static_cast<double>(server.out.size());
-      limits += server.limit;
+      if (inPool(now, server) && !server.ejected) limits += server.limit;
     }
     const double usual = answers_.mean(now, kUnmeasured);
     saved_ = std::clamp(saved_ + (limits - out) * seconds(now - savedAt_), -kSaved * usual, kSaved * usual);
@@ -829,6 +892,9 @@
   std::vector<Ring<kBuckets>> served_;  // by use case: 1 for each query completed, 0 for each given up
   Ring<kBuckets> warmAnswers_{kBucket};
   double warmRate_ = 0;
+  double listedCount_ = 0;  // servers in the last good list
+  double setSize_ = 0;      // servers wanted in the set
+  std::uint32_t setPicks_ = 0;
   double unloaded_ = 1;  // seconds; the least mean answer time so far
   double saved_ = 0;     // seconds of execution that the limits' sum has left unused, or was overdrawn by
   Span savedAt_{};
--- a/src/simwire/session.cpp
+++ b/src/simwire/session.cpp
@@ -274,6 +274,7 @@
     terms.beyondShareImportance = pairs.value("beyond_share_importance", 1.0);
     terms.zone = zone(pairs.text("locality"));
     terms.balancers = pairs.value<std::uint32_t>("peers_total", 1);
+    terms.number = pairs.value<std::uint32_t>("my_number", 0);
     terms.discoveryOnRequest = pairs.text("registry_mode") == "on_request";
     terms.longestAdvice = pairs.yes("bounds.retry_after") ? pairs.span("bounds.max_retry_after_ms") : Span{0};
     terms.mostExecutions = pairs.value<std::uint32_t>("bounds.max_executions", 1);
