Save up a cold server's budget, so that a thousand parts below one stay parts

Change: the budget is saved up at its rate and one whole execution is spent at a time; the start is by chance, so that the balancers do not spend together.

--- a/src/decide/balancer.cpp
+++ b/src/decide/balancer.cpp
@@ -30,35 +30,34 @@
 constexpr double kMostOut = 0.5;               // share of the pool; the design page's self-preservation
 constexpr double kWeightStep = 0.1;            // of full weight 1, a success; the design page's figure
 constexpr double kWeightFloor = 0.05;          // of full weight 1; keeps a failing server in sight
-constexpr double kCrowded = 1.25;       // of the pool's mean expected answer time; "well above" begins here
-constexpr double kNearer = 6.0;         // draw weight of the own zone; crossing costs time and money
-constexpr double kHome = 0.9;           // chance of a key's home while uncrowded; the rest keep measured
-constexpr double kHomeCrowded = 2.0;    // of the common bound; the met key takes under half as long
-constexpr double kDropDoubted = 0.5;    // share of the held servers; losing more at once is doubted
-constexpr double kColdMargin = 0.5;     // share of the tipping budget; queries' work varies about twofold
-constexpr double kFirstLimit = 4.0;     // executions of all balancers; a queue answered within an SLO time
-constexpr double kLeastLimit = 0.2;     // executions of all balancers; one at a time on every fifth server
-constexpr double kMostLimit = 64.0;     // executions; only keeps the limit from growing for ever
-constexpr double kLimitStep = 0.05;     // of the limit, per quick answer; a late one undoes seven
-constexpr double kLimitCut = 0.7;       // of the limit, per late answer; two in a row halve it
-constexpr double kTimely = 0.5;         // of the SLO time; slower answers mean a queue at the server
-constexpr double kOverdue = 3.0;        // of the usual answer time; no healthy server strays that far
-constexpr double kLate = 0.6;           // of the SLO time; leaves the rest for waiting here
-constexpr double kFlow = 1.7;           // of the executions that the finishing rate needs; room to grow again
-constexpr double kEnough = 15;          // answers; fewer make no mean
-constexpr double kLeastSet = 4;         // servers; a set survives two failures and can still compare
-constexpr double kCover = 8;            // balancers in each server's sets, at least; fewer would be uneven
-constexpr double kSetAnswers = 4;       // answers for each member in a ring's time; fewer tell nothing
-constexpr double kSaved = 3;            // usual executions saved up below a limit; a short run of queries
-constexpr Span kFirstAsk = 250ms;       // first repeat of a failed discovery call; a tick or two is too soon
-constexpr Span kLastAsk = 4s;           // longest backoff; well inside the time a held list may go unasked
-constexpr Span kBucket = 500ms;         // measuring bucket; some ten answers of a busy server
-constexpr std::size_t kBuckets = 16;    // buckets in a ring: 8 s, the shortest troubles' length
-constexpr std::size_t kTipBuckets = 8;  // buckets over the tipping window
-constexpr double kLeastServed = 0.5;    // share of a use case's queries; bounds what starving adds
-constexpr double kAnswerRoom = 1.5;     // of the usual answer time; sent later, half would come too late
-constexpr double kShareSlack = 1.15;    // of an account's part; a balancer sees no exact mix
-constexpr Span kRest = 50ms;            // after one full; about one query's work
+constexpr double kCrowded = 1.25;     // of the pool's mean expected answer time; "well above" begins here
+constexpr double kNearer = 6.0;       // draw weight of the own zone; crossing costs time and money
+constexpr double kHome = 0.9;         // chance of a key's home while uncrowded; the rest keep measured
+constexpr double kHomeCrowded = 2.0;  // of the common bound; the met key takes under half as long
+constexpr double kDropDoubted = 0.5;  // share of the held servers; losing more at once is doubted
+constexpr double kColdMargin = 0.5;   // share of the tipping budget; queries' work varies about twofold
+constexpr double kFirstLimit = 4.0;   // executions of all balancers; a queue answered within an SLO time
+constexpr double kLeastLimit = 0.2;   // executions of all balancers; one at a time on every fifth server
+constexpr double kMostLimit = 64.0;   // executions; only keeps the limit from growing for ever
+constexpr double kLimitStep = 0.05;   // of the limit, per quick answer; a late one undoes seven
+constexpr double kLimitCut = 0.7;     // of the limit, per late answer; two in a row halve it
+constexpr double kTimely = 0.5;       // of the SLO time; slower answers mean a queue at the server
+constexpr double kOverdue = 3.0;      // of the usual answer time; no healthy server strays that far
+constexpr double kLate = 0.6;         // of the SLO time; leaves the rest for waiting here
+constexpr double kFlow = 1.7;         // of the executions that the finishing rate needs; room to grow again
+constexpr double kEnough = 15;        // answers; fewer make no mean
+constexpr double kLeastSet = 4;       // servers; a set survives two failures and can still compare
+constexpr double kCover = 8;          // balancers in each server's sets, at least; fewer would be uneven
+constexpr double kSetAnswers = 4;     // answers for each member in a ring's time; fewer tell nothing
+constexpr double kSaved = 3;          // usual executions saved up below a limit; a short run of queries
+constexpr Span kFirstAsk = 250ms;     // first repeat of a failed discovery call; a tick or two is too soon
+constexpr Span kLastAsk = 4s;         // longest backoff; well inside the time a held list may go unasked
+constexpr Span kBucket = 500ms;       // measuring bucket; some ten answers of a busy server
+constexpr std::size_t kBuckets = 16;  // buckets in a ring: 8 s, the shortest troubles' length
+constexpr double kLeastServed = 0.5;  // share of a use case's queries; bounds what starving adds
+constexpr double kAnswerRoom = 1.5;   // of the usual answer time; sent later, half would come too late
+constexpr double kShareSlack = 1.15;  // of an account's part; a balancer sees no exact mix
+constexpr Span kRest = 50ms;          // after one full; about one query's work
 constexpr std::uint32_t kMostDoublings = 5;  // of the rest: 1.6 s at the most
 constexpr Span kAdvice = 150ms;  // when to come back; leaves a client's retry a chance within the SLO time
 constexpr double kGolden = 0.6180339887498949;  // with the root of two: multiples spread evenly over 1
@@ -123,8 +122,6 @@
 };
 
 struct Server {
-  explicit Server(Span tipWindow) : coldSent(tipWindow / static_cast<int>(kTipBuckets - 1)) {}
-
   ServerId id;
   ZoneId zone;
   CellId cell;
@@ -144,7 +141,8 @@
   double limit = 1;  // executions that may be out here
   std::vector<Pending> out;
   Ring<kBuckets> pace{kBucket};  // seconds an answer took for each execution out, itself included
-  Ring<kTipBuckets> coldSent;
+  double coldCredit = 0;         // executions that may go to it while it is cold
+  Span coldCreditAt{};
 };
 
 enum class Fate { out, neverRan, mayHaveRun };
@@ -350,13 +348,13 @@
     if (!known) {
       at = std::find_if(servers_.begin(), servers_.end(),
                         [&](const Server& s) { return !s.held && s.closedFrom <= now && s.out.empty(); });
-      if (at == servers_.end()) at = servers_.emplace(servers_.end(), terms_.tipWindow);
+      if (at == servers_.end()) at = servers_.emplace(servers_.end());
     }
     const bool restarted = known && at->startedAt != listed.startedAt && listed.startedAt;
     if (!known || restarted) {
       std::vector<Pending> out = std::move(at->out);
       const bool used = at->used;
-      *at = Server(terms_.tipWindow);
+      *at = Server{};
       at->out = std::move(out);
       // Guards against a grown fleet whose new servers are in nobody's set: each joins its part of the sets.
       at->used = known ? used : setSize_ > 0 && draw() * listedCount_ < setSize_;
@@ -364,6 +362,8 @@
       at->useRuns.assign(terms_.useCases.size(), 0);
       at->fulls.assign(terms_.useCases.size(), 0);
       at->useShutUntil.assign(terms_.useCases.size(), Span::min());
+      at->coldCredit = draw();  // Guards against a thousand balancers that spend their parts at one moment.
+      at->coldCreditAt = now;
       at->limit = perMember(kFirstLimit);
     }
     at->id = listed.id;
@@ -575,12 +575,16 @@
 
   // Guards against pushing a cold server over, also when most of the fleet is out and all would flow to it.
   // Measured by what warm servers answered this balancer: each balancer then stays within its own part.
-  [[nodiscard]] bool coldRoom(Span now, const Server& server) {
+  // What its part allows over the tipping window is saved up: a part below one is spent that much more
+  // rarely.
+  [[nodiscard]] bool coldRoom(Span now, Server& server) {
     const double part = ramp(now, server);
     if (part >= 1) return true;
-    const double budget =
-        part * terms_.tipMultiple * kColdMargin * warmRate_ * server.size * seconds(terms_.tipWindow);
-    return server.coldSent.count(now) + 1 <= std::max(1.0, budget);
+    const double rate = part * terms_.tipMultiple * kColdMargin * warmRate_ * server.size;
+    const double most = std::max(1.0, rate * seconds(terms_.tipWindow));
+    server.coldCredit = std::min(most, server.coldCredit + rate * seconds(now - server.coldCreditAt));
+    server.coldCreditAt = now;
+    return server.coldCredit >= 1;
   }
 
   // Answers a second that a warm server gave this balancer, for each unit of size.
@@ -619,7 +623,7 @@
     double inverse = 0;
     double pool = 0;
     for (ServerSlot slot = 0; slot < servers_.size(); ++slot) {
-      const Server& server = servers_[slot];
+      Server& server = servers_[slot];
       if (!open(now, server) || !groupAllows(now, held, server)) continue;
       if (!server.used && home != slot && mayHaveRun(held) == nullptr) continue;
       if (server.ejected) {
@@ -637,7 +641,7 @@
     double sum = 0;
     odds_.assign(servers_.size(), 0.0);
     for (ServerSlot slot = 0; slot < servers_.size(); ++slot) {
-      const Server& server = servers_[slot];
+      Server& server = servers_[slot];
       if (expected_[slot] <= 0 || !room(now, server) || triedBefore(held, slot)) continue;
       if (!least || expected_[slot] < expected_[*least]) least = slot;
       if (expected_[slot] > (home == slot ? kHomeCrowded * crowded : crowded)) continue;
@@ -682,7 +686,7 @@
     return useCase(held).repeat == Repeat::idempotent || now >= server.trialAt + kEjectTime;
   }
 
-  [[nodiscard]] bool room(Span now, const Server& server) {
+  [[nodiscard]] bool room(Span now, Server& server) {
     // Guards against a real mass failure, in which the cap keeps dead servers in the pool: one that failed
     // often enough to be ejected stays in it, but gets one execution at a time, as in a trial.
     if (server.run >= kFailuresToEject && !server.out.empty()) return false;
@@ -756,7 +760,7 @@
     const ExecutionNo no{static_cast<std::uint32_t>(held.executions.size())};
     server.onTrial = server.ejected;
     server.out.push_back({slot, no, now, static_cast<double>(server.out.size())});
-    if (ramp(now, server) < 1) server.coldSent.add(now, 1);
+    server.coldCredit -= 1;
     held.executions.push_back({*picked, now, server.zone, server.cell});
     ++held.out;
     stopWaiting(slot);
