--- a/src/decide/balancer.cpp
+++ b/src/decide/balancer.cpp
@@ -31,7 +31,7 @@
 constexpr double kWeightStep = 0.1;            // of full weight 1, a success; the design page's figure
 constexpr double kWeightFloor = 0.05;          // of full weight 1; keeps a failing server in sight
 constexpr double kCrowded = 1.25;     // of the pool's mean expected answer time; "well above" begins here
-constexpr double kNearer = 2.0;       // draw weight of the own zone; crossing costs time and money
+constexpr double kNearer = 6.0;       // draw weight of the own zone; crossing costs time and money
 constexpr double kHome = 0.9;         // chance of a key's home while uncrowded; the rest keep measured
 constexpr double kHomeCrowded = 2.0;  // of the common bound; the met key takes under half as long
 constexpr double kDropDoubted = 0.5;  // share of the held servers; losing more at once is doubted
@@ -109,6 +109,23 @@
   mutable Bucket total_;  // of the turn it names; large fleets read far more often than they add
 };
 
+/// What a limit on executions out allows. Guards against a thousand balancers that may each have one out:
+/// below one it is saved up over time, in seconds of execution, and an execution that is out uses it up.
+struct Allowance {
+  double saved = 0;
+  Span at{};
+
+  // How long until one more may go out, where one usually takes so many seconds and so many may be saved.
+  Span wait(Span now, double limit, double out, double usual, double most) {
+    saved = std::clamp(saved + (limit - out) * seconds(now - at), -most * usual, most * usual);
+    at = now;
+    const double needed = usual * (out + 1) - saved;
+    if (out + 1 <= limit || needed <= 0) return Span{0};
+    if (limit <= out || needed > limit - out) return 1s;
+    return Span{static_cast<Span::rep>(1e6 * needed / (limit - out)) + 1};
+  }
+};
+
 using ServerSlot = std::size_t;
 using QuerySlot = std::uint32_t;
 
@@ -139,6 +156,7 @@
   Span trialAt{};
   bool onTrial = false;
   double limit = 1;  // executions that may be out here
+  Allowance allowance;
   std::vector<Pending> out;
   Ring<kBuckets> pace{kBucket};  // seconds an answer took for each execution out, itself included
   double coldCredit = 0;         // executions that may go to it while it is cold
@@ -448,6 +466,7 @@
                                  [&](const Pending& p) { return p.query == slot && p.no == no; });
     if (at == server.out.end()) return;
     const Pending pending = *at;
+    const bool tight = poolFull(now) || serverTight(now, server);
     server.out.erase(at);
     if (server.startedAt && execution.sentAt < *server.startedAt) return;  // says nothing of the new process
     const Span took = now - execution.sentAt;
@@ -460,7 +479,6 @@
       if (!queries_[slot].answered) served_[queries_[slot].query.useCase.value].add(now, 1);
       if (ramp(now, server) >= 1) warmAnswers_.add(now, 1);
       const bool timely = took <= scaled(useCase(queries_[slot]).sloTime, kTimely);
-      const bool tight = poolFull(now) || static_cast<double>(server.out.size()) + 2 > server.limit;
       if (timely && tight) moveLimits(now, server, 1 + kLimitStep);
       if (took > scaled(useCase(queries_[slot]).sloTime, kLate)) moveLimits(now, server, kLimitCut);
       // Guards against servers that are slow but answer: an answer past its SLO time earns no weight.
@@ -690,14 +708,21 @@
     // Guards against a real mass failure, in which the cap keeps dead servers in the pool: one that failed
     // often enough to be ejected stays in it, but gets one execution at a time, as in a trial.
     if (server.run >= kFailuresToEject && !server.out.empty()) return false;
-    return static_cast<double>(server.out.size()) + 1 <= std::max(1.0, server.limit) && coldRoom(now, server);
+    return serverWait(now, server) == Span{0} && coldRoom(now, server);
   }
 
-  // The limits' sum binds too. Guards against a thousand balancers that may each have one execution out: what
-  // a limit allows below one is saved up over time, and an execution out uses it up.
-  [[nodiscard]] bool poolFull(Span now) { return poolWait(now) > Span{0}; }
+  // How long until the server may have one more execution out.
+  [[nodiscard]] Span serverWait(Span now, Server& server) {
+    const double usual = answers_.mean(now, kUnmeasured);
+    return server.allowance.wait(now, server.limit, static_cast<double>(server.out.size()), usual, 1);
+  }
 
-  // How long until this balancer may have one more execution out.
+  [[nodiscard]] bool serverTight(Span now, Server& server) {
+    if (server.limit >= 1) return static_cast<double>(server.out.size()) + 1 > server.limit;
+    return serverWait(now, server) > Span{0} && server.allowance.saved < 0;
+  }
+
+  // The limits' sum binds too.
   [[nodiscard]] Span poolWait(Span now) {
     double out = 0;
     double limits = 0;
@@ -705,12 +730,9 @@
       out += static_cast<double>(server.out.size());
       if (inPool(now, server) && !server.ejected) limits += server.limit;
     }
-    const double usual = answers_.mean(now, kUnmeasured);
-    saved_ = std::clamp(saved_ + (limits - out) * seconds(now - savedAt_), -kSaved * usual, kSaved * usual);
-    savedAt_ = now;
-    if (out + 1 <= limits || saved_ >= usual * (out + 1)) return Span{0};
-    return limits > out ? scaled(1s, (usual * (out + 1) - saved_) / (limits - out)) + Span{1} : Span::max();
+    return allowance_.wait(now, limits, out, answers_.mean(now, kUnmeasured), kSaved);
   }
+  [[nodiscard]] bool poolFull(Span now) { return poolWait(now) > Span{0}; }
 
   // ---- Executions: a further one only as the use case's kind allows.
 
@@ -759,6 +781,8 @@
     Server& server = servers_[*picked];
     const ExecutionNo no{static_cast<std::uint32_t>(held.executions.size())};
     server.onTrial = server.ejected;
+    (void)poolWait(now);
+    (void)serverWait(now, server);
     server.out.push_back({slot, no, now, static_cast<double>(server.out.size())});
     server.coldCredit -= 1;
     held.executions.push_back({*picked, now, server.zone, server.cell});
@@ -869,8 +893,14 @@
   void arm(Span now) {
     Span due = listAgain_ ? now : askAt_;
     for (const QuerySlot slot : waiting_) due = std::min(due, giveUpAt(now, queries_[slot]));
-    const Span room = waiting_.empty() ? Span::max() : poolWait(now);
-    if (room > Span{0} && room < Span{10s}) due = std::min(due, now + room);
+    if (!waiting_.empty()) {
+      Span room = Span::max();
+      for (Server& server : servers_) {
+        if (inPool(now, server) && !server.ejected) room = std::min(room, serverWait(now, server));
+      }
+      room = std::max(room, poolWait(now));
+      if (room > Span{0} && room < 1s) due = std::min(due, now + room);
+    }
     for (const Server& server : servers_) {
       for (const Pending& pending : server.out) {
         if (!pending.overdue && !pending.started) due = std::min(due, overdueAt(now, pending));
@@ -900,8 +930,7 @@
   double setSize_ = 0;      // servers wanted in the set
   std::uint32_t setPicks_ = 0;
   double unloaded_ = 1;  // seconds; the least mean answer time so far
-  double saved_ = 0;     // seconds of execution that the limits' sum has left unused, or was overdrawn by
-  Span savedAt_{};
+  Allowance allowance_;
   Span askAt_ = Span::max();
   Span askBackoff_ = kFirstAsk;
   Span wakeAt_ = Span::max();
