--- a/src/decide/balancer.cpp
+++ b/src/decide/balancer.cpp
@@ -466,7 +466,7 @@
                                  [&](const Pending& p) { return p.query == slot && p.no == no; });
     if (at == server.out.end()) return;
     const Pending pending = *at;
-    const bool tight = poolFull(now) || serverTight(now, server);
+    const bool tight = poolFull(now) || static_cast<double>(server.out.size()) + 1 > server.limit;
     server.out.erase(at);
     if (server.startedAt && execution.sentAt < *server.startedAt) return;  // says nothing of the new process
     const Span took = now - execution.sentAt;
@@ -717,11 +717,6 @@
     return server.allowance.wait(now, server.limit, static_cast<double>(server.out.size()), usual, 1);
   }
 
-  [[nodiscard]] bool serverTight(Span now, Server& server) {
-    if (server.limit >= 1) return static_cast<double>(server.out.size()) + 1 > server.limit;
-    return serverWait(now, server) > Span{0} && server.allowance.saved < 0;
-  }
-
   // The limits' sum binds too.
   [[nodiscard]] Span poolWait(Span now) {
     double out = 0;
