Let the first in line wait as long as room comes in time

Cause: what waits was held against the answers of late; a balancer with two answers a second rejected whatever met no room at once, so nothing ever waited there.

--- a/src/decide/balancer.cpp
+++ b/src/decide/balancer.cpp
@@ -65,6 +65,9 @@
 constexpr double kUnmeasured = 0.15;  // seconds; answer time assumed before the first answer
 
 double seconds(Span span) { return std::chrono::duration<double>(span).count(); }
+Span scaled(Span span, double by) {
+  return Span{static_cast<Span::rep>(static_cast<double>(span.count()) * by)};
+}
 
 /// Sums over the last buckets of time; buckets are reused in a ring.
 template <std::size_t Buckets>
@@ -121,8 +124,8 @@
     at = now;
     const double needed = usual * (out + 1) - saved;
     if (out + 1 <= limit || needed <= 0) return Span{0};
-    if (limit <= out || needed > limit - out) return 1s;
-    return Span{static_cast<Span::rep>(1e6 * needed / (limit - out)) + 1};
+    if (limit <= out) return scaled(1s, usual);  // about when one ends
+    return scaled(1s, std::min(1.0, needed / (limit - out))) + Span{1};
   }
 };
 
@@ -316,9 +319,6 @@
  private:
   static double measuredSpan(Span now) { return std::clamp(seconds(now), 1.0, seconds(kBucket) * kBuckets); }
   double draw() { return std::generate_canonical<double, 24>(chance_); }
-  static Span scaled(Span span, double by) {
-    return Span{static_cast<Span::rep>(static_cast<double>(span.count()) * by)};
-  }
   [[nodiscard]] const UseCase& useCase(const Held& held) const {
     return terms_.useCases[held.query.useCase.value];
   }
@@ -727,6 +727,14 @@
     }
     return allowance_.wait(now, limits, out, answers_.mean(now, kUnmeasured), kSaved);
   }
+  // How long until any query may go out.
+  [[nodiscard]] Span roomIn(Span now) {
+    Span room = Span::max();
+    for (Server& server : servers_) {
+      if (inPool(now, server) && !server.ejected) room = std::min(room, serverWait(now, server));
+    }
+    return std::max(std::min(room, Span{1s}), poolWait(now));
+  }
   [[nodiscard]] bool poolFull(Span now) { return poolWait(now) > Span{0}; }
 
   // ---- Executions: a further one only as the use case's kind allows.
@@ -796,9 +804,10 @@
     const auto before = [&](QuerySlot a, QuerySlot b) { return queries_[a].rank > queries_[b].rank; };
     const auto at = std::upper_bound(waiting_.begin(), waiting_.end(), slot, before);
     // Guards against waiting in vain: what is ahead must be gone in time at the rate of late.
-    const double ahead = static_cast<double>(at - waiting_.begin()) + 1;
-    const double rate = answers_.count(now) / std::clamp(seconds(now), 1.0, seconds(kBucket) * kBuckets);
-    if (ahead > rate * seconds(giveUpAt(now, held) - now)) return answer(now, slot);
+    const double ahead = static_cast<double>(at - waiting_.begin());
+    const double rate = answers_.count(now) / measuredSpan(now);
+    const double left = seconds(giveUpAt(now, held) - now - roomIn(now));
+    if (left < 0 || ahead > rate * left) return answer(now, slot);
     waiting_.insert(at, slot);
     held.waiting = true;
   }
@@ -888,14 +897,7 @@
   void arm(Span now) {
     Span due = listAgain_ ? now : askAt_;
     for (const QuerySlot slot : waiting_) due = std::min(due, giveUpAt(now, queries_[slot]));
-    if (!waiting_.empty()) {
-      Span room = Span::max();
-      for (Server& server : servers_) {
-        if (inPool(now, server) && !server.ejected) room = std::min(room, serverWait(now, server));
-      }
-      room = std::max(room, poolWait(now));
-      if (room > Span{0} && room < 1s) due = std::min(due, now + room);
-    }
+    if (!waiting_.empty()) due = std::min(due, now + roomIn(now));
     for (const Server& server : servers_) {
       for (const Pending& pending : server.out) {
         if (!pending.overdue && !pending.started) due = std::min(due, overdueAt(now, pending));
