--- a/src/decide/balancer.cpp
+++ b/src/decide/balancer.cpp
@@ -115,7 +115,7 @@
 /// What a limit on executions out allows. Guards against a thousand balancers that may each have one out:
 /// below one it is saved up over time, in seconds of execution, and an execution that is out uses it up.
 struct Allowance {
-  double saved = 0;
+  double saved = 1;  // more than may be saved: a start is not held back
   Span at{};
 
   // How long until one more may go out, where one usually takes so many seconds and so many may be saved.
