Move limits together only where members give fewer answers than a set wants

Cause: fifteen answers a member were wanted before a limit moved alone; a set is sized for four, so in a large fleet one late answer always cut all limits and a seventh of the queries was rejected with servers idle.

--- a/src/decide/balancer.cpp
+++ b/src/decide/balancer.cpp
@@ -516,7 +516,7 @@
       ++pool;
     }
     const double others =
-        std::pow(by, std::max(0.0, 1 - answers_.count(now) / (kEnough * std::max(pool, 1.0))));
+        std::pow(by, std::max(0.0, 1 - answers_.count(now) / (kSetAnswers * std::max(pool, 1.0))));
     const double flow = kFlow * answers_.count(now) / measuredSpan(now) * unloaded_;
     for (Server& server : servers_) {
       if (&server != &moved && others == 1) continue;
