--- a/src/decide/balancer.cpp
+++ b/src/decide/balancer.cpp
@@ -669,7 +669,7 @@
     }
     if (sum <= 0) return least;
     // A chance, not a weight: among two hundred servers any fixed weight would be lost.
-    if (home && odds_[*home] > 0 && draw() < kHome) return home;
+    if (home && odds_[*home] > 0 && draw() < kHome * servers_[*home].weight) return home;
     double rest = draw() * sum;
     for (ServerSlot slot = 0; slot < servers_.size(); ++slot) {
       if (odds_[slot] <= 0) continue;
