Keep a part of a thin allowance for the most important

Cause: with one query waiting at a time there is no order to put it in; use cases are rejected alike. Change: from the saved allowance, what matters less needs up to one usual execution more.

--- a/src/decide/balancer.cpp
+++ b/src/decide/balancer.cpp
@@ -49,6 +49,7 @@
 constexpr double kLeastSet = 4;       // servers; a set survives two failures and can still compare
 constexpr double kCover = 8;          // balancers in each server's sets, at least; fewer would be uneven
 constexpr double kSetAnswers = 4;     // answers for each member in a ring's time; fewer tell nothing
+constexpr double kReserve = 1;        // usual executions kept for the most important; about one more waits
 constexpr double kSaved = 3;          // usual executions saved up below a limit; a short run of queries
 constexpr Span kFirstAsk = 250ms;     // first repeat of a failed discovery call; a tick or two is too soon
 constexpr Span kLastAsk = 4s;         // longest backoff; well inside the time a held list may go unasked
@@ -118,11 +119,12 @@
   double saved = 1;  // more than may be saved: a start is not held back
   Span at{};
 
-  // How long until one more may go out, where one usually takes so many seconds and so many may be saved.
-  Span wait(Span now, double limit, double out, double usual, double most) {
+  // How long until one more may go out, where one usually takes so many seconds and so many may be saved, of
+  // which some are kept in reserve.
+  Span wait(Span now, double limit, double out, double usual, double most, double reserve = 0) {
     saved = std::clamp(saved + (limit - out) * seconds(now - at), -most * usual, most * usual);
     at = now;
-    const double needed = usual * (out + 1) - saved;
+    const double needed = usual * (out + 1 + reserve) - saved;
     if (out + 1 <= limit || needed <= 0) return Span{0};
     if (limit <= out) return scaled(1s, usual);  // about when one ends
     return scaled(1s, std::min(1.0, needed / (limit - out))) + Span{1};
@@ -221,6 +223,7 @@
         chance_(static_cast<std::uint_fast32_t>(terms_.seed)),
         accountAnswers_(terms_.accounts.size(), Ring<kBuckets>(kBucket)),
         served_(terms_.useCases.size(), Ring<kBuckets>(kBucket)) {
+    for (const UseCase& use : terms_.useCases) mostImportance_ = std::max(mostImportance_, use.importance);
     if (terms_.discoveryOnRequest) host_.watchServers();
   }
 
@@ -633,7 +636,9 @@
   }
 
   std::optional<ServerSlot> pick(Span now, const Held& held) {
-    if (poolFull(now)) return std::nullopt;
+    // Guards against spending a thin allowance on what matters least, where too few wait to be put in order.
+    const double reserve = kReserve * (1 - std::min(1.0, importance(now, held) / mostImportance_));
+    if (poolWait(now, reserve) > Span{0}) return std::nullopt;
     measureWarmRate(now);
     const double usual = answers_.mean(now, kUnmeasured);
     const std::optional<ServerSlot> home = homeOf(now, held);
@@ -718,14 +723,14 @@
   }
 
   // The limits' sum binds too.
-  [[nodiscard]] Span poolWait(Span now) {
+  [[nodiscard]] Span poolWait(Span now, double reserve = 0) {
     double out = 0;
     double limits = 0;
     for (const Server& server : servers_) {
       out += static_cast<double>(server.out.size());
       if (inPool(now, server) && !server.ejected) limits += server.limit;
     }
-    return allowance_.wait(now, limits, out, answers_.mean(now, kUnmeasured), kSaved);
+    return allowance_.wait(now, limits, out, answers_.mean(now, kUnmeasured), kSaved, reserve);
   }
   // How long until any query may go out.
   [[nodiscard]] Span roomIn(Span now) {
@@ -928,6 +933,7 @@
   std::uint32_t setPicks_ = 0;
   double unloaded_ = 1;  // seconds; the least mean answer time so far
   Allowance allowance_;
+  double mostImportance_ = 0;  // of all use cases
   Span askAt_ = Span::max();
   Span askBackoff_ = kFirstAsk;
   Span wakeAt_ = Span::max();
