--- a/src/decide/balancer.cpp
+++ b/src/decide/balancer.cpp
@@ -469,7 +469,7 @@
                                  [&](const Pending& p) { return p.query == slot && p.no == no; });
     if (at == server.out.end()) return;
     const Pending pending = *at;
-    const bool tight = poolFull(now) || static_cast<double>(server.out.size()) + 1 > server.limit;
+    const bool tight = poolFull(now) || serverWait(now, server) > Span{0};
     server.out.erase(at);
     if (server.startedAt && execution.sentAt < *server.startedAt) return;  // says nothing of the new process
     const Span took = now - execution.sentAt;
