--- a/src/decide/balancer.cpp
+++ b/src/decide/balancer.cpp
@@ -46,9 +46,9 @@
 constexpr double kLate = 0.6;         // of the SLO time; leaves the rest for waiting here
 constexpr double kFlow = 1.7;         // of the executions that the finishing rate needs; room to grow again
 constexpr double kEnough = 15;        // answers; fewer make no mean
-constexpr double kLeastSet = 4;       // servers; a set survives two failures and can still compare
+constexpr double kLeastSet = 3;       // servers; a set survives two failures and can still compare
 constexpr double kCover = 8;          // balancers in each server's sets, at least; fewer would be uneven
-constexpr double kSetAnswers = 4;     // answers for each member in a ring's time; fewer tell nothing
+constexpr double kSetAnswers = 8;     // answers for each member in a ring's time; fewer tell nothing
 constexpr double kReserve = 1;        // usual executions kept for the most important; about one more waits
 constexpr double kSaved = 3;          // usual executions saved up below a limit; a short run of queries
 constexpr Span kFirstAsk = 250ms;     // first repeat of a failed discovery call; a tick or two is too soon
@@ -469,7 +469,7 @@
                                  [&](const Pending& p) { return p.query == slot && p.no == no; });
     if (at == server.out.end()) return;
     const Pending pending = *at;
-    const bool tight = poolFull(now) || serverWait(now, server) > Span{0};
+    const bool tight = poolFull(now) || static_cast<double>(server.out.size()) + 1 > server.limit;
     server.out.erase(at);
     if (server.startedAt && execution.sentAt < *server.startedAt) return;  // says nothing of the new process
     const Span took = now - execution.sentAt;
