--- a/src/decide/balancer.cpp
+++ b/src/decide/balancer.cpp
@@ -48,8 +48,9 @@
 constexpr double kEnough = 15;        // answers; fewer make no mean
 constexpr double kLeastSet = 3;       // servers; a set survives two failures and can still compare
 constexpr double kCover = 8;          // balancers in each server's sets, at least; fewer would be uneven
-constexpr double kSetAnswers = 8;     // answers for each member in a ring's time; fewer tell nothing
+constexpr double kSetAnswers = 32;     // answers for each member in a ring's time; fewer tell nothing
 constexpr double kReserve = 1;        // usual executions kept for the most important; about one more waits
+constexpr double kThin = 4;             // answers for each member; with fewer no limit can move alone
 constexpr double kSaved = 3;          // usual executions saved up below a limit; a short run of queries
 constexpr Span kFirstAsk = 250ms;     // first repeat of a failed discovery call; a tick or two is too soon
 constexpr Span kLastAsk = 4s;         // longest backoff; well inside the time a held list may go unasked
@@ -519,7 +520,7 @@
       ++pool;
     }
     const double others =
-        std::pow(by, std::max(0.0, 1 - answers_.count(now) / (kSetAnswers * std::max(pool, 1.0))));
+        std::pow(by, std::max(0.0, 1 - answers_.count(now) / (kThin * std::max(pool, 1.0))));
     const double flow = kFlow * answers_.count(now) / measuredSpan(now) * unloaded_;
     for (Server& server : servers_) {
       if (&server != &moved && others == 1) continue;
