Let an answer move its own server's limit only

Cause: with a few members in a set each gives enough answers for its own limit; moving all of them was needless.

--- a/src/decide/balancer.cpp
+++ b/src/decide/balancer.cpp
@@ -48,9 +48,8 @@
 constexpr double kEnough = 15;        // answers; fewer make no mean
 constexpr double kLeastSet = 3;       // servers; a set survives two failures and can still compare
 constexpr double kCover = 8;          // balancers in each server's sets, at least; fewer would be uneven
-constexpr double kSetAnswers = 32;     // answers for each member in a ring's time; fewer tell nothing
+constexpr double kSetAnswers = 32;    // answers for each member in a ring's time; fewer tell nothing
 constexpr double kReserve = 1;        // usual executions kept for the most important; about one more waits
-constexpr double kThin = 1;             // answers for each member; with fewer no limit can move alone
 constexpr double kSaved = 3;          // usual executions saved up below a limit; a short run of queries
 constexpr Span kFirstAsk = 250ms;     // first repeat of a failed discovery call; a tick or two is too soon
 constexpr Span kLastAsk = 4s;         // longest backoff; well inside the time a held list may go unasked
@@ -483,8 +482,8 @@
       if (!queries_[slot].answered) served_[queries_[slot].query.useCase.value].add(now, 1);
       if (ramp(now, server) >= 1) warmAnswers_.add(now, 1);
       const bool timely = took <= scaled(useCase(queries_[slot]).sloTime, kTimely);
-      if (timely && tight) moveLimits(now, server, 1 + kLimitStep);
-      if (took > scaled(useCase(queries_[slot]).sloTime, kLate)) moveLimits(now, server, kLimitCut);
+      if (timely && tight) grow(server);
+      if (took > scaled(useCase(queries_[slot]).sloTime, kLate)) cut(now, server);
       // Guards against servers that are slow but answer: an answer past its SLO time earns no weight.
       if (took <= useCase(queries_[slot]).sloTime) server.weight = std::min(1.0, server.weight + kWeightStep);
       server.run = 0;
@@ -503,33 +502,24 @@
       // case keeps away for a while. The others go on, as theirs may be a room of its own.
       const Span rest = kRest * (1U << std::min(server.fulls[use]++, kMostDoublings));
       server.useShutUntil[use] = std::max(server.useShutUntil[use], now + rest);
-      moveLimits(now, server, kLimitCut);
+      cut(now, server);
     }
     server.onTrial = server.onTrial && !server.out.empty();
   }
 
-  // One answer moves its server's limit. Guards against evidence too thin for any one server's limit: then it
-  // moves the others' too, the more the fewer answers there are for each. A cut goes no lower than what the
-  // server lately finished: that much is out there without any queue.
-  void moveLimits(Span now, const Server& moved, double by) {
+  void grow(Server& server) {
+    server.limit = std::min(kMostLimit, server.limit + kLimitStep * std::min(server.limit, 1 / server.limit));
+  }
+
+  // Guards against cutting below what the server lately finished: that much is out there without any queue.
+  void cut(Span now, Server& server) {
     double sizes = 0;
-    double pool = 0;
-    for (const Server& server : servers_) {
-      if (!inPool(now, server) || server.ejected) continue;
-      sizes += server.size;
-      ++pool;
-    }
-    const double others =
-        std::pow(by, std::max(0.0, 1 - answers_.count(now) / (kThin * std::max(pool, 1.0))));
-    const double flow = kFlow * answers_.count(now) / measuredSpan(now) * unloaded_;
-    for (Server& server : servers_) {
-      if (&server != &moved && others == 1) continue;
-      const double step = &server == &moved ? by : others;
-      const double grown = server.limit + (step - 1) * std::min(server.limit, 1 / server.limit);
-      const double least =
-          std::max(perMember(kLeastLimit), flow * server.size / std::max(sizes, server.size));
-      server.limit = step > 1 ? std::min(kMostLimit, grown) : std::max(least, server.limit * step);
+    for (const Server& other : servers_) {
+      if (inPool(now, other) && !other.ejected) sizes += other.size;
     }
+    const double needed =
+        answers_.count(now) / measuredSpan(now) * unloaded_ * server.size / std::max(sizes, server.size);
+    server.limit = std::max({perMember(kLeastLimit), kFlow * needed, server.limit * kLimitCut});
   }
 
   void countFailure(Span now, Server& server) {
@@ -550,7 +540,7 @@
       for (Pending& pending : server.out) {
         if (pending.overdue || pending.started || now < overdueAt(now, pending)) continue;
         pending.overdue = true;
-        moveLimits(now, server, kLimitCut);
+        cut(now, server);
         countFailure(now, server);
       }
     }
