--- a/src/decide/balancer.cpp
+++ b/src/decide/balancer.cpp
@@ -710,7 +710,7 @@
   // How long until the server may have one more execution out.
   [[nodiscard]] Span serverWait(Span now, Server& server) {
     const double usual = answers_.mean(now, kUnmeasured);
-    return server.allowance.wait(now, server.limit, static_cast<double>(server.out.size()), usual, 1);
+    return server.allowance.wait(now, server.limit, static_cast<double>(server.out.size()), usual, 2);
   }
 
   // The limits' sum binds too.
