--- a/src/decide/balancer.cpp
+++ b/src/decide/balancer.cpp
@@ -36,7 +36,7 @@
 constexpr double kHomeCrowded = 1.2;  // of the common bound; the met key takes under half as long
 constexpr double kDropDoubted = 0.5;  // share of the held servers; losing more at once is doubted
 constexpr double kColdMargin = 0.5;   // share of the tipping budget; queries' work varies about twofold
-constexpr double kFirstLimit = 4.0;   // executions of all balancers; a queue answered within an SLO time
+constexpr double kFirstLimit = 6.0;   // executions of all balancers; a queue answered within an SLO time
 constexpr double kLeastLimit = 0.2;   // executions of all balancers; one at a time on every fifth server
 constexpr double kMostLimit = 64.0;   // executions; only keeps the limit from growing for ever
 constexpr double kLimitStep = 0.05;   // of the limit, per quick answer; a late one undoes seven
@@ -710,7 +710,7 @@
   // How long until the server may have one more execution out.
   [[nodiscard]] Span serverWait(Span now, Server& server) {
     const double usual = answers_.mean(now, kUnmeasured);
-    return server.allowance.wait(now, server.limit, static_cast<double>(server.out.size()), usual, 2);
+    return server.allowance.wait(now, server.limit, static_cast<double>(server.out.size()), usual, 1);
   }
 
   // The limits' sum binds too.
