--- a/src/decide/balancer.cpp
+++ b/src/decide/balancer.cpp
@@ -713,15 +713,19 @@
     return server.allowance.wait(now, server.limit, static_cast<double>(server.out.size()), usual, 1);
   }
 
-  // The limits' sum binds too.
-  [[nodiscard]] Span poolWait(Span now, double reserve = 0) {
-    double out = 0;
+  [[nodiscard]] double poolLimit(Span now) const {
     double limits = 0;
     for (const Server& server : servers_) {
-      out += static_cast<double>(server.out.size());
       if (inPool(now, server) && !server.ejected) limits += server.limit;
     }
-    return allowance_.wait(now, limits, out, answers_.mean(now, kUnmeasured), kSaved, reserve);
+    return limits;
+  }
+
+  // The limits' sum binds too.
+  [[nodiscard]] Span poolWait(Span now, double reserve = 0) {
+    double out = 0;
+    for (const Server& server : servers_) out += static_cast<double>(server.out.size());
+    return allowance_.wait(now, poolLimit(now), out, answers_.mean(now, kUnmeasured), kSaved, reserve);
   }
   // How long until any query may go out.
   [[nodiscard]] Span roomIn(Span now) {
@@ -801,7 +805,7 @@
     const auto at = std::upper_bound(waiting_.begin(), waiting_.end(), slot, before);
     // Guards against waiting in vain: what is ahead must be gone in time at the rate of late.
     const double ahead = static_cast<double>(at - waiting_.begin());
-    const double rate = answers_.count(now) / measuredSpan(now);
+    const double rate = poolLimit(now) / answers_.mean(now, kUnmeasured);
     const double left = seconds(giveUpAt(now, held) - now - roomIn(now));
     if (left < 0 || ahead > rate * left) return answer(now, slot);
     waiting_.insert(at, slot);
