--- a/src/decide/balancer.cpp
+++ b/src/decide/balancer.cpp
@@ -45,7 +45,7 @@
 constexpr double kOverdue = 3.0;      // of the usual answer time; no healthy server strays that far
 constexpr double kLate = 0.6;         // of the SLO time; leaves the rest for waiting here
 constexpr double kFlow = 1.7;         // of the executions that the finishing rate needs; room to grow again
-constexpr double kEnough = 15;        // answers; fewer make no mean
+constexpr double kEnough = 5;        // answers; fewer make no mean
 constexpr double kLeastSet = 3;       // servers; a set survives two failures and can still compare
 constexpr double kCover = 8;          // balancers in each server's sets, at least; fewer would be uneven
 constexpr double kSetAnswers = 32;    // answers for each member in a ring's time; fewer tell nothing
@@ -713,19 +713,15 @@
     return server.allowance.wait(now, server.limit, static_cast<double>(server.out.size()), usual, 1);
   }
 
-  [[nodiscard]] double poolLimit(Span now) const {
+  // The limits' sum binds too.
+  [[nodiscard]] Span poolWait(Span now, double reserve = 0) {
+    double out = 0;
     double limits = 0;
     for (const Server& server : servers_) {
+      out += static_cast<double>(server.out.size());
       if (inPool(now, server) && !server.ejected) limits += server.limit;
     }
-    return limits;
-  }
-
-  // The limits' sum binds too.
-  [[nodiscard]] Span poolWait(Span now, double reserve = 0) {
-    double out = 0;
-    for (const Server& server : servers_) out += static_cast<double>(server.out.size());
-    return allowance_.wait(now, poolLimit(now), out, answers_.mean(now, kUnmeasured), kSaved, reserve);
+    return allowance_.wait(now, limits, out, answers_.mean(now, kUnmeasured), kSaved, reserve);
   }
   // How long until any query may go out.
   [[nodiscard]] Span roomIn(Span now) {
@@ -805,7 +801,7 @@
     const auto at = std::upper_bound(waiting_.begin(), waiting_.end(), slot, before);
     // Guards against waiting in vain: what is ahead must be gone in time at the rate of late.
     const double ahead = static_cast<double>(at - waiting_.begin());
-    const double rate = poolLimit(now) / answers_.mean(now, kUnmeasured);
+    const double rate = answers_.count(now) / measuredSpan(now);
     const double left = seconds(giveUpAt(now, held) - now - roomIn(now));
     if (left < 0 || ahead > rate * left) return answer(now, slot);
     waiting_.insert(at, slot);
