--- a/src/decide/balancer.cpp
+++ b/src/decide/balancer.cpp
@@ -502,7 +502,6 @@
       // case keeps away for a while. The others go on, as theirs may be a room of its own.
       const Span rest = kRest * (1U << std::min(server.fulls[use]++, kMostDoublings));
       server.useShutUntil[use] = std::max(server.useShutUntil[use], now + rest);
-      cut(now, server);
     }
     server.onTrial = server.onTrial && !server.out.empty();
   }
