--- a/src/decide/balancer.cpp
+++ b/src/decide/balancer.cpp
@@ -45,7 +45,7 @@
 constexpr double kOverdue = 3.0;      // of the usual answer time; no healthy server strays that far
 constexpr double kLate = 0.6;         // of the SLO time; leaves the rest for waiting here
 constexpr double kFlow = 2.4;         // of the executions that the finishing rate needs; room to grow again
-constexpr double kEnough = 5;        // answers; fewer make no mean
+constexpr double kEnough = 5;         // answers; fewer make no mean
 constexpr double kLeastSet = 3;       // servers; a set survives two failures and can still compare
 constexpr double kCover = 8;          // balancers in each server's sets, at least; fewer would be uneven
 constexpr double kSetAnswers = 32;    // answers for each member in a ring's time; fewer tell nothing
@@ -628,7 +628,7 @@
   std::optional<ServerSlot> pick(Span now, const Held& held) {
     // Guards against spending a thin allowance on what matters least, where too few wait to be put in order.
     const double reserve = kReserve * (1 - std::min(1.0, importance(now, held) / mostImportance_));
-    if (poolWait(now, reserve) > Span{0}) return std::nullopt;
+    const bool full = poolWait(now, reserve) > Span{0};
     measureWarmRate(now);
     const double usual = answers_.mean(now, kUnmeasured);
     const std::optional<ServerSlot> home = homeOf(now, held);
@@ -638,7 +638,7 @@
     for (ServerSlot slot = 0; slot < servers_.size(); ++slot) {
       Server& server = servers_[slot];
       if (!open(now, server) || !groupAllows(now, held, server)) continue;
-      if (!server.used && home != slot && mayHaveRun(held) == nullptr) continue;
+      if (server.used ? full : home != slot && mayHaveRun(held) == nullptr) continue;
       if (server.ejected) {
         if (trialDue(now, server, held) && coldRoom(now, server) && !triedBefore(held, slot)) return slot;
         continue;
@@ -717,8 +717,9 @@
     double out = 0;
     double limits = 0;
     for (const Server& server : servers_) {
+      if (!server.used) continue;
       out += static_cast<double>(server.out.size());
-      if (inPool(now, server) && !server.ejected) limits += server.limit;
+      if (open(now, server) && !server.ejected) limits += server.limit;
     }
     return allowance_.wait(now, limits, out, answers_.mean(now, kUnmeasured), kSaved, reserve);
   }
