--- a/src/decide/balancer.cpp
+++ b/src/decide/balancer.cpp
@@ -45,7 +45,7 @@
 constexpr double kOverdue = 3.0;      // of the usual answer time; no healthy server strays that far
 constexpr double kLate = 0.6;         // of the SLO time; leaves the rest for waiting here
 constexpr double kFlow = 2.4;         // of the executions that the finishing rate needs; room to grow again
-constexpr double kEnough = 5;         // answers; fewer make no mean
+constexpr double kEnough = 5;        // answers; fewer make no mean
 constexpr double kLeastSet = 3;       // servers; a set survives two failures and can still compare
 constexpr double kCover = 8;          // balancers in each server's sets, at least; fewer would be uneven
 constexpr double kSetAnswers = 32;    // answers for each member in a ring's time; fewer tell nothing
@@ -482,8 +482,8 @@
       if (!queries_[slot].answered) served_[queries_[slot].query.useCase.value].add(now, 1);
       if (ramp(now, server) >= 1) warmAnswers_.add(now, 1);
       const bool timely = took <= scaled(useCase(queries_[slot]).sloTime, kTimely);
-      if (timely && tight) moveLimit(now, server, 1 + kLimitStep);
-      if (took > scaled(useCase(queries_[slot]).sloTime, kLate)) moveLimit(now, server, kLimitCut);
+      if (timely && tight) grow(server);
+      if (took > scaled(useCase(queries_[slot]).sloTime, kLate)) cut(now, server);
       // Guards against servers that are slow but answer: an answer past its SLO time earns no weight.
       if (took <= useCase(queries_[slot]).sloTime) server.weight = std::min(1.0, server.weight + kWeightStep);
       server.run = 0;
@@ -506,26 +506,19 @@
     server.onTrial = server.onTrial && !server.out.empty();
   }
 
-  // An answer moves its server's limit; one from outside the set moves the whole set's by a member's part, as
-  // the set's sum is what holds all executions. Guards against cutting below what was lately finished: that
-  // much is out without any queue.
-  void moveLimit(Span now, Server& answered, double by) {
+  void grow(Server& server) {
+    server.limit = std::min(kMostLimit, server.limit + kLimitStep * std::min(server.limit, 1 / server.limit));
+  }
+
+  // Guards against cutting below what the server lately finished: that much is out there without any queue.
+  void cut(Span now, Server& server) {
     double sizes = 0;
-    double members = 0;
-    for (const Server& server : servers_) {
-      if (!inPool(now, server) || server.ejected) continue;
-      sizes += server.size;
-      ++members;
-    }
-    const double flow = kFlow * answers_.count(now) / measuredSpan(now) * unloaded_;
-    for (Server& server : servers_) {
-      if (&server != &answered && (answered.used || !inPool(now, server))) continue;
-      const double step = &server == &answered ? by : std::pow(by, 1 / members);
-      const double grown = server.limit + (step - 1) * std::min(server.limit, 1 / server.limit);
-      const double least =
-          std::max(perMember(kLeastLimit), flow * server.size / std::max(sizes, server.size));
-      server.limit = step > 1 ? std::min(kMostLimit, grown) : std::max(least, server.limit * step);
+    for (const Server& other : servers_) {
+      if (inPool(now, other) && !other.ejected) sizes += other.size;
     }
+    const double needed =
+        answers_.count(now) / measuredSpan(now) * unloaded_ * server.size / std::max(sizes, server.size);
+    server.limit = std::max({perMember(kLeastLimit), kFlow * needed, server.limit * kLimitCut});
   }
 
   void countFailure(Span now, Server& server) {
@@ -546,7 +539,7 @@
       for (Pending& pending : server.out) {
         if (pending.overdue || pending.started || now < overdueAt(now, pending)) continue;
         pending.overdue = true;
-        moveLimit(now, server, kLimitCut);
+        cut(now, server);
         countFailure(now, server);
       }
     }
@@ -690,7 +683,7 @@
     std::uint64_t highest = 0;
     for (ServerSlot slot = 0; slot < servers_.size(); ++slot) {
       const Server& server = servers_[slot];
-      if (!open(now, server) || server.ejected || server.zone != terms_.zone) continue;
+      if (!open(now, server) || server.ejected) continue;
       const std::uint64_t hash = mixed(held.query.key->value ^ mixed(server.id.value));
       if (home && hash <= highest) continue;
       home = slot;
