--- a/src/decide/balancer.cpp
+++ b/src/decide/balancer.cpp
@@ -45,7 +45,7 @@
 constexpr double kOverdue = 3.0;      // of the usual answer time; no healthy server strays that far
 constexpr double kLate = 0.6;         // of the SLO time; leaves the rest for waiting here
 constexpr double kFlow = 2.4;         // of the executions that the finishing rate needs; room to grow again
-constexpr double kEnough = 5;        // answers; fewer make no mean
+constexpr double kEnough = 5;         // answers; fewer make no mean
 constexpr double kLeastSet = 3;       // servers; a set survives two failures and can still compare
 constexpr double kCover = 8;          // balancers in each server's sets, at least; fewer would be uneven
 constexpr double kSetAnswers = 32;    // answers for each member in a ring's time; fewer tell nothing
@@ -191,10 +191,11 @@
   std::vector<Execution> executions;
 };
 
-std::uint64_t mixed(std::uint64_t value) {  // splitmix64's finish
+double fraction(std::uint64_t key, std::uint64_t server) {     // of 1, never 0; by splitmix64's finish
+  std::uint64_t value = key ^ (server * 0x9e3779b97f4a7c15U);  // splitmix64's finish
   value = (value ^ (value >> 30U)) * 0xbf58476d1ce4e5b9U;
   value = (value ^ (value >> 27U)) * 0x94d049bb133111ebU;
-  return value ^ (value >> 31U);
+  return (static_cast<double>((value ^ (value >> 31U)) >> 12U) + 0.5) / 4503599627370496.0;
 }
 
 Fate fateAfter(Outcome outcome) {
@@ -630,41 +631,54 @@
     const double reserve = kReserve * (1 - std::min(1.0, importance(now, held) / mostImportance_));
     if (poolWait(now, reserve) > Span{0}) return std::nullopt;
     measureWarmRate(now);
+    const bool homes = terms_.warmKeys && held.query.key;
+    const bool repeat = mayHaveRun(held) != nullptr;
     const double usual = answers_.mean(now, kUnmeasured);
-    const std::optional<ServerSlot> home = homeOf(now, held);
     expected_.assign(servers_.size(), 0.0);
     double inverse = 0;
     double pool = 0;
     for (ServerSlot slot = 0; slot < servers_.size(); ++slot) {
       Server& server = servers_[slot];
-      if (!open(now, server) || !groupAllows(now, held, server)) continue;
-      if (!server.used && home != slot && mayHaveRun(held) == nullptr) continue;
+      if (!open(now, server) || !(server.used || homes || repeat) || !groupAllows(now, held, server))
+        continue;
       if (server.ejected) {
         if (trialDue(now, server, held) && coldRoom(now, server) && !triedBefore(held, slot)) return slot;
         continue;
       }
       if (now < server.useShutUntil[held.query.useCase.value]) continue;
       expected_[slot] = std::max(expected(now, server, usual), 1e-6);
+      if (!server.used) continue;
       inverse += 1 / expected_[slot];
       ++pool;
     }
-    const double crowded =
-        kCrowded * pool / std::max(inverse, 1e-9);  // the harmonic mean: no outlier moves it
+    // The harmonic mean: no outlier moves it.
+    const double crowded = pool > 0 ? kCrowded * pool / inverse : kCrowded * usual;
+    const bool atHome = homes && draw() < kHome;
+    std::optional<ServerSlot> home;
     std::optional<ServerSlot> least;
+    double nearest = 0;
     double sum = 0;
     odds_.assign(servers_.size(), 0.0);
     for (ServerSlot slot = 0; slot < servers_.size(); ++slot) {
       Server& server = servers_[slot];
-      if (expected_[slot] <= 0 || !room(now, server) || triedBefore(held, slot)) continue;
+      if (expected_[slot] <= 0 || triedBefore(held, slot)) continue;
+      const double share = server.weight * server.size * ramp(now, server);
+      if (atHome) {
+        const double distance = -std::log(fraction(held.query.key->value, server.id.value)) / share;
+        if (!home || distance < nearest) {
+          home = slot;
+          nearest = distance;
+        }
+      }
+      if (!(server.used || repeat) || !room(now, server)) continue;
       if (!least || expected_[slot] < expected_[*least]) least = slot;
-      if (expected_[slot] > (home == slot ? kHomeCrowded * crowded : crowded)) continue;
-      odds_[slot] = server.weight * server.size * ramp(now, server);
-      if (server.zone == terms_.zone) odds_[slot] *= kNearer;
+      if (expected_[slot] > crowded) continue;
+      odds_[slot] = server.zone == terms_.zone ? kNearer * share : share;
       sum += odds_[slot];
     }
-    if (sum <= 0) return least;
     // A chance, not a weight: among two hundred servers any fixed weight would be lost.
-    if (home && odds_[*home] > 0 && draw() < kHome * servers_[*home].weight) return home;
+    if (home && expected_[*home] <= kHomeCrowded * crowded && room(now, servers_[*home])) return home;
+    if (sum <= 0) return least;
     double rest = draw() * sum;
     for (ServerSlot slot = 0; slot < servers_.size(); ++slot) {
       if (odds_[slot] <= 0) continue;
@@ -675,23 +689,6 @@
     return least;
   }
 
-  // Where a server that met a key does its queries cheaper, every balancer leans the same key to the same
-  // server, found by the highest hash; crowding still skips it, so that a popular key does not pile up.
-  [[nodiscard]] std::optional<ServerSlot> homeOf(Span now, const Held& held) const {
-    std::optional<ServerSlot> home;
-    if (!terms_.warmKeys || !held.query.key) return home;
-    std::uint64_t highest = 0;
-    for (ServerSlot slot = 0; slot < servers_.size(); ++slot) {
-      const Server& server = servers_[slot];
-      if (!open(now, server) || server.ejected) continue;
-      const std::uint64_t hash = mixed(held.query.key->value ^ mixed(server.id.value));
-      if (home && hash <= highest) continue;
-      home = slot;
-      highest = hash;
-    }
-    return home;
-  }
-
   // A trial costs what its query costs: one that may run again goes first, another only if none came for
   // long.
   [[nodiscard]] bool trialDue(Span now, const Server& server, const Held& held) const {
