Measure a member's cold budget by the warm members, not by all servers

Told from slow machines by the busiest server at 5.5 times the mean while answers of the new ones were quick. Change: the warm rate is kept apart for members and for servers outside the set.

--- a/src/decide/balancer.cpp
+++ b/src/decide/balancer.cpp
@@ -36,7 +36,7 @@
 constexpr double kHomeCrowded = 1.2;  // of the common bound; the met key takes under half as long
 constexpr double kDropDoubted = 0.5;  // share of the held servers; losing more at once is doubted
 constexpr double kColdMargin = 0.5;   // share of the tipping budget; queries' work varies about twofold
-constexpr double kFirstLimit = 2.0;   // executions of all balancers; a queue answered within an SLO time
+constexpr double kFirstLimit = 4.0;   // executions of all balancers; a queue answered within an SLO time
 constexpr double kLeastLimit = 0.2;   // executions of all balancers; one at a time on every fifth server
 constexpr double kMostLimit = 64.0;   // executions; only keeps the limit from growing for ever
 constexpr double kLimitStep = 0.05;   // of the limit, per quick answer; a late one undoes seven
@@ -481,7 +481,7 @@
       if (queries_[slot].query.account) accountAnswers_[queries_[slot].query.account->value].add(now, 1);
       if (answers_.count(now) >= kEnough) unloaded_ = std::min(unloaded_, answers_.mean(now, kUnmeasured));
       if (!queries_[slot].answered) served_[queries_[slot].query.useCase.value].add(now, 1);
-      if (ramp(now, server) >= 1) warmAnswers_.add(now, 1);
+      if (ramp(now, server) >= 1) warmAnswers_[server.used].add(now, 1);
       const bool timely = took <= scaled(useCase(queries_[slot]).sloTime, kTimely);
       if (timely && tight) grow(server);
       if (took > scaled(useCase(queries_[slot]).sloTime, kLate)) cut(now, server);
@@ -592,21 +592,24 @@
   [[nodiscard]] bool coldRoom(Span now, Server& server) {
     const double part = ramp(now, server);
     if (part >= 1) return true;
-    const double rate = part * terms_.tipMultiple * kColdMargin * warmRate_ * server.size;
+    const double rate = part * terms_.tipMultiple * kColdMargin * warmRate_[server.used] * server.size;
     const double most = std::max(1.0, rate * seconds(terms_.tipWindow));
     server.coldCredit = std::min(most, server.coldCredit + rate * seconds(now - server.coldCreditAt));
     server.coldCreditAt = now;
     return server.coldCredit >= 1;
   }
 
-  // Answers a second that a warm server gave this balancer, for each unit of size.
+  // Answers a second that a warm server gave this balancer, for each unit of size: in the set and outside,
+  // as a member gets more of this balancer's queries but is a member of few.
   void measureWarmRate(Span now) {
-    double size = 0;
+    std::array<double, 2> size{};
     for (const Server& server : servers_) {
-      if (server.held && !server.ejected && ramp(now, server) >= 1) size += server.size;
+      if (server.held && !server.ejected && ramp(now, server) >= 1) size[server.used] += server.size;
+    }
+    for (const std::size_t used : {0U, 1U}) {
+      if (size[used] > 0 && now > 1s)
+        warmRate_[used] = warmAnswers_[used].count(now) / size[used] / measuredSpan(now);
     }
-    const double span = std::min(seconds(now), seconds(kBucket) * static_cast<double>(kBuckets));
-    if (size > 0 && span > 1) warmRate_ = warmAnswers_.count(now) / size / span;
   }
 
   // ---- The pick
@@ -913,10 +916,10 @@
   Ring<kBuckets> answers_{kBucket};
   std::vector<Ring<kBuckets>> accountAnswers_;
   std::vector<Ring<kBuckets>> served_;  // by use case: 1 for each query completed, 0 for each given up
-  Ring<kBuckets> warmAnswers_{kBucket};
-  double warmRate_ = 0;
-  double listedCount_ = 0;  // servers in the last good list
-  double setSize_ = 0;      // servers wanted in the set
+  std::array<Ring<kBuckets>, 2> warmAnswers_{Ring<kBuckets>{kBucket}, Ring<kBuckets>{kBucket}};
+  std::array<double, 2> warmRate_{};  // of servers outside the set, and of its members
+  double listedCount_ = 0;            // servers in the last good list
+  double setSize_ = 0;                // servers wanted in the set
   std::uint32_t setPicks_ = 0;
   double unloaded_ = 1;  // seconds; the least mean answer time so far
   Allowance allowance_;
