--- a/src/decide/balancer.cpp
+++ b/src/decide/balancer.cpp
@@ -199,14 +199,9 @@
 }
 
 Fate fateAfter(Outcome outcome) {
-  switch (outcome) {
-    case Outcome::full:
-    case Outcome::connectFailed:
-    case Outcome::moot:
-      return Fate::neverRan;
-    default:
-      return Fate::mayHaveRun;
-  }
+  const bool never =
+      outcome == Outcome::full || outcome == Outcome::connectFailed || outcome == Outcome::moot;
+  return never ? Fate::neverRan : Fate::mayHaveRun;
 }
 
 bool isFailure(Outcome outcome) {  // full is back pressure; cancelled and moot say nothing
@@ -288,12 +283,10 @@
     judge(now, slot, no, execution, outcome);
     if (terminal) held.answered = true;
     if (!held.answered && held.out == 0) {
-      if (now >= held.deadline || hopeless(now, held) || !place(now, slot)) {
-        if (mayExecute(now, held) && !hopeless(now, held)) {
-          waitOrGiveUp(now, slot);
-        } else {
-          answer(now, slot);
-        }
+      if (hopeless(now, held)) {
+        answer(now, slot);
+      } else if (!place(now, slot)) {
+        waitOrGiveUp(now, slot);
       }
     }
     release(slot);
@@ -330,25 +323,18 @@
   // ---- The list
 
   void dropAbsent(Span now, Listing listing, std::span<const ListedServer> servers) {
-    std::size_t before = 0;
-    std::size_t lost = 0;
     const auto absent = [&](const Server& server) {
-      return std::none_of(servers.begin(), servers.end(),
-                          [&](const ListedServer& listed) { return listed.id == server.id; });
+      return server.held && std::none_of(servers.begin(), servers.end(),
+                                         [&](const ListedServer& listed) { return listed.id == server.id; });
     };
-    for (const Server& server : servers_) {
-      if (!server.held) continue;
-      ++before;
-      if (absent(server)) ++lost;
-    }
+    const auto lost = static_cast<double>(std::count_if(servers_.begin(), servers_.end(), absent));
     // Guards against a registry that lost sight of the fleet: an empty list, or one that drops over half at
     // once, is asked for again, and what it left out serves on until the drain grace would run out.
-    const bool doubted =
-        listing == Listing::complete && !doubting_ && before > 0 &&
-        (servers.empty() || static_cast<double>(lost) > kDropDoubted * static_cast<double>(before));
+    const bool doubted = listing == Listing::complete && !doubting_ && listedCount_ > 0 &&
+                         (servers.empty() || lost > kDropDoubted * listedCount_);
     for (Server& server : servers_) {
-      if (!server.held || !absent(server)) continue;
-      close(server, doubted ? now + std::max(terms_.drainGrace - 2 * terms_.tick, Span{0}) : now);
+      if (absent(server))
+        close(server, doubted ? now + std::max(terms_.drainGrace - 2 * terms_.tick, Span{0}) : now);
     }
     doubting_ = doubted;
     if (doubted) listAgain_ = true;
@@ -404,39 +390,37 @@
   // the list, which goes by location, so that a location is in the set by what it can carry. The places
   // within the parts are spread evenly over the balancers by their numbers. Members stay until they go.
   void fillSet(Span now) {
+    order_.clear();
     double usable = 0;
+    double unused = 0;
     double size = 0;
-    listedCount_ = 0;
-    for (const Server& server : servers_) {
+    for (ServerSlot slot = 0; slot < servers_.size(); ++slot) {
+      const Server& server = servers_[slot];
       if (!server.held || !open(now, server)) continue;
-      ++listedCount_;
+      order_.push_back(slot);
       size += server.size;
-      if (server.used && !server.ejected) ++usable;
+      unused += server.used ? 0 : 1;
+      usable += server.used && !server.ejected ? 1 : 0;
     }
+    listedCount_ = static_cast<double>(order_.size());
     const double told = answers_.count(now) / measuredSpan(now) * seconds(kBucket) * kBuckets / kSetAnswers;
     setSize_ = std::max({setSize_, kLeastSet, kCover * listedCount_ / terms_.balancers, told});
-    if (usable >= std::min(setSize_, listedCount_)) return;
-    std::vector<ServerSlot> order;
-    double unused = 0;
-    for (ServerSlot slot = 0; slot < servers_.size(); ++slot) {
-      if (!servers_[slot].held || !open(now, servers_[slot])) continue;
-      order.push_back(slot);
-      if (!servers_[slot].used) ++unused;
-    }
-    std::sort(order.begin(), order.end(), [&](ServerSlot a, ServerSlot b) {
+    const double wanted = std::min(setSize_, usable + unused);
+    if (usable >= wanted) return;
+    std::sort(order_.begin(), order_.end(), [&](ServerSlot a, ServerSlot b) {
       return std::pair(servers_[a].zone, servers_[a].id) < std::pair(servers_[b].zone, servers_[b].id);
     });
     const double parts = std::ceil(std::min(setSize_, listedCount_));
-    for (; unused > 0 && usable < std::min(setSize_, listedCount_); --unused, ++usable, ++setPicks_) {
+    for (; usable < wanted && unused > 0; ++usable, --unused, ++setPicks_) {
       const double part = std::fmod(setPicks_, parts);
       const double place = std::fmod(terms_.number * (kGolden + part * kRootOfTwo), 1.0);
       double before = (part + place) / parts * size;
       std::size_t at = 0;
-      for (; at + 1 < order.size() && before >= servers_[order[at]].size; ++at)
-        before -= servers_[order[at]].size;
-      while (servers_[order[at]].used) at = (at + 1) % order.size();
-      servers_[order[at]].used = true;
-      servers_[order[at]].limit = perMember(kFirstLimit);
+      for (; at + 1 < order_.size() && before >= servers_[order_[at]].size; ++at)
+        before -= servers_[order_[at]].size;
+      while (servers_[order_[at]].used) at = (at + 1) % order_.size();
+      servers_[order_[at]].used = true;
+      servers_[order_[at]].limit = perMember(kFirstLimit);
     }
   }
 
@@ -747,15 +731,9 @@
     if (first == nullptr || use.repeat == Repeat::idempotent) return true;
     if (use.repeat == Repeat::nonIdempotent) return false;
     if (now + 2 * terms_.tick >= first->sentAt + use.dedupWindow) return false;
-    switch (use.group) {
-      case DedupGroup::all:
-        return true;
-      case DedupGroup::zone:
-        return server.zone == first->zone;
-      case DedupGroup::cell:
-        return server.cell == first->cell && server.zone == first->zone;
-    }
-    return false;
+    const bool sameZone = server.zone == first->zone;
+    return use.group == DedupGroup::all ||
+           (sameZone && (use.group == DedupGroup::zone || server.cell == first->cell));
   }
 
   [[nodiscard]] bool mayExecute(Span now, const Held& held) const {
@@ -779,8 +757,6 @@
     Server& server = servers_[*picked];
     const ExecutionNo no{static_cast<std::uint32_t>(held.executions.size())};
     server.onTrial = server.ejected;
-    (void)poolWait(now);
-    (void)serverWait(now, server);
     server.out.push_back({slot, no, now, static_cast<double>(server.out.size())});
     server.coldCredit -= 1;
     held.executions.push_back({*picked, now, server.zone, server.cell});
@@ -911,6 +887,7 @@
   std::vector<Held> queries_;
   std::vector<QuerySlot> free_;
   std::vector<QuerySlot> waiting_;  // the most important first
+  std::vector<ServerSlot> order_;   // scratch of fillSet()
   std::vector<double> expected_;    // scratch of pick(), by server slot
   std::vector<double> odds_;        // scratch of pick(), by server slot
   Ring<kBuckets> answers_{kBucket};
