--- a/src/decide/balancer.cpp
+++ b/src/decide/balancer.cpp
@@ -455,6 +455,7 @@
     if (at == server.out.end()) return;
     const Pending pending = *at;
     const bool tight = poolFull(now) || static_cast<double>(server.out.size()) + 1 > server.limit;
+    (void)serverWait(now, server);  // what was out until now is charged to its allowance
     server.out.erase(at);
     if (server.startedAt && execution.sentAt < *server.startedAt) return;  // says nothing of the new process
     const Span took = now - execution.sentAt;
