--- a/src/decide/balancer.cpp
+++ b/src/decide/balancer.cpp
@@ -60,7 +60,8 @@
 constexpr double kShareSlack = 1.15;  // of an account's part; a balancer sees no exact mix
 constexpr Span kRest = 50ms;          // after one full; about one query's work
 constexpr std::uint32_t kMostDoublings = 5;  // of the rest: 1.6 s at the most
-constexpr Span kAdvice = 150ms;  // when to come back; leaves a client's retry a chance within the SLO time
+constexpr Span kLeastWait = 20ms;  // between looks for room while queries wait; well under any SLO time
+constexpr Span kAdvice = 150ms;    // when to come back; leaves a client's retry a chance within the SLO time
 constexpr double kGolden = 0.6180339887498949;  // with the root of two: multiples spread evenly over 1
 constexpr double kRootOfTwo = 1.4142135623730951;
 constexpr double kUnmeasured = 0.15;  // seconds; answer time assumed before the first answer
@@ -161,7 +162,6 @@
   Span trialAt{};
   bool onTrial = false;
   double limit = 1;  // executions that may be out here
-  Allowance allowance;
   std::vector<Pending> out;
   Ring<kBuckets> pace{kBucket};  // seconds an answer took for each execution out, itself included
   double coldCredit = 0;         // executions that may go to it while it is cold
@@ -455,7 +455,6 @@
     if (at == server.out.end()) return;
     const Pending pending = *at;
     const bool tight = poolFull(now) || static_cast<double>(server.out.size()) + 1 > server.limit;
-    (void)serverWait(now, server);  // what was out until now is charged to its allowance
     server.out.erase(at);
     if (server.startedAt && execution.sentAt < *server.startedAt) return;  // says nothing of the new process
     const Span took = now - execution.sentAt;
@@ -688,13 +687,7 @@
     // Guards against a real mass failure, in which the cap keeps dead servers in the pool: one that failed
     // often enough to be ejected stays in it, but gets one execution at a time, as in a trial.
     if (server.run >= kFailuresToEject && !server.out.empty()) return false;
-    return serverWait(now, server) == Span{0} && coldRoom(now, server);
-  }
-
-  // How long until the server may have one more execution out.
-  [[nodiscard]] Span serverWait(Span now, Server& server) {
-    const double usual = answers_.mean(now, kUnmeasured);
-    return server.allowance.wait(now, server.limit, static_cast<double>(server.out.size()), usual, 1);
+    return static_cast<double>(server.out.size()) + 1 <= std::max(1.0, server.limit) && coldRoom(now, server);
   }
 
   // The limits' sum binds too.
@@ -707,14 +700,6 @@
     }
     return allowance_.wait(now, limits, out, answers_.mean(now, kUnmeasured), kSaved, reserve);
   }
-  // How long until any query may go out.
-  [[nodiscard]] Span roomIn(Span now) {
-    Span room = Span::max();
-    for (Server& server : servers_) {
-      if (inPool(now, server) && !server.ejected) room = std::min(room, serverWait(now, server));
-    }
-    return std::max(std::min(room, Span{1s}), poolWait(now));
-  }
   [[nodiscard]] bool poolFull(Span now) { return poolWait(now) > Span{0}; }
 
   // ---- Executions: a further one only as the use case's kind allows.
@@ -778,7 +763,7 @@
     // Guards against waiting in vain: what is ahead must be gone in time at the rate of late.
     const double ahead = static_cast<double>(at - waiting_.begin());
     const double rate = answers_.count(now) / measuredSpan(now);
-    const double left = seconds(giveUpAt(now, held) - now - roomIn(now));
+    const double left = seconds(giveUpAt(now, held) - now - poolWait(now));
     if (left < 0 || ahead > rate * left) return answer(now, slot);
     waiting_.insert(at, slot);
     held.waiting = true;
@@ -869,7 +854,7 @@
   void arm(Span now) {
     Span due = listAgain_ ? now : askAt_;
     for (const QuerySlot slot : waiting_) due = std::min(due, giveUpAt(now, queries_[slot]));
-    if (!waiting_.empty()) due = std::min(due, now + roomIn(now));
+    if (!waiting_.empty()) due = std::min(due, now + std::max(poolWait(now), kLeastWait));
     for (const Server& server : servers_) {
       for (const Pending& pending : server.out) {
         if (!pending.overdue && !pending.started) due = std::min(due, overdueAt(now, pending));
