--- a/src/decide/balancer.cpp
+++ b/src/decide/balancer.cpp
@@ -614,9 +614,7 @@
   }
 
   std::optional<ServerSlot> pick(Span now, const Held& held) {
-    // Guards against spending a thin allowance on what matters least, where too few wait to be put in order.
-    const double reserve = kReserve * (1 - std::min(1.0, importance(now, held) / mostImportance_));
-    if (poolWait(now, reserve) > Span{0}) return std::nullopt;
+    if (poolWait(now) > Span{0}) return std::nullopt;
     measureWarmRate(now);
     const bool homes = terms_.warmKeys && held.query.key;
     const bool repeat = mayHaveRun(held) != nullptr;
