--- a/src/decide/balancer.cpp
+++ b/src/decide/balancer.cpp
@@ -49,7 +49,7 @@
 constexpr double kLeastSet = 3;       // servers; a set survives two failures and can still compare
 constexpr double kCover = 8;          // balancers in each server's sets, at least; fewer would be uneven
 constexpr double kSetAnswers = 32;    // answers for each member in a ring's time; fewer tell nothing
-constexpr double kReserve = 1;        // usual executions kept for the most important; about one more waits
+constexpr double kReserve = 2;        // usual executions kept for the most important; about one more waits
 constexpr double kSaved = 3;          // usual executions saved up below a limit; a short run of queries
 constexpr Span kFirstAsk = 250ms;     // first repeat of a failed discovery call; a tick or two is too soon
 constexpr Span kLastAsk = 4s;         // longest backoff; well inside the time a held list may go unasked
@@ -614,7 +614,9 @@
   }
 
   std::optional<ServerSlot> pick(Span now, const Held& held) {
-    if (poolWait(now) > Span{0}) return std::nullopt;
+    // Guards against spending a thin allowance on what matters least, where too few wait to be put in order.
+    const double reserve = kReserve * (1 - std::min(1.0, importance(now, held) / mostImportance_));
+    if (poolWait(now, reserve) > Span{0}) return std::nullopt;
     measureWarmRate(now);
     const bool homes = terms_.warmKeys && held.query.key;
     const bool repeat = mayHaveRun(held) != nullptr;
