--- a/src/decide/balancer.cpp
+++ b/src/decide/balancer.cpp
@@ -49,7 +49,6 @@
 constexpr double kLeastSet = 3;       // servers; a set survives two failures and can still compare
 constexpr double kCover = 8;          // balancers in each server's sets, at least; fewer would be uneven
 constexpr double kSetAnswers = 32;    // answers for each member in a ring's time; fewer tell nothing
-constexpr double kReserve = 2;        // usual executions kept for the most important; about one more waits
 constexpr double kSaved = 3;          // usual executions saved up below a limit; a short run of queries
 constexpr Span kFirstAsk = 250ms;     // first repeat of a failed discovery call; a tick or two is too soon
 constexpr Span kLastAsk = 4s;         // longest backoff; well inside the time a held list may go unasked
@@ -114,24 +113,6 @@
   mutable Bucket total_;  // of the turn it names; large fleets read far more often than they add
 };
 
-/// What a limit on executions out allows. Guards against a thousand balancers that may each have one out:
-/// below one it is saved up over time, in seconds of execution, and an execution that is out uses it up.
-struct Allowance {
-  double saved = 1;  // more than may be saved: a start is not held back
-  Span at{};
-
-  // How long until one more may go out, where one usually takes so many seconds and so many may be saved, of
-  // which some are kept in reserve.
-  Span wait(Span now, double limit, double out, double usual, double most, double reserve = 0) {
-    saved = std::clamp(saved + (limit - out) * seconds(now - at), -most * usual, most * usual);
-    at = now;
-    const double needed = usual * (out + 1 + reserve) - saved;
-    if (out + 1 <= limit || needed <= 0) return Span{0};
-    if (limit <= out) return scaled(1s, usual);  // about when one ends
-    return scaled(1s, std::min(1.0, needed / (limit - out))) + Span{1};
-  }
-};
-
 using ServerSlot = std::size_t;
 using QuerySlot = std::uint32_t;
 
@@ -219,7 +200,6 @@
         chance_(static_cast<std::uint_fast32_t>(terms_.seed)),
         accountAnswers_(terms_.accounts.size(), Ring<kBuckets>(kBucket)),
         served_(terms_.useCases.size(), Ring<kBuckets>(kBucket)) {
-    for (const UseCase& use : terms_.useCases) mostImportance_ = std::max(mostImportance_, use.importance);
     if (terms_.discoveryOnRequest) host_.watchServers();
   }
 
@@ -614,9 +594,7 @@
   }
 
   std::optional<ServerSlot> pick(Span now, const Held& held) {
-    // Guards against spending a thin allowance on what matters least, where too few wait to be put in order.
-    const double reserve = kReserve * (1 - std::min(1.0, importance(now, held) / mostImportance_));
-    if (poolWait(now, reserve) > Span{0}) return std::nullopt;
+    if (poolWait(now) > Span{0}) return std::nullopt;
     measureWarmRate(now);
     const bool homes = terms_.warmKeys && held.query.key;
     const bool repeat = mayHaveRun(held) != nullptr;
@@ -690,15 +668,22 @@
     return static_cast<double>(server.out.size()) + 1 <= std::max(1.0, server.limit) && coldRoom(now, server);
   }
 
-  // The limits' sum binds too.
-  [[nodiscard]] Span poolWait(Span now, double reserve = 0) {
+  // How long until one more execution may be out: the limits' sum binds too. Guards against a thousand
+  // balancers that may each have one out: what a limit below one allows is saved up over time, in seconds
+  // of execution, and an execution that is out uses it up.
+  [[nodiscard]] Span poolWait(Span now) {
     double out = 0;
     double limits = 0;
     for (const Server& server : servers_) {
       out += static_cast<double>(server.out.size());
       if (inPool(now, server) && !server.ejected) limits += server.limit;
     }
-    return allowance_.wait(now, limits, out, answers_.mean(now, kUnmeasured), kSaved, reserve);
+    const double usual = answers_.mean(now, kUnmeasured);
+    saved_ = std::clamp(saved_ + (limits - out) * seconds(now - savedAt_), -kSaved * usual, kSaved * usual);
+    savedAt_ = now;
+    const double needed = usual * (out + 1) - saved_;
+    if (out + 1 <= limits || needed <= 0) return Span{0};
+    return scaled(1s, limits <= out ? usual : std::min(1.0, needed / (limits - out))) + Span{1};
   }
   [[nodiscard]] bool poolFull(Span now) { return poolWait(now) > Span{0}; }
 
@@ -885,8 +870,8 @@
   double setSize_ = 0;                // servers wanted in the set
   std::uint32_t setPicks_ = 0;
   double unloaded_ = 1;  // seconds; the least mean answer time so far
-  Allowance allowance_;
-  double mostImportance_ = 0;  // of all use cases
+  double saved_ = 1;     // seconds of execution that the limits allow; at the start all that may be saved
+  Span savedAt_{};
   Span askAt_ = Span::max();
   Span askBackoff_ = kFirstAsk;
   Span wakeAt_ = Span::max();
