--- a/src/decide/balancer.cpp
+++ b/src/decide/balancer.cpp
@@ -352,7 +352,7 @@
       at->useShutUntil.assign(terms_.useCases.size(), Span::min());
       at->coldCredit = draw();  // Guards against a thousand balancers that spend their parts at one moment.
       at->coldCreditAt = now;
-      at->limit = perMember(kFirstLimit);
+      at->limit = std::max(perMember(kFirstLimit), 1 / std::max(setSize_, 1.0));
     }
     at->id = listed.id;
     at->zone = listed.zone;
@@ -400,7 +400,7 @@
         before -= servers_[order_[at]].size;
       while (servers_[order_[at]].used) at = (at + 1) % order_.size();
       servers_[order_[at]].used = true;
-      servers_[order_[at]].limit = perMember(kFirstLimit);
+      servers_[order_[at]].limit = std::max(perMember(kFirstLimit), 1 / std::max(setSize_, 1.0));
     }
   }
 
