--- a/src/decide/balancer.cpp
+++ b/src/decide/balancer.cpp
@@ -352,7 +352,7 @@
       at->useShutUntil.assign(terms_.useCases.size(), Span::min());
       at->coldCredit = draw();  // Guards against a thousand balancers that spend their parts at one moment.
       at->coldCreditAt = now;
-      at->limit = std::max(perMember(kFirstLimit), 1 / std::max(setSize_, 1.0));
+      at->limit = firstLimit();
     }
     at->id = listed.id;
     at->zone = listed.zone;
@@ -400,13 +400,13 @@
         before -= servers_[order_[at]].size;
       while (servers_[order_[at]].used) at = (at + 1) % order_.size();
       servers_[order_[at]].used = true;
-      servers_[order_[at]].limit = std::max(perMember(kFirstLimit), 1 / std::max(setSize_, 1.0));
+      servers_[order_[at]].limit = firstLimit();
     }
   }
 
-  // One balancer's part, at one member of its set, of what all balancers may do at one server.
-  [[nodiscard]] double perMember(double ofAll) const {
-    return ofAll / terms_.balancers * std::max(1.0, listedCount_ / std::max(setSize_, 1.0));
+  // This balancer's part of what all may do at one server, but one execution in all for the whole set.
+  [[nodiscard]] double firstLimit() const {
+    return std::max(kFirstLimit / terms_.balancers, 1 / std::max(setSize_, 1.0));
   }
 
   [[nodiscard]] static bool inPool(Span now, const Server& server) {
@@ -483,7 +483,7 @@
     }
     const double needed =
         answers_.count(now) / measuredSpan(now) * unloaded_ * server.size / std::max(sizes, server.size);
-    server.limit = std::max({perMember(kLeastLimit), kFlow * needed, server.limit * kLimitCut});
+    server.limit = std::max({kLeastLimit / terms_.balancers, kFlow * needed, server.limit * kLimitCut});
   }
 
   void countFailure(Span now, Server& server) {
