--- a/src/decide/balancer.cpp
+++ b/src/decide/balancer.cpp
@@ -32,8 +32,11 @@
 constexpr double kWeightFloor = 0.05;          // of full weight 1; keeps a failing server in sight
 constexpr double kCrowded = 1.25;     // of the pool's mean expected answer time; "well above" begins here
 constexpr double kNearer = 6.0;       // draw weight of the own zone; crossing costs time and money
-constexpr double kHome = 1.0;         // chance of a key's home while uncrowded; the rest keep measured
+constexpr double kHome = 0.9;         // chance of a key's home while uncrowded; the rest keep measured
 constexpr double kHomeCrowded = 1.2;  // of the common bound; the met key takes under half as long
+constexpr std::size_t kLateKeys =
+    64;                           // queries among which a key's part is counted; a popular one is there twice
+constexpr double kKeySpread = 1;  // homes for each server's part of the queries that a key makes up
 constexpr double kDropDoubted = 0.5;  // share of the held servers; losing more at once is doubted
 constexpr double kColdMargin = 0.5;   // share of the tipping budget; queries' work varies about twofold
 constexpr double kFirstLimit = 4.0;   // executions of all balancers; a queue answered within an SLO time
@@ -231,6 +234,7 @@
     held.arrived = now;
     held.deadline = now + query.timeLeft;
     held.inUse = true;
+    if (query.key) lateKeys_[lateKeysMet_++ % lateKeys_.size()] = query.key->value;
     fillSet(now);
     if (!place(now, slot)) waitOrGiveUp(now, slot);
     arm(now);
@@ -447,8 +451,8 @@
       if (!queries_[slot].answered) served_[queries_[slot].query.useCase.value].add(now, 1);
       if (ramp(now, server) >= 1) warmAnswers_[server.used].add(now, 1);
       const bool timely = took <= scaled(useCase(queries_[slot]).sloTime, kTimely);
-      if (timely && tight) moveLimit(now, server, 1 + kLimitStep);
-      if (took > scaled(useCase(queries_[slot]).sloTime, kLate)) moveLimit(now, server, kLimitCut);
+      if (timely && tight) grow(server);
+      if (took > scaled(useCase(queries_[slot]).sloTime, kLate)) cut(now, server);
       // Guards against servers that are slow but answer: an answer past its SLO time earns no weight.
       if (took <= useCase(queries_[slot]).sloTime) server.weight = std::min(1.0, server.weight + kWeightStep);
       server.run = 0;
@@ -471,26 +475,19 @@
     server.onTrial = server.onTrial && !server.out.empty();
   }
 
-  // An answer moves its server's limit; one from outside the set moves the whole set's by a member's part, as
-  // the set's sum is what holds all executions. Guards against cutting below what was lately finished: that
-  // much is out without any queue.
-  void moveLimit(Span now, Server& answered, double by) {
+  void grow(Server& server) {
+    server.limit = std::min(kMostLimit, server.limit + kLimitStep * std::min(server.limit, 1 / server.limit));
+  }
+
+  // Guards against cutting below what the server lately finished: that much is out there without any queue.
+  void cut(Span now, Server& server) {
     double sizes = 0;
-    double members = 0;
-    for (const Server& server : servers_) {
-      if (!inPool(now, server) || server.ejected) continue;
-      sizes += server.size;
-      ++members;
-    }
-    const double flow = kFlow * answers_.count(now) / measuredSpan(now) * unloaded_;
-    for (Server& server : servers_) {
-      if (&server != &answered && (answered.used || !inPool(now, server))) continue;
-      const double step = &server == &answered ? by : std::pow(by, 1 / members);
-      const double grown = server.limit + (step - 1) * std::min(server.limit, 1 / server.limit);
-      const double least =
-          std::max(kLeastLimit / terms_.balancers, flow * server.size / std::max(sizes, server.size));
-      server.limit = step > 1 ? std::min(kMostLimit, grown) : std::max(least, server.limit * step);
+    for (const Server& other : servers_) {
+      if (inPool(now, other) && !other.ejected) sizes += other.size;
     }
+    const double needed =
+        answers_.count(now) / measuredSpan(now) * unloaded_ * server.size / std::max(sizes, server.size);
+    server.limit = std::max({kLeastLimit / terms_.balancers, kFlow * needed, server.limit * kLimitCut});
   }
 
   void countFailure(Span now, Server& server) {
@@ -511,7 +508,7 @@
       for (Pending& pending : server.out) {
         if (pending.overdue || pending.started || now < overdueAt(now, pending)) continue;
         pending.overdue = true;
-        moveLimit(now, server, kLimitCut);
+        cut(now, server);
         countFailure(now, server);
       }
     }
@@ -626,6 +623,7 @@
     // The harmonic mean: no outlier moves it.
     const double crowded = pool > 0 ? kCrowded * pool / inverse : kCrowded * usual;
     const bool atHome = homes && draw() < kHome;
+    const std::uint64_t name = homes ? homeName(*held.query.key) : 0;
     std::optional<ServerSlot> home;
     std::optional<ServerSlot> least;
     double nearest = 0;
@@ -636,7 +634,7 @@
       if (expected_[slot] <= 0 || triedBefore(held, slot)) continue;
       const double share = server.weight * server.size * ramp(now, server);
       if (atHome) {
-        const double distance = -std::log(fraction(held.query.key->value, server.id.value)) / share;
+        const double distance = -std::log(fraction(name, server.id.value)) / share;
         if (!home || distance < nearest) {
           home = slot;
           nearest = distance;
@@ -661,6 +659,18 @@
     return least;
   }
 
+  // What a key goes by to find its home. Guards against piling up a popular key: it takes one of as many
+  // names, each with a home of its own, as the key's part of the late queries is servers' parts of all
+  // queries.
+  std::uint64_t homeName(KeyId key) {
+    const auto met = static_cast<double>(std::count(lateKeys_.begin(), lateKeys_.end(), key.value)) - 1;
+    const double names =
+        1 +
+        std::floor(kKeySpread * met /
+                   static_cast<double>(std::clamp<std::size_t>(lateKeysMet_, 8, kLateKeys)) * listedCount_);
+    return key.value + static_cast<std::uint64_t>(draw() * names);
+  }
+
   // A trial costs what its query costs: one that may run again goes first, another only if none came for
   // long.
   [[nodiscard]] bool trialDue(Span now, const Server& server, const Held& held) const {
@@ -872,9 +882,11 @@
   std::vector<Ring<kBuckets>> accountAnswers_;
   std::vector<Ring<kBuckets>> served_;  // by use case: 1 for each query completed, 0 for each given up
   std::array<Ring<kBuckets>, 2> warmAnswers_{Ring<kBuckets>{kBucket}, Ring<kBuckets>{kBucket}};
-  std::array<double, 2> warmRate_{};  // of servers outside the set, and of its members
-  double listedCount_ = 0;            // servers in the last good list
-  double setSize_ = 0;                // servers wanted in the set
+  std::array<double, 2> warmRate_{};                 // of servers outside the set, and of its members
+  std::array<std::uint64_t, kLateKeys> lateKeys_{};  // reused in a ring
+  std::size_t lateKeysMet_ = 0;
+  double listedCount_ = 0;  // servers in the last good list
+  double setSize_ = 0;      // servers wanted in the set
   std::uint32_t setPicks_ = 0;
   double unloaded_ = 1;  // seconds; the least mean answer time so far
   double saved_ = 1;     // seconds of execution that the limits allow; at the start all that may be saved
