--- a/src/decide/balancer.cpp
+++ b/src/decide/balancer.cpp
@@ -34,15 +34,12 @@
 constexpr double kNearer = 6.0;       // draw weight of the own zone; crossing costs time and money
 constexpr double kHome = 0.9;         // chance of a key's home while uncrowded; the rest keep measured
 constexpr double kHomeCrowded = 1.2;  // of the common bound; the met key takes under half as long
-constexpr std::size_t kLateKeys =
-    64;                           // queries among which a key's part is counted; a popular one is there twice
-constexpr double kKeySpread = 1;  // homes for each server's part of the queries that a key makes up
 constexpr double kDropDoubted = 0.5;  // share of the held servers; losing more at once is doubted
 constexpr double kColdMargin = 0.5;   // share of the tipping budget; queries' work varies about twofold
 constexpr double kFirstLimit = 4.0;   // executions of all balancers; a queue answered within an SLO time
 constexpr double kLeastLimit = 0.2;   // executions of all balancers; one at a time on every fifth server
 constexpr double kMostLimit = 64.0;   // executions; only keeps the limit from growing for ever
-constexpr double kLimitStep = 0.05;   // of the limit, per quick answer; a late one undoes seven
+constexpr double kLimitStep = 0.07;   // of the limit, per quick answer; a late one undoes seven
 constexpr double kLimitCut = 0.7;     // of the limit, per late answer; two in a row halve it
 constexpr double kTimely = 0.5;       // of the SLO time; slower answers mean a queue at the server
 constexpr double kOverdue = 3.0;      // of the usual answer time; no healthy server strays that far
@@ -234,7 +231,6 @@
     held.arrived = now;
     held.deadline = now + query.timeLeft;
     held.inUse = true;
-    if (query.key) lateKeys_[lateKeysMet_++ % lateKeys_.size()] = query.key->value;
     fillSet(now);
     if (!place(now, slot)) waitOrGiveUp(now, slot);
     arm(now);
@@ -623,7 +619,6 @@
     // The harmonic mean: no outlier moves it.
     const double crowded = pool > 0 ? kCrowded * pool / inverse : kCrowded * usual;
     const bool atHome = homes && draw() < kHome;
-    const std::uint64_t name = homes ? homeName(*held.query.key) : 0;
     std::optional<ServerSlot> home;
     std::optional<ServerSlot> least;
     double nearest = 0;
@@ -634,7 +629,7 @@
       if (expected_[slot] <= 0 || triedBefore(held, slot)) continue;
       const double share = server.weight * server.size * ramp(now, server);
       if (atHome) {
-        const double distance = -std::log(fraction(name, server.id.value)) / share;
+        const double distance = -std::log(fraction(held.query.key->value, server.id.value)) / share;
         if (!home || distance < nearest) {
           home = slot;
           nearest = distance;
@@ -659,18 +654,6 @@
     return least;
   }
 
-  // What a key goes by to find its home. Guards against piling up a popular key: it takes one of as many
-  // names, each with a home of its own, as the key's part of the late queries is servers' parts of all
-  // queries.
-  std::uint64_t homeName(KeyId key) {
-    const auto met = static_cast<double>(std::count(lateKeys_.begin(), lateKeys_.end(), key.value)) - 1;
-    const double names =
-        1 +
-        std::floor(kKeySpread * met /
-                   static_cast<double>(std::clamp<std::size_t>(lateKeysMet_, 8, kLateKeys)) * listedCount_);
-    return key.value + static_cast<std::uint64_t>(draw() * names);
-  }
-
   // A trial costs what its query costs: one that may run again goes first, another only if none came for
   // long.
   [[nodiscard]] bool trialDue(Span now, const Server& server, const Held& held) const {
@@ -882,11 +865,9 @@
   std::vector<Ring<kBuckets>> accountAnswers_;
   std::vector<Ring<kBuckets>> served_;  // by use case: 1 for each query completed, 0 for each given up
   std::array<Ring<kBuckets>, 2> warmAnswers_{Ring<kBuckets>{kBucket}, Ring<kBuckets>{kBucket}};
-  std::array<double, 2> warmRate_{};                 // of servers outside the set, and of its members
-  std::array<std::uint64_t, kLateKeys> lateKeys_{};  // reused in a ring
-  std::size_t lateKeysMet_ = 0;
-  double listedCount_ = 0;  // servers in the last good list
-  double setSize_ = 0;      // servers wanted in the set
+  std::array<double, 2> warmRate_{};  // of servers outside the set, and of its members
+  double listedCount_ = 0;            // servers in the last good list
+  double setSize_ = 0;                // servers wanted in the set
   std::uint32_t setPicks_ = 0;
   double unloaded_ = 1;  // seconds; the least mean answer time so far
   double saved_ = 1;     // seconds of execution that the limits allow; at the start all that may be saved
