--- a/src/decide/balancer.cpp
+++ b/src/decide/balancer.cpp
@@ -447,8 +447,8 @@
       if (!queries_[slot].answered) served_[queries_[slot].query.useCase.value].add(now, 1);
       if (ramp(now, server) >= 1) warmAnswers_[server.used].add(now, 1);
       const bool timely = took <= scaled(useCase(queries_[slot]).sloTime, kTimely);
-      if (timely && tight) grow(server);
-      if (took > scaled(useCase(queries_[slot]).sloTime, kLate)) cut(now, server);
+      if (timely && tight) moveLimit(now, server, 1 + kLimitStep);
+      if (took > scaled(useCase(queries_[slot]).sloTime, kLate)) moveLimit(now, server, kLimitCut);
       // Guards against servers that are slow but answer: an answer past its SLO time earns no weight.
       if (took <= useCase(queries_[slot]).sloTime) server.weight = std::min(1.0, server.weight + kWeightStep);
       server.run = 0;
@@ -471,19 +471,26 @@
     server.onTrial = server.onTrial && !server.out.empty();
   }
 
-  void grow(Server& server) {
-    server.limit = std::min(kMostLimit, server.limit + kLimitStep * std::min(server.limit, 1 / server.limit));
-  }
-
-  // Guards against cutting below what the server lately finished: that much is out there without any queue.
-  void cut(Span now, Server& server) {
+  // An answer moves its server's limit; one from outside the set moves the whole set's by a member's part, as
+  // the set's sum is what holds all executions. Guards against cutting below what was lately finished: that
+  // much is out without any queue.
+  void moveLimit(Span now, Server& answered, double by) {
     double sizes = 0;
-    for (const Server& other : servers_) {
-      if (inPool(now, other) && !other.ejected) sizes += other.size;
+    double members = 0;
+    for (const Server& server : servers_) {
+      if (!inPool(now, server) || server.ejected) continue;
+      sizes += server.size;
+      ++members;
+    }
+    const double flow = kFlow * answers_.count(now) / measuredSpan(now) * unloaded_;
+    for (Server& server : servers_) {
+      if (&server != &answered && (answered.used || !inPool(now, server))) continue;
+      const double step = &server == &answered ? by : std::pow(by, 1 / members);
+      const double grown = server.limit + (step - 1) * std::min(server.limit, 1 / server.limit);
+      const double least =
+          std::max(kLeastLimit / terms_.balancers, flow * server.size / std::max(sizes, server.size));
+      server.limit = step > 1 ? std::min(kMostLimit, grown) : std::max(least, server.limit * step);
     }
-    const double needed =
-        answers_.count(now) / measuredSpan(now) * unloaded_ * server.size / std::max(sizes, server.size);
-    server.limit = std::max({kLeastLimit / terms_.balancers, kFlow * needed, server.limit * kLimitCut});
   }
 
   void countFailure(Span now, Server& server) {
@@ -504,7 +511,7 @@
       for (Pending& pending : server.out) {
         if (pending.overdue || pending.started || now < overdueAt(now, pending)) continue;
         pending.overdue = true;
-        cut(now, server);
+        moveLimit(now, server, kLimitCut);
         countFailure(now, server);
       }
     }
@@ -628,7 +635,7 @@
       Server& server = servers_[slot];
       if (expected_[slot] <= 0 || triedBefore(held, slot)) continue;
       const double share = server.weight * server.size * ramp(now, server);
-      if (atHome) {
+      if (atHome && server.zone == terms_.zone) {
         const double distance = -std::log(fraction(held.query.key->value, server.id.value)) / share;
         if (!home || distance < nearest) {
           home = slot;
