Count servers by the service time they report

Cause: homes and draws treat a slow machine like a fast one, as listed sizes are alike; the reports in answers tell the time of work without waiting.

--- a/include/rackroute/balancer.hpp
+++ b/include/rackroute/balancer.hpp
@@ -53,7 +53,8 @@
 /// A query that a balancer has taken. It must not outlive the balancer; calls on one that is over do nothing.
 class QueryHandle {
  public:
-  void executionEnded(Span now, ExecutionNo execution, Outcome outcome, bool terminal);
+  /// The service time is what the server reported with the answer for one query's work; 0 if it reports none.
+  void executionEnded(Span now, ExecutionNo execution, Outcome outcome, bool terminal, Span serviceTime = {});
   void answerStarted(ExecutionNo execution);
   void clientLeft(Span now);
   [[nodiscard]] bool over() const;
--- a/src/decide/balancer.cpp
+++ b/src/decide/balancer.cpp
@@ -34,6 +34,7 @@
 constexpr double kNearer = 6.0;       // draw weight of the own zone; crossing costs time and money
 constexpr double kHome = 0.9;         // chance of a key's home while uncrowded; the rest keep measured
 constexpr double kHomeCrowded = 1.2;  // of the common bound; the met key takes under half as long
+constexpr double kMostSpeed = 2;      // of the mean speed, and its inverse; reports are noisy
 constexpr double kDropDoubted = 0.5;  // share of the held servers; losing more at once is doubted
 constexpr double kColdMargin = 0.5;   // share of the tipping budget; queries' work varies about twofold
 constexpr double kFirstLimit = 4.0;   // executions of all balancers; a queue answered within an SLO time
@@ -145,6 +146,7 @@
   double limit = 1;  // executions that may be out here
   std::vector<Pending> out;
   Ring<kBuckets> pace{kBucket};  // seconds an answer took for each execution out, itself included
+  double service = 0;            // seconds of work for one query, as last reported; 0: never
   double coldCredit = 0;         // executions that may go to it while it is cold
   Span coldCreditAt{};
 };
@@ -254,12 +256,15 @@
 
   // ---- What a handle is told
 
-  void executionEnded(Span now, QuerySlot slot, ExecutionNo no, Outcome outcome, bool terminal) {
+  void executionEnded(Span now, QuerySlot slot, ExecutionNo no, Outcome outcome, bool terminal,
+                      Span service) {
     Held& held = queries_[slot];
     if (no.value >= held.executions.size() || held.executions[no.value].fate != Fate::out) return;
     Execution& execution = held.executions[no.value];
     execution.fate = fateAfter(outcome);
     --held.out;
+    if (service > Span{0}) servers_[execution.server].service = seconds(service);
+    if (service > Span{0}) services_.add(now, seconds(service));
     judge(now, slot, no, execution, outcome);
     if (terminal) held.answered = true;
     if (!held.answered && held.out == 0) {
@@ -600,6 +605,12 @@
                        [&](const Execution& e) { return e.server == slot; });
   }
 
+  // Guards against small machines that get as much as others: by the service time they report, where they do.
+  [[nodiscard]] double speed(Span now, const Server& server) const {
+    if (server.service <= 0) return 1;
+    return std::clamp(services_.mean(now, server.service) / server.service, 1 / kMostSpeed, kMostSpeed);
+  }
+
   std::optional<ServerSlot> pick(Span now, const Held& held) {
     if (poolWait(now) > Span{0}) return std::nullopt;
     measureWarmRate(now);
@@ -634,7 +645,7 @@
     for (ServerSlot slot = 0; slot < servers_.size(); ++slot) {
       Server& server = servers_[slot];
       if (expected_[slot] <= 0 || triedBefore(held, slot)) continue;
-      const double share = server.weight * server.size * ramp(now, server);
+      const double share = server.weight * server.size * ramp(now, server) * speed(now, server);
       if (atHome && server.zone == terms_.zone) {
         const double distance = -std::log(fraction(held.query.key->value, server.id.value)) / share;
         if (!home || distance < nearest) {
@@ -869,6 +880,7 @@
   std::vector<double> expected_;    // scratch of pick(), by server slot
   std::vector<double> odds_;        // scratch of pick(), by server slot
   Ring<kBuckets> answers_{kBucket};
+  Ring<kBuckets> services_{kBucket};  // seconds, as reported
   std::vector<Ring<kBuckets>> accountAnswers_;
   std::vector<Ring<kBuckets>> served_;  // by use case: 1 for each query completed, 0 for each given up
   std::array<Ring<kBuckets>, 2> warmAnswers_{Ring<kBuckets>{kBucket}, Ring<kBuckets>{kBucket}};
@@ -901,8 +913,9 @@
 void Balancer::discoveryFailed(Span now) { decider_->discoveryFailed(now); }
 void Balancer::wake(Span now) { decider_->wake(now); }
 
-void QueryHandle::executionEnded(Span now, ExecutionNo execution, Outcome outcome, bool terminal) {
-  if (!over()) decider_->executionEnded(now, slot_, execution, outcome, terminal);
+void QueryHandle::executionEnded(Span now, ExecutionNo execution, Outcome outcome, bool terminal,
+                                 Span service) {
+  if (!over()) decider_->executionEnded(now, slot_, execution, outcome, terminal, service);
 }
 void QueryHandle::answerStarted(ExecutionNo execution) {
   if (!over()) decider_->answerStarted(slot_, execution);
--- a/src/simwire/session.cpp
+++ b/src/simwire/session.cpp
@@ -111,6 +111,18 @@
   malformed(what, text);
 }
 
+// A time in a load report, whose pairs stand as name:value with commas between; 0 if it is not there.
+Span reported(std::string_view report, std::string_view name) {
+  while (!report.empty() && report != "-") {
+    const std::string_view pair = report.substr(0, report.find(','));
+    const std::size_t colon = pair.find(':');
+    if (colon == std::string_view::npos) malformed("load", pair);
+    if (pair.substr(0, colon) == name) return Span{micros(pair.substr(colon + 1), name)};
+    report.remove_prefix(std::min(report.size(), pair.size() + 1));
+  }
+  return Span{0};
+}
+
 Outcome outcome(std::string_view text) {
   return word<Outcome>(text, "verdict",
                        {{"10", Outcome::completed},
@@ -203,7 +215,8 @@
     const ExecutionNo no{number<std::uint32_t>(parts[3], "send_no")};
     const Outcome how = outcome(parts[5]);
     const bool terminal = flag(parts[7], "terminal");
-    with(parts[2], [&](QueryHandle& query) { query.executionEnded(at, no, how, terminal); });
+    const Span service = reported(parts[8], "lat_ms");
+    with(parts[2], [&](QueryHandle& query) { query.executionEnded(at, no, how, terminal, service); });
   }
   void begun(const std::vector<std::string_view>& parts) {
     const ExecutionNo no{number<std::uint32_t>(parts[4], "send_no")};
