--- a/src/decide/balancer.cpp
+++ b/src/decide/balancer.cpp
@@ -58,10 +58,9 @@
 constexpr double kLeastServed = 0.5;  // share of a use case's queries; bounds what starving adds
 constexpr double kAnswerRoom = 1.5;   // of the usual answer time; sent later, half would come too late
 constexpr double kShareSlack = 1.15;  // of an account's part; a balancer sees no exact mix
-constexpr Span kRest = 50ms;          // after one full; about one query's work
-constexpr std::uint32_t kMostDoublings = 5;  // of the rest: 1.6 s at the most
-constexpr Span kLeastWait = 20ms;  // between looks for room while queries wait; well under any SLO time
-constexpr Span kAdvice = 150ms;    // when to come back; leaves a client's retry a chance within the SLO time
+constexpr Span kRest = 400ms;         // after one full; a few queries' work, within an SLO time
+constexpr Span kLeastWait = 20ms;     // between looks for room while queries wait; well under any SLO time
+constexpr Span kAdvice = 150ms;  // when to come back; leaves a client's retry a chance within the SLO time
 constexpr double kGolden = 0.6180339887498949;  // with the root of two: multiples spread evenly over 1
 constexpr double kRootOfTwo = 1.4142135623730951;
 constexpr double kUnmeasured = 0.15;  // seconds; answer time assumed before the first answer
@@ -72,13 +71,10 @@
 }
 
 /// Sums over the last buckets of time; buckets are reused in a ring.
-template <std::size_t Buckets>
 class Ring {
  public:
-  explicit Ring(Span width) : width_(std::max(width, Span{1})) {}
-
   void add(Span now, double value) {
-    Bucket& bucket = buckets_[index(now)];
+    Bucket& bucket = buckets_[static_cast<std::size_t>(turn(now)) % kBuckets];
     if (bucket.turn != turn(now)) bucket = Bucket{turn(now), 0, 0};
     bucket.sum += value;
     ++bucket.count;
@@ -96,21 +92,19 @@
     double sum = 0;
     double count = 0;
   };
-  [[nodiscard]] std::int64_t turn(Span now) const { return now / width_; }
-  [[nodiscard]] std::size_t index(Span now) const { return static_cast<std::size_t>(turn(now)) % Buckets; }
+  [[nodiscard]] static std::int64_t turn(Span now) { return now / kBucket; }
   [[nodiscard]] const Bucket& total(Span now) const {
     if (total_.turn == turn(now)) return total_;
     total_ = Bucket{turn(now), 0, 0};
     for (const Bucket& bucket : buckets_) {
-      if (bucket.turn < 0 || bucket.turn + static_cast<std::int64_t>(Buckets) <= turn(now)) continue;
+      if (bucket.turn < 0 || bucket.turn + static_cast<std::int64_t>(kBuckets) <= turn(now)) continue;
       total_.sum += bucket.sum;
       total_.count += bucket.count;
     }
     return total_;
   }
 
-  Span width_;
-  std::array<Bucket, Buckets> buckets_{};
+  std::array<Bucket, kBuckets> buckets_{};
   mutable Bucket total_;  // of the turn it names; large fleets read far more often than they add
 };
 
@@ -138,16 +132,15 @@
   double weight = 1;
   std::uint32_t run = 0;               // failures in a row
   std::vector<std::uint32_t> useRuns;  // failures in a row of each use case
-  std::vector<std::uint32_t> fulls;    // in a row of each use case
   std::vector<Span> useShutUntil;      // and until when that use case keeps away
   bool ejected = false;
   Span trialAt{};
   bool onTrial = false;
   double limit = 1;  // executions that may be out here
   std::vector<Pending> out;
-  Ring<kBuckets> pace{kBucket};  // seconds an answer took for each execution out, itself included
-  double service = 0;            // seconds of work for one query, as last reported; 0: never
-  double coldCredit = 0;         // executions that may go to it while it is cold
+  Ring pace;              // seconds an answer took for each execution out, itself included
+  double service = 0;     // seconds of work for one query, as last reported; 0: never
+  double coldCredit = 0;  // executions that may go to it while it is cold
   Span coldCreditAt{};
 };
 
@@ -200,8 +193,8 @@
       : terms_(std::move(terms)),
         host_(host),
         chance_(static_cast<std::uint_fast32_t>(terms_.seed)),
-        accountAnswers_(terms_.accounts.size(), Ring<kBuckets>(kBucket)),
-        served_(terms_.useCases.size(), Ring<kBuckets>(kBucket)) {
+        accountAnswers_(terms_.accounts.size()),
+        served_(terms_.useCases.size()) {
     if (terms_.discoveryOnRequest) host_.watchServers();
   }
 
@@ -353,7 +346,6 @@
       at->used = known ? used : setSize_ > 0 && draw() * listedCount_ < setSize_;
       at->weight = meanWeight(now);
       at->useRuns.assign(terms_.useCases.size(), 0);
-      at->fulls.assign(terms_.useCases.size(), 0);
       at->useShutUntil.assign(terms_.useCases.size(), Span::min());
       at->coldCredit = draw();  // Guards against a thousand balancers that spend their parts at one moment.
       at->coldCreditAt = now;
@@ -457,21 +449,21 @@
       // Guards against servers that are slow but answer: an answer past its SLO time earns no weight.
       if (took <= useCase(queries_[slot]).sloTime) server.weight = std::min(1.0, server.weight + kWeightStep);
       server.run = 0;
-      server.fulls[use] = 0;
       server.useRuns[use] = 0;
       server.ejected = false;
       server.onTrial = false;
     } else if (isFailure(outcome)) {
-      if (!pending.overdue) countFailure(now, server);
+      if (!pending.overdue) countFailure(now, server, use);
+      // Guards against a server that fails one use case only and so never builds a run: that use case keeps
+      // away from it for the eject time, then one more failure renews it. The cap is the same.
       if ((outcome == Outcome::error || outcome == Outcome::reset) &&
-          ++server.useRuns[use] >= kErrorsToShut && mayShut(now, use)) {
+          ++server.useRuns[use] >= kErrorsToShut && mayPutOut(now, use)) {
         server.useShutUntil[use] = now + scaled(kEjectTime, 1.0 + kEjectSpread * draw());
       }
     } else if (outcome == Outcome::full) {
       // Guards against a server that turns a use case away at once and so always looks the emptiest: that use
       // case keeps away for a while. The others go on, as theirs may be a room of its own.
-      const Span rest = kRest * (1U << std::min(server.fulls[use]++, kMostDoublings));
-      server.useShutUntil[use] = std::max(server.useShutUntil[use], now + rest);
+      server.useShutUntil[use] = std::max(server.useShutUntil[use], now + kRest);
     }
     server.onTrial = server.onTrial && !server.out.empty();
   }
@@ -498,10 +490,10 @@
     }
   }
 
-  void countFailure(Span now, Server& server) {
+  void countFailure(Span now, Server& server, std::size_t use) {
     server.weight = std::max(kWeightFloor, server.weight / 2);
     ++server.run;
-    if (server.ejected || (server.run >= kFailuresToEject && mayEject(now))) eject(now, server);
+    if (server.ejected || (server.run >= kFailuresToEject && mayPutOut(now, use))) eject(now, server);
   }
 
   // Guards against servers that take work and answer none: an execution far over the usual counts at once as
@@ -517,7 +509,7 @@
         if (pending.overdue || pending.started || now < overdueAt(now, pending)) continue;
         pending.overdue = true;
         moveLimit(now, server, kLimitCut);
-        countFailure(now, server);
+        countFailure(now, server, queries_[pending.query].query.useCase.value);
       }
     }
   }
@@ -529,28 +521,18 @@
     server.trialAt = now + scaled(kEjectTime, 1.0 + kEjectSpread * draw());
   }
 
-  // Self-preservation. Guards against a failure detector that is itself what broke: one more may go out only
-  // while that leaves half the pool.
-  template <class Out>
-  [[nodiscard]] bool underCap(Span now, Out isOut) const {
+  // Self-preservation. Guards against a failure detector that is itself what broke: one more may go out, for
+  // all use cases or for one, only while that leaves half the pool to that use case.
+  [[nodiscard]] bool mayPutOut(Span now, std::size_t use) const {
     double pool = 0;
     double out = 0;
     for (const Server& server : servers_) {
       if (!server.held || !inPool(now, server)) continue;
       ++pool;
-      if (isOut(server)) ++out;
+      if (server.ejected || now < server.useShutUntil[use]) ++out;
     }
     return out + 1 <= kMostOut * pool;
   }
-  [[nodiscard]] bool mayEject(Span now) const {
-    return underCap(now, [](const Server& server) { return server.ejected; });
-  }
-  // Guards against a server that fails one use case only and so never builds a run: that use case keeps away
-  // from it for the eject time, then one more failure renews it. The cap is the same.
-  [[nodiscard]] bool mayShut(Span now, std::size_t use) const {
-    return underCap(now,
-                    [&](const Server& server) { return server.ejected || now < server.useShutUntil[use]; });
-  }
 
   // ---- Cold servers
 
@@ -732,11 +714,10 @@
                        [&](const Server& s) { return open(now, s) && groupAllows(now, held, s); });
   }
 
-  [[nodiscard]] Span worthUntil(const Held& held) const {
+  [[nodiscard]] bool hopeless(Span now, const Held& held) const {
     const UseCase& use = useCase(held);
-    return use.lateImportance > 0 ? held.deadline : std::min(held.deadline, held.arrived + use.sloTime);
+    return now >= held.deadline || (use.lateImportance <= 0 && now >= held.arrived + use.sloTime);
   }
-  [[nodiscard]] bool hopeless(Span now, const Held& held) const { return now >= worthUntil(held); }
 
   bool place(Span now, QuerySlot slot) {
     Held& held = queries_[slot];
@@ -879,11 +860,11 @@
   std::vector<ServerSlot> order_;   // scratch of fillSet()
   std::vector<double> expected_;    // scratch of pick(), by server slot
   std::vector<double> odds_;        // scratch of pick(), by server slot
-  Ring<kBuckets> answers_{kBucket};
-  Ring<kBuckets> services_{kBucket};  // seconds, as reported
-  std::vector<Ring<kBuckets>> accountAnswers_;
-  std::vector<Ring<kBuckets>> served_;  // by use case: 1 for each query completed, 0 for each given up
-  std::array<Ring<kBuckets>, 2> warmAnswers_{Ring<kBuckets>{kBucket}, Ring<kBuckets>{kBucket}};
+  Ring answers_;
+  Ring services_;  // seconds, as reported
+  std::vector<Ring> accountAnswers_;
+  std::vector<Ring> served_;  // by use case: 1 for each query completed, 0 for each given up
+  std::array<Ring, 2> warmAnswers_;
   std::array<double, 2> warmRate_{};  // of servers outside the set, and of its members
   double listedCount_ = 0;            // servers in the last good list
   double setSize_ = 0;                // servers wanted in the set
