--- a/src/decide/balancer.cpp
+++ b/src/decide/balancer.cpp
@@ -39,7 +39,6 @@
 constexpr double kColdMargin = 0.5;   // share of the tipping budget; queries' work varies about twofold
 constexpr double kFirstLimit = 4.0;   // executions of all balancers; a queue answered within an SLO time
 constexpr double kLeastLimit = 0.2;   // executions of all balancers; one at a time on every fifth server
-constexpr double kMostLimit = 64.0;   // executions; only keeps the limit from growing for ever
 constexpr double kLimitStep = 0.07;   // of the limit, per quick answer; a late one undoes seven
 constexpr double kLimitCut = 0.7;     // of the limit, per late answer; two in a row halve it
 constexpr double kTimely = 0.5;       // of the SLO time; slower answers mean a queue at the server
@@ -238,10 +237,7 @@
       askAt_ = Span::max();
       host_.watchServers();
     }
-    if (listAgain_) {
-      listAgain_ = false;
-      host_.listServers();
-    }
+    if (std::exchange(listAgain_, false)) host_.listServers();
     countOverdue(now);
     placeWaiting(now);
     arm(now);
@@ -256,8 +252,7 @@
     Execution& execution = held.executions[no.value];
     execution.fate = fateAfter(outcome);
     --held.out;
-    if (service > Span{0}) servers_[execution.server].service = seconds(service);
-    if (service > Span{0}) services_.add(now, seconds(service));
+    if (service > Span{0}) services_.add(now, servers_[execution.server].service = seconds(service));
     judge(now, slot, no, execution, outcome);
     if (terminal) held.answered = true;
     if (!held.answered && held.out == 0) {
@@ -294,9 +289,7 @@
  private:
   static double measuredSpan(Span now) { return std::clamp(seconds(now), 1.0, seconds(kBucket) * kBuckets); }
   double draw() { return std::generate_canonical<double, 24>(chance_); }
-  [[nodiscard]] const UseCase& useCase(const Held& held) const {
-    return terms_.useCases[held.query.useCase.value];
-  }
+  [[nodiscard]] const UseCase& useCase(const Held& h) const { return terms_.useCases[h.query.useCase.value]; }
 
   // ---- The list
 
@@ -406,9 +399,7 @@
     return std::max(kFirstLimit / terms_.balancers, 1 / std::max(setSize_, 1.0));
   }
 
-  [[nodiscard]] static bool inPool(Span now, const Server& server) {
-    return server.used && open(now, server);
-  }
+  [[nodiscard]] static bool inPool(Span now, const Server& s) { return s.used && open(now, s); }
 
   [[nodiscard]] double meanWeight(Span now) const {
     double sum = 0;
@@ -431,23 +422,24 @@
                                  [&](const Pending& p) { return p.query == slot && p.no == no; });
     if (at == server.out.end()) return;
     const Pending pending = *at;
-    const bool tight = poolFull(now) || static_cast<double>(server.out.size()) + 1 > server.limit;
+    const bool tight = poolWait(now) > Span{0} || static_cast<double>(server.out.size()) + 1 > server.limit;
     server.out.erase(at);
     if (server.startedAt && execution.sentAt < *server.startedAt) return;  // says nothing of the new process
     const Span took = now - execution.sentAt;
-    const std::size_t use = queries_[slot].query.useCase.value;
+    const Held& held = queries_[slot];
+    const std::size_t use = held.query.useCase.value;
+    const Span slo = useCase(held).sloTime;
     if (outcome == Outcome::completed) {
       server.pace.add(now, seconds(took) / (pending.others + 1));
       answers_.add(now, seconds(took));
-      if (queries_[slot].query.account) accountAnswers_[queries_[slot].query.account->value].add(now, 1);
+      if (held.query.account) accountAnswers_[held.query.account->value].add(now, 1);
       if (answers_.count(now) >= kEnough) unloaded_ = std::min(unloaded_, answers_.mean(now, kUnmeasured));
-      if (!queries_[slot].answered) served_[queries_[slot].query.useCase.value].add(now, 1);
+      if (!held.answered) served_[use].add(now, 1);
       if (ramp(now, server) >= 1) warmAnswers_[server.used].add(now, 1);
-      const bool timely = took <= scaled(useCase(queries_[slot]).sloTime, kTimely);
-      if (timely && tight) moveLimit(now, server, 1 + kLimitStep);
-      if (took > scaled(useCase(queries_[slot]).sloTime, kLate)) moveLimit(now, server, kLimitCut);
+      if (tight && took <= scaled(slo, kTimely)) moveLimit(now, server, 1 + kLimitStep);
+      if (took > scaled(slo, kLate)) moveLimit(now, server, kLimitCut);
       // Guards against servers that are slow but answer: an answer past its SLO time earns no weight.
-      if (took <= useCase(queries_[slot]).sloTime) server.weight = std::min(1.0, server.weight + kWeightStep);
+      if (took <= slo) server.weight = std::min(1.0, server.weight + kWeightStep);
       server.run = 0;
       server.useRuns[use] = 0;
       server.ejected = false;
@@ -486,7 +478,7 @@
       const double grown = server.limit + (step - 1) * std::min(server.limit, 1 / server.limit);
       const double least =
           std::max(kLeastLimit / terms_.balancers, flow * server.size / std::max(sizes, server.size));
-      server.limit = step > 1 ? std::min(kMostLimit, grown) : std::max(least, server.limit * step);
+      server.limit = step > 1 ? grown : std::max(least, server.limit * step);
     }
   }
 
@@ -685,7 +677,6 @@
     if (out + 1 <= limits || needed <= 0) return Span{0};
     return scaled(1s, limits <= out ? usual : std::min(1.0, needed / (limits - out))) + Span{1};
   }
-  [[nodiscard]] bool poolFull(Span now) { return poolWait(now) > Span{0}; }
 
   // ---- Executions: a further one only as the use case's kind allows.
 
@@ -825,12 +816,9 @@
   void release(QuerySlot slot) {
     Held& held = queries_[slot];
     if (!held.inUse || !held.answered || held.out > 0) return;
-    std::vector<Execution> executions = std::move(held.executions);
-    executions.clear();
     const std::uint32_t turn = held.turn + 1;
     held = Held{};
     held.turn = turn;
-    held.executions = std::move(executions);
     free_.push_back(slot);
   }
 
