--- a/src/decide/balancer.cpp
+++ b/src/decide/balancer.cpp
@@ -435,7 +435,7 @@
       if (held.query.account) accountAnswers_[held.query.account->value].add(now, 1);
       if (answers_.count(now) >= kEnough) unloaded_ = std::min(unloaded_, answers_.mean(now, kUnmeasured));
       if (!held.answered) served_[use].add(now, 1);
-      if (ramp(now, server) >= 1) warmAnswers_[server.used].add(now, 1);
+      if (ramp(now, server) >= 1) ++warmAnswers_[server.used];
       if (tight && took <= scaled(slo, kTimely)) moveLimit(now, server, 1 + kLimitStep);
       if (took > scaled(slo, kLate)) moveLimit(now, server, kLimitCut);
       // Guards against servers that are slow but answer: an answer past its SLO time earns no weight.
@@ -542,7 +542,8 @@
   [[nodiscard]] bool coldRoom(Span now, Server& server) {
     const double part = ramp(now, server);
     if (part >= 1) return true;
-    const double rate = part * terms_.tipMultiple * kColdMargin * warmRate_[server.used] * server.size;
+    const double rate = part * terms_.tipMultiple * kColdMargin * server.size * warmAnswers_[server.used] /
+                        std::max(warmTime_[server.used], 1.0);
     const double most = std::max(1.0, rate * seconds(terms_.tipWindow));
     server.coldCredit = std::min(most, server.coldCredit + rate * seconds(now - server.coldCreditAt));
     server.coldCreditAt = now;
@@ -550,16 +551,14 @@
   }
 
   // Answers a second that a warm server gave this balancer, for each unit of size: in the set and outside,
-  // as a member gets more of this balancer's queries but is a member of few.
+  // as a member gets more of this balancer's queries but is a member of few. Guards against a fleet that is
+  // down and so finishes little: the mean since the start still tells what a warm server can do.
   void measureWarmRate(Span now) {
-    std::array<double, 2> size{};
     for (const Server& server : servers_) {
-      if (server.held && !server.ejected && ramp(now, server) >= 1) size[server.used] += server.size;
-    }
-    for (const std::size_t used : {0U, 1U}) {
-      if (size[used] > 0 && now > 1s)
-        warmRate_[used] = warmAnswers_[used].count(now) / size[used] / measuredSpan(now);
+      if (server.held && !server.ejected && ramp(now, server) >= 1)
+        warmTime_[server.used] += server.size * seconds(now - warmAt_);
     }
+    warmAt_ = now;
   }
 
   // ---- The pick
@@ -851,11 +850,12 @@
   Ring answers_;
   Ring services_;  // seconds, as reported
   std::vector<Ring> accountAnswers_;
-  std::vector<Ring> served_;  // by use case: 1 for each query completed, 0 for each given up
-  std::array<Ring, 2> warmAnswers_;
-  std::array<double, 2> warmRate_{};  // of servers outside the set, and of its members
-  double listedCount_ = 0;            // servers in the last good list
-  double setSize_ = 0;                // servers wanted in the set
+  std::vector<Ring> served_;             // by use case: 1 for each query completed, 0 for each given up
+  std::array<double, 2> warmAnswers_{};  // of servers outside the set, and of its members
+  std::array<double, 2> warmTime_{};     // seconds of warm servers, by their size
+  Span warmAt_{};
+  double listedCount_ = 0;  // servers in the last good list
+  double setSize_ = 0;      // servers wanted in the set
   std::uint32_t setPicks_ = 0;
   double unloaded_ = 1;  // seconds; the least mean answer time so far
   double saved_ = 1;     // seconds of execution that the limits allow; at the start all that may be saved
