--- a/src/decide/balancer.cpp
+++ b/src/decide/balancer.cpp
@@ -36,7 +36,7 @@
 constexpr double kHomeCrowded = 1.2;  // of the common bound; the met key takes under half as long
 constexpr double kMostSpeed = 2;      // of the mean speed, and its inverse; reports are noisy
 constexpr double kDropDoubted = 0.5;  // share of the held servers; losing more at once is doubted
-constexpr double kColdMargin = 0.65;   // share of the tipping budget; queries' work varies about twofold
+constexpr double kColdMargin = 0.65;  // share of the tipping budget; queries' work varies about twofold
 constexpr double kFirstLimit = 4.0;   // executions of all balancers; a queue answered within an SLO time
 constexpr double kLeastLimit = 0.2;   // executions of all balancers; one at a time on every fifth server
 constexpr double kLimitStep = 0.07;   // of the limit, per quick answer; a late one undoes seven
@@ -587,7 +587,7 @@
   std::optional<ServerSlot> pick(Span now, const Held& held) {
     if (poolWait(now) > Span{0}) return std::nullopt;
     measureWarmRate(now);
-    const bool homes = terms_.warmKeys && held.query.key;
+    const bool keyed = terms_.warmKeys && held.query.key;
     const bool repeat = mayHaveRun(held) != nullptr;
     const double usual = answers_.mean(now, kUnmeasured);
     expected_.assign(servers_.size(), 0.0);
@@ -595,7 +595,7 @@
     double pool = 0;
     for (ServerSlot slot = 0; slot < servers_.size(); ++slot) {
       Server& server = servers_[slot];
-      if (!open(now, server) || !(server.used || homes || repeat) || !groupAllows(now, held, server))
+      if (!open(now, server) || !(server.used || keyed || repeat) || !groupAllows(now, held, server))
         continue;
       if (server.ejected) {
         if (trialDue(now, server, held) && coldRoom(now, server) && !triedBefore(held, slot)) return slot;
@@ -609,22 +609,23 @@
     }
     // The harmonic mean: no outlier moves it.
     const double crowded = pool > 0 ? kCrowded * pool / inverse : kCrowded * usual;
-    const bool atHome = homes && draw() < kHome;
-    std::optional<ServerSlot> home;
+    const bool atHome = keyed && draw() < kHome;
+    std::array<std::optional<ServerSlot>, 2> homes;  // in the own zone, and in the whole fleet
     std::optional<ServerSlot> least;
-    double nearest = 0;
+    std::array<double, 2> nearest{};
     double sum = 0;
     odds_.assign(servers_.size(), 0.0);
     for (ServerSlot slot = 0; slot < servers_.size(); ++slot) {
       Server& server = servers_[slot];
       if (expected_[slot] <= 0 || triedBefore(held, slot)) continue;
       const double share = server.weight * server.size * ramp(now, server) * speed(now, server);
-      if (atHome && server.zone == terms_.zone) {
-        const double distance = -std::log(fraction(held.query.key->value, server.id.value)) / share;
-        if (!home || distance < nearest) {
-          home = slot;
-          nearest = distance;
-        }
+      const double distance =
+          atHome ? -std::log(fraction(held.query.key->value, server.id.value)) / share : 0;
+      for (const bool far : {false, true}) {
+        if (!atHome || (!far && server.zone != terms_.zone)) continue;
+        if (homes[far] && distance >= nearest[far]) continue;
+        homes[far] = slot;
+        nearest[far] = distance;
       }
       if (!(server.used || repeat) || !room(now, server)) continue;
       if (!least || expected_[slot] < expected_[*least]) least = slot;
@@ -633,7 +634,9 @@
       sum += odds_[slot];
     }
     // A chance, not a weight: among two hundred servers any fixed weight would be lost.
-    if (home && expected_[*home] <= kHomeCrowded * crowded && room(now, servers_[*home])) return home;
+    for (const std::optional<ServerSlot>& home : homes) {
+      if (home && expected_[*home] <= kHomeCrowded * crowded && room(now, servers_[*home])) return home;
+    }
     if (sum <= 0) return least;
     double rest = draw() * sum;
     for (ServerSlot slot = 0; slot < servers_.size(); ++slot) {
