--- a/src/decide/balancer.cpp
+++ b/src/decide/balancer.cpp
@@ -456,6 +456,7 @@
       // Guards against a server that turns a use case away at once and so always looks the emptiest: that use
       // case keeps away for a while. The others go on, as theirs may be a room of its own.
       server.useShutUntil[use] = std::max(server.useShutUntil[use], now + kRest);
+      server.weight = std::max(kWeightFloor, server.weight / 2);
     }
     server.onTrial = server.onTrial && !server.out.empty();
   }
