--- a/src/decide/balancer.cpp
+++ b/src/decide/balancer.cpp
@@ -35,6 +35,9 @@
 constexpr double kHome = 0.9;         // chance of a key's home while uncrowded; the rest keep measured
 constexpr double kHomeCrowded = 1.2;  // of the common bound; the met key takes under half as long
 constexpr double kMostSpeed = 2;      // of the mean speed, and its inverse; reports are noisy
+constexpr std::size_t kLateKeys =
+    64;  // queries among which a key's part is counted; a popular one is there twice
+constexpr double kKeySpread = 0.5;    // homes for each server's part of the queries that a key makes up
 constexpr double kDropDoubted = 0.5;  // share of the held servers; losing more at once is doubted
 constexpr double kColdMargin = 0.65;  // share of the tipping budget; queries' work varies about twofold
 constexpr double kFirstLimit = 4.0;   // executions of all balancers; a queue answered within an SLO time
@@ -225,6 +228,7 @@
     held.arrived = now;
     held.deadline = now + query.timeLeft;
     held.inUse = true;
+    if (query.key) lateKeys_[lateKeysMet_++ % lateKeys_.size()] = query.key->value;
     fillSet(now);
     if (!place(now, slot)) waitOrGiveUp(now, slot);
     arm(now);
@@ -456,7 +460,6 @@
       // Guards against a server that turns a use case away at once and so always looks the emptiest: that use
       // case keeps away for a while. The others go on, as theirs may be a room of its own.
       server.useShutUntil[use] = std::max(server.useShutUntil[use], now + kRest);
-      server.weight = std::max(kWeightFloor, server.weight / 2);
     }
     server.onTrial = server.onTrial && !server.out.empty();
   }
@@ -611,6 +614,7 @@
     // The harmonic mean: no outlier moves it.
     const double crowded = pool > 0 ? kCrowded * pool / inverse : kCrowded * usual;
     const bool atHome = keyed && draw() < kHome;
+    const std::uint64_t name = keyed ? homeName(*held.query.key) : 0;
     std::array<std::optional<ServerSlot>, 2> homes;  // in the own zone, and in the whole fleet
     std::optional<ServerSlot> least;
     std::array<double, 2> nearest{};
@@ -620,8 +624,7 @@
       Server& server = servers_[slot];
       if (expected_[slot] <= 0 || triedBefore(held, slot)) continue;
       const double share = server.weight * server.size * ramp(now, server) * speed(now, server);
-      const double distance =
-          atHome ? -std::log(fraction(held.query.key->value, server.id.value)) / share : 0;
+      const double distance = atHome ? -std::log(fraction(name, server.id.value)) / share : 0;
       for (const bool far : {false, true}) {
         if (!atHome || (!far && server.zone != terms_.zone)) continue;
         if (homes[far] && distance >= nearest[far]) continue;
@@ -649,6 +652,18 @@
     return least;
   }
 
+  // What a key goes by to find its home. Guards against piling up a popular key: it takes one of as many
+  // names, each with a home of its own, as the key's part of the late queries is servers' parts of all
+  // queries.
+  std::uint64_t homeName(KeyId key) {
+    const auto met = static_cast<double>(std::count(lateKeys_.begin(), lateKeys_.end(), key.value)) - 1;
+    const double names =
+        1 +
+        std::floor(kKeySpread * met /
+                   static_cast<double>(std::clamp<std::size_t>(lateKeysMet_, 8, kLateKeys)) * listedCount_);
+    return key.value + static_cast<std::uint64_t>(draw() * names);
+  }
+
   // A trial costs what its query costs: one that may run again goes first, another only if none came for
   // long.
   [[nodiscard]] bool trialDue(Span now, const Server& server, const Held& held) const {
@@ -858,6 +873,8 @@
   std::array<double, 2> warmAnswers_{};  // of servers outside the set, and of its members
   std::array<double, 2> warmTime_{};     // seconds of warm servers, by their size
   Span warmAt_{};
+  std::array<std::uint64_t, kLateKeys> lateKeys_{};  // reused in a ring
+  std::size_t lateKeysMet_ = 0;
   double listedCount_ = 0;  // servers in the last good list
   double setSize_ = 0;      // servers wanted in the set
   std::uint32_t setPicks_ = 0;
