--- a/src/decide/balancer.cpp
+++ b/src/decide/balancer.cpp
@@ -35,9 +35,6 @@
 constexpr double kHome = 0.9;         // chance of a key's home while uncrowded; the rest keep measured
 constexpr double kHomeCrowded = 1.2;  // of the common bound; the met key takes under half as long
 constexpr double kMostSpeed = 2;      // of the mean speed, and its inverse; reports are noisy
-constexpr std::size_t kLateKeys =
-    64;  // queries among which a key's part is counted; a popular one is there twice
-constexpr double kKeySpread = 0.5;    // homes for each server's part of the queries that a key makes up
 constexpr double kDropDoubted = 0.5;  // share of the held servers; losing more at once is doubted
 constexpr double kColdMargin = 0.65;  // share of the tipping budget; queries' work varies about twofold
 constexpr double kFirstLimit = 4.0;   // executions of all balancers; a queue answered within an SLO time
@@ -48,6 +45,7 @@
 constexpr double kOverdue = 3.0;      // of the usual answer time; no healthy server strays that far
 constexpr double kLate = 0.6;         // of the SLO time; leaves the rest for waiting here
 constexpr double kFlow = 2.4;         // of the executions that the finishing rate needs; room to grow again
+constexpr double kSilent = 0.6;       // of the SLO time; leaves the rest for one more execution
 constexpr double kEnough = 5;         // answers; fewer make no mean
 constexpr double kLeastSet = 3;       // servers; a set survives two failures and can still compare
 constexpr double kCover = 8;          // balancers in each server's sets, at least; fewer would be uneven
@@ -228,7 +226,6 @@
     held.arrived = now;
     held.deadline = now + query.timeLeft;
     held.inUse = true;
-    if (query.key) lateKeys_[lateKeysMet_++ % lateKeys_.size()] = query.key->value;
     fillSet(now);
     if (!place(now, slot)) waitOrGiveUp(now, slot);
     arm(now);
@@ -591,7 +588,7 @@
   std::optional<ServerSlot> pick(Span now, const Held& held) {
     if (poolWait(now) > Span{0}) return std::nullopt;
     measureWarmRate(now);
-    const bool keyed = terms_.warmKeys && held.query.key;
+    const bool homes = terms_.warmKeys && held.query.key;
     const bool repeat = mayHaveRun(held) != nullptr;
     const double usual = answers_.mean(now, kUnmeasured);
     expected_.assign(servers_.size(), 0.0);
@@ -599,7 +596,7 @@
     double pool = 0;
     for (ServerSlot slot = 0; slot < servers_.size(); ++slot) {
       Server& server = servers_[slot];
-      if (!open(now, server) || !(server.used || keyed || repeat) || !groupAllows(now, held, server))
+      if (!open(now, server) || !(server.used || homes || repeat) || !groupAllows(now, held, server))
         continue;
       if (server.ejected) {
         if (trialDue(now, server, held) && coldRoom(now, server) && !triedBefore(held, slot)) return slot;
@@ -613,23 +610,22 @@
     }
     // The harmonic mean: no outlier moves it.
     const double crowded = pool > 0 ? kCrowded * pool / inverse : kCrowded * usual;
-    const bool atHome = keyed && draw() < kHome;
-    const std::uint64_t name = keyed ? homeName(*held.query.key) : 0;
-    std::array<std::optional<ServerSlot>, 2> homes;  // in the own zone, and in the whole fleet
+    const bool atHome = homes && draw() < kHome;
+    std::optional<ServerSlot> home;
     std::optional<ServerSlot> least;
-    std::array<double, 2> nearest{};
+    double nearest = 0;
     double sum = 0;
     odds_.assign(servers_.size(), 0.0);
     for (ServerSlot slot = 0; slot < servers_.size(); ++slot) {
       Server& server = servers_[slot];
       if (expected_[slot] <= 0 || triedBefore(held, slot)) continue;
       const double share = server.weight * server.size * ramp(now, server) * speed(now, server);
-      const double distance = atHome ? -std::log(fraction(name, server.id.value)) / share : 0;
-      for (const bool far : {false, true}) {
-        if (!atHome || (!far && server.zone != terms_.zone)) continue;
-        if (homes[far] && distance >= nearest[far]) continue;
-        homes[far] = slot;
-        nearest[far] = distance;
+      if (atHome && server.zone == terms_.zone) {
+        const double distance = -std::log(fraction(held.query.key->value, server.id.value)) / share;
+        if (!home || distance < nearest) {
+          home = slot;
+          nearest = distance;
+        }
       }
       if (!(server.used || repeat) || !room(now, server)) continue;
       if (!least || expected_[slot] < expected_[*least]) least = slot;
@@ -638,9 +634,7 @@
       sum += odds_[slot];
     }
     // A chance, not a weight: among two hundred servers any fixed weight would be lost.
-    for (const std::optional<ServerSlot>& home : homes) {
-      if (home && expected_[*home] <= kHomeCrowded * crowded && room(now, servers_[*home])) return home;
-    }
+    if (home && expected_[*home] <= kHomeCrowded * crowded && room(now, servers_[*home])) return home;
     if (sum <= 0) return least;
     double rest = draw() * sum;
     for (ServerSlot slot = 0; slot < servers_.size(); ++slot) {
@@ -652,18 +646,6 @@
     return least;
   }
 
-  // What a key goes by to find its home. Guards against piling up a popular key: it takes one of as many
-  // names, each with a home of its own, as the key's part of the late queries is servers' parts of all
-  // queries.
-  std::uint64_t homeName(KeyId key) {
-    const auto met = static_cast<double>(std::count(lateKeys_.begin(), lateKeys_.end(), key.value)) - 1;
-    const double names =
-        1 +
-        std::floor(kKeySpread * met /
-                   static_cast<double>(std::clamp<std::size_t>(lateKeysMet_, 8, kLateKeys)) * listedCount_);
-    return key.value + static_cast<std::uint64_t>(draw() * names);
-  }
-
   // A trial costs what its query costs: one that may run again goes first, another only if none came for
   // long.
   [[nodiscard]] bool trialDue(Span now, const Server& server, const Held& held) const {
@@ -741,7 +723,13 @@
     held.executions.push_back({*picked, now, server.zone, server.cell});
     ++held.out;
     stopWaiting(slot);
-    host_.execute(held.query.id, server.id, held.deadline - now);
+    Span timeout = held.deadline - now;
+    // Guards against silence: what may run again goes out again while its SLO time leaves room for that.
+    if (useCase(held).repeat == Repeat::idempotent && held.executions.size() < 2) {
+      timeout = std::min(timeout, std::max(scaled(useCase(held).sloTime, kSilent),
+                                           scaled(1s, kOverdue * answers_.mean(now, kUnmeasured))));
+    }
+    host_.execute(held.query.id, server.id, timeout);
     return true;
   }
 
@@ -873,8 +861,6 @@
   std::array<double, 2> warmAnswers_{};  // of servers outside the set, and of its members
   std::array<double, 2> warmTime_{};     // seconds of warm servers, by their size
   Span warmAt_{};
-  std::array<std::uint64_t, kLateKeys> lateKeys_{};  // reused in a ring
-  std::size_t lateKeysMet_ = 0;
   double listedCount_ = 0;  // servers in the last good list
   double setSize_ = 0;      // servers wanted in the set
   std::uint32_t setPicks_ = 0;
