--- a/src/decide/balancer.cpp
+++ b/src/decide/balancer.cpp
@@ -36,7 +36,7 @@
 constexpr double kHomeCrowded = 1.2;  // of the common bound; the met key takes under half as long
 constexpr double kMostSpeed = 2;      // of the mean speed, and its inverse; reports are noisy
 constexpr double kDropDoubted = 0.5;  // share of the held servers; losing more at once is doubted
-constexpr double kColdMargin = 0.65;  // share of the tipping budget; queries' work varies about twofold
+constexpr double kColdMargin = 0.65;   // share of the tipping budget; queries' work varies about twofold
 constexpr double kFirstLimit = 4.0;   // executions of all balancers; a queue answered within an SLO time
 constexpr double kLeastLimit = 0.2;   // executions of all balancers; one at a time on every fifth server
 constexpr double kLimitStep = 0.07;   // of the limit, per quick answer; a late one undoes seven
@@ -45,7 +45,6 @@
 constexpr double kOverdue = 3.0;      // of the usual answer time; no healthy server strays that far
 constexpr double kLate = 0.6;         // of the SLO time; leaves the rest for waiting here
 constexpr double kFlow = 2.4;         // of the executions that the finishing rate needs; room to grow again
-constexpr double kSilent = 0.6;       // of the SLO time; leaves the rest for one more execution
 constexpr double kEnough = 5;         // answers; fewer make no mean
 constexpr double kLeastSet = 3;       // servers; a set survives two failures and can still compare
 constexpr double kCover = 8;          // balancers in each server's sets, at least; fewer would be uneven
@@ -723,13 +722,7 @@
     held.executions.push_back({*picked, now, server.zone, server.cell});
     ++held.out;
     stopWaiting(slot);
-    Span timeout = held.deadline - now;
-    // Guards against silence: what may run again goes out again while its SLO time leaves room for that.
-    if (useCase(held).repeat == Repeat::idempotent && held.executions.size() < 2) {
-      timeout = std::min(timeout, std::max(scaled(useCase(held).sloTime, kSilent),
-                                           scaled(1s, kOverdue * answers_.mean(now, kUnmeasured))));
-    }
-    host_.execute(held.query.id, server.id, timeout);
+    host_.execute(held.query.id, server.id, held.deadline - now);
     return true;
   }
 
