--- a/tests/simwire_test.cpp
+++ b/tests/simwire_test.cpp
@@ -40,7 +40,8 @@
 TEST_CASE("malformed input is refused with its reason") {
   const auto* const line =
       GENERATE("NONSENSE\t3", "REQ\t3\t77", "RESULT\t3\tx\t0\ts\t10\t1\t1\t-",
-               "RESULT\t3\t1\t0\ts\t11\t1\t1\t-", "DISCOVERY\t3\tPersisted\t1\t99",
+               "RESULT\t3\t1\t0\ts\t11\t1\t1\t-", "RESULT\t3\t1\t0\ts\t10\t1\t1\tlat_ms",
+               "RESULT\t3\t1\t0\ts\t10\t1\t1\tbusy:0.5,lat_ms:x", "DISCOVERY\t3\tPersisted\t1\t99",
                "REQ\t3\t77\tsoon\tread\t-\t-\t0\t-", "REQ\t3\t77\t10\tunheard\t-\t-\t0\t-", "BEGIN_BATCH\t1");
   Session session;
   session.read("BEGIN_BATCH\t1.0");
