--- a/tests/scale_test.cpp
+++ b/tests/scale_test.cpp
@@ -60,7 +60,7 @@
     for (const std::uint64_t id : usedBy(fleet, 25)) ++sets[id];
   }
   CHECK(sets.size() == 30);
-  for (const auto& [id, count] : sets) {  // 30 of 300 balancers each, where chance alone strays to 45
+  for (const auto& [id, count] : sets) {  // 30 of 300 balancers each; places by chance stray further
     CAPTURE(id);
     CHECK(count >= 20);
     CHECK(count <= 40);
