--- a/src/decide/balancer.cpp
+++ b/src/decide/balancer.cpp
@@ -15,6 +15,7 @@
 #include <array>
 #include <cmath>
 #include <cstddef>
+#include <numbers>
 #include <random>
 #include <utility>
 
@@ -60,8 +61,6 @@
 constexpr Span kRest = 400ms;         // after one full; a few queries' work, within an SLO time
 constexpr Span kLeastWait = 20ms;     // between looks for room while queries wait; well under any SLO time
 constexpr Span kAdvice = 150ms;  // when to come back; leaves a client's retry a chance within the SLO time
-constexpr double kGolden = 0.6180339887498949;  // with the root of two: multiples spread evenly over 1
-constexpr double kRootOfTwo = 1.4142135623730951;
 constexpr double kUnmeasured = 0.15;  // seconds; answer time assumed before the first answer
 
 double seconds(Span span) { return std::chrono::duration<double>(span).count(); }
@@ -383,7 +382,7 @@
     const double parts = std::ceil(std::min(setSize_, listedCount_));
     for (; usable < wanted && unused > 0; ++usable, --unused, ++setPicks_) {
       const double part = std::fmod(setPicks_, parts);
-      const double place = std::fmod(terms_.number * (kGolden + part * kRootOfTwo), 1.0);
+      const double place = std::fmod(terms_.number * (std::numbers::phi + part * std::numbers::sqrt2), 1.0);
       double before = (part + place) / parts * size;
       std::size_t at = 0;
       for (; at + 1 < order_.size() && before >= servers_[order_[at]].size; ++at)
@@ -429,6 +428,8 @@
     const Held& held = queries_[slot];
     const std::size_t use = held.query.useCase.value;
     const Span slo = useCase(held).sloTime;
+    // Guards against a lost location: its homes are found out together, not by five failures at each.
+    if (server.zone == terms_.zone) zoneRun_ = isFailure(outcome) ? zoneRun_ + 1 : 0;
     if (outcome == Outcome::completed) {
       server.pace.add(now, seconds(took) / (pending.others + 1));
       answers_.add(now, seconds(took));
@@ -461,8 +462,7 @@
   }
 
   // An answer moves its server's limit; one from outside the set moves the whole set's by a member's part, as
-  // the set's sum is what holds all executions. Guards against cutting below what was lately finished: that
-  // much is out without any queue.
+  // their sum binds all. Guards against cutting below what was lately finished: that is out without a queue.
   void moveLimit(Span now, Server& answered, double by) {
     double sizes = 0;
     double members = 0;
@@ -609,7 +609,7 @@
     }
     // The harmonic mean: no outlier moves it.
     const double crowded = pool > 0 ? kCrowded * pool / inverse : kCrowded * usual;
-    const bool atHome = homes && draw() < kHome;
+    const bool atHome = homes && draw() < kHome && zoneRun_ < kFailuresToEject;
     std::optional<ServerSlot> home;
     std::optional<ServerSlot> least;
     double nearest = 0;
@@ -857,8 +857,9 @@
   double listedCount_ = 0;  // servers in the last good list
   double setSize_ = 0;      // servers wanted in the set
   std::uint32_t setPicks_ = 0;
-  double unloaded_ = 1;  // seconds; the least mean answer time so far
-  double saved_ = 1;     // seconds of execution that the limits allow; at the start all that may be saved
+  std::uint32_t zoneRun_ = 0;  // failures in a row in the own zone
+  double unloaded_ = 1;        // seconds; the least mean answer time so far
+  double saved_ = 1;  // seconds of execution that the limits allow; at the start all that may be saved
   Span savedAt_{};
   Span askAt_ = Span::max();
   Span askBackoff_ = kFirstAsk;
