--- a/src/decide/balancer.cpp
+++ b/src/decide/balancer.cpp
@@ -428,8 +428,6 @@
     const Held& held = queries_[slot];
     const std::size_t use = held.query.useCase.value;
     const Span slo = useCase(held).sloTime;
-    // Guards against a lost location: its homes are found out together, not by five failures at each.
-    if (server.zone == terms_.zone) zoneRun_ = isFailure(outcome) ? zoneRun_ + 1 : 0;
     if (outcome == Outcome::completed) {
       server.pace.add(now, seconds(took) / (pending.others + 1));
       answers_.add(now, seconds(took));
@@ -609,7 +607,7 @@
     }
     // The harmonic mean: no outlier moves it.
     const double crowded = pool > 0 ? kCrowded * pool / inverse : kCrowded * usual;
-    const bool atHome = homes && draw() < kHome && zoneRun_ < kFailuresToEject;
+    const bool atHome = homes && draw() < kHome;
     std::optional<ServerSlot> home;
     std::optional<ServerSlot> least;
     double nearest = 0;
@@ -857,9 +855,8 @@
   double listedCount_ = 0;  // servers in the last good list
   double setSize_ = 0;      // servers wanted in the set
   std::uint32_t setPicks_ = 0;
-  std::uint32_t zoneRun_ = 0;  // failures in a row in the own zone
-  double unloaded_ = 1;        // seconds; the least mean answer time so far
-  double saved_ = 1;  // seconds of execution that the limits allow; at the start all that may be saved
+  double unloaded_ = 1;  // seconds; the least mean answer time so far
+  double saved_ = 1;     // seconds of execution that the limits allow; at the start all that may be saved
   Span savedAt_{};
   Span askAt_ = Span::max();
   Span askBackoff_ = kFirstAsk;
