--- a/src/decide/balancer.cpp
+++ b/src/decide/balancer.cpp
@@ -395,7 +395,7 @@
 
   // This balancer's part of what all may do at one server, but one execution in all for the whole set.
   [[nodiscard]] double firstLimit() const {
-    return std::max(kFirstLimit / terms_.balancers, 2 / std::max(setSize_, 1.0));
+    return std::max(kFirstLimit / terms_.balancers, 1 / std::max(setSize_, 1.0));
   }
 
   [[nodiscard]] static bool inPool(Span now, const Server& s) { return s.used && open(now, s); }
