--- /dev/null
+++ b/src/sidecar/client_side.hpp
@@ -0,0 +1,64 @@
+#pragma once
+
+// The application's side: accepts its connections, reads its queries, answers /up, and writes each query's
+// one final answer. It owns the listener and the application's connections. It must never drop a query that
+// it has read, nor pass one on that the protocol does not allow; which answer a query gets is not its
+// business.
+
+#include <Poco/Net/ServerSocket.h>
+#include <Poco/Net/SocketNotification.h>
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+
+#include "http/gather.hpp"
+#include "http/message.hpp"
+#include "rackroute/balancer.hpp"
+#include "sidecar/loop.hpp"
+#include "terms/told.hpp"
+
+namespace rackroute::sidecar {
+
+class ClientConnection;
+class Exchange;
+
+class ClientSide {
+ public:
+  ClientSide(Loop& loop, Exchange& exchange, const told::Told& told);
+  ClientSide(const ClientSide&) = delete;
+  ClientSide& operator=(const ClientSide&) = delete;
+  ~ClientSide();
+
+  void listen(const Poco::Net::SocketAddress& address);
+  /// The final answers. A client that has left gets none.
+  void complete(QueryId query, const std::shared_ptr<const http::Message>& answer);
+  void reject(QueryId query, Span comeBackAfter);
+  void abort(QueryId query);
+  /// Goes on taking what still comes, and calls back once all of it is answered.
+  void stop(std::function<void()> stopped);
+
+ private:
+  friend class ClientConnection;
+
+  void accept(Poco::Net::ReadableNotification* event);
+  void acceptOne();
+  void listening(bool on);
+  void answer(QueryId query, http::Gather pieces);
+  void closeListener();
+  void ended(ClientConnection& connection);
+
+  Loop& loop_;
+  Exchange& exchange_;
+  const told::Told& told_;
+  Poco::Net::ServerSocket listener_;
+  std::map<ClientConnection*, std::shared_ptr<ClientConnection>> connections_;
+  std::map<QueryId, ClientConnection*> waiting_;
+  std::uint32_t lastQuery_ = 0;
+  std::function<void()> stopped_;
+  bool listening_ = false;
+  bool closed_ = false;
+};
+
+}  // namespace rackroute::sidecar
--- /dev/null
+++ b/src/sidecar/connection.cpp
@@ -0,0 +1,187 @@
+#include "sidecar/connection.hpp"
+
+#include <Poco/Exception.h>
+#include <Poco/NObserver.h>
+#include <Poco/Net/NetException.h>
+#include <Poco/Observer.h>
+
+#include <algorithm>
+#include <array>
+#include <cerrno>
+#include <utility>
+
+#include "sidecar/log.hpp"
+
+namespace rackroute::sidecar {
+namespace {
+
+using namespace std::chrono_literals;
+using Poco::Net::ReadableNotification;
+using Poco::Net::WritableNotification;
+using Readable = Poco::Observer<Connection, ReadableNotification>;
+
+constexpr Span kLinger = 1s;             // for the peer to see a last answer; far above any round trip
+constexpr std::size_t kMostPieces = 64;  // pieces a write; a head and a body need about five
+
+constexpr std::array<std::string_view, 17> kReasons = {
+    "peer_closed", "peer_reset",  "refused",       "dial_timeout", "execution_timeout",
+    "cancelled",   "bad_message", "unread_answer", "close_asked",  "idle",
+    "stalled",     "silent",      "done",          "moved",        "descriptors",
+    "shutdown",    "fault"};
+
+bool wouldBlock(const Poco::Exception& error) {
+  return error.code() == EAGAIN || error.code() == EWOULDBLOCK ||
+         dynamic_cast<const Poco::TimeoutException*>(&error) != nullptr;
+}
+
+}  // namespace
+
+Connection::Connection(Loop& loop, std::string_view side, Poco::Net::StreamSocket socket, std::string peer)
+    : loop_(loop), side_(side), peer_(std::move(peer)), socket_(std::move(socket)) {}
+
+Connection::~Connection() = default;
+
+void Connection::open() {
+  socket_.setBlocking(false);
+  socket_.setNoDelay(true);
+  loop_.addEventHandler(socket_, Readable(*this, &Connection::onReadable));
+  registered_ = true;
+}
+
+void Connection::dial(const Poco::Net::SocketAddress& address) {
+  dialing_ = true;
+  try {
+    socket_.connectNB(address);
+    socket_.setNoDelay(true);
+    wantWrite(true);
+  } catch (const Poco::Exception&) {
+    endSoon(Reason::refused);
+  }
+}
+
+void Connection::send(http::Gather pieces) {
+  out_.append(std::move(pieces));
+  if (!dialing_ && !ended_ && !wantsWrite_) write();
+}
+
+void Connection::finish(Reason reason) {
+  if (finishing_ || ended_) return;
+  finishing_ = true;
+  finishReason_ = reason;
+  lingering_ = loop_.in(kLinger, [this] { end(finishReason_); });
+  if (out_.empty()) write();
+}
+
+void Connection::end(Reason reason) {
+  if (ended_) return;
+  ended_ = true;
+  loop_.cancel(lingering_);
+  const auto self = shared_from_this();
+  wantWrite(false);
+  if (registered_) loop_.removeEventHandler(socket_, Readable(*this, &Connection::onReadable));
+  socket_.close();
+  Line(Level::info) << "ended side=" << side_ << " peer=" << peer_
+                    << " reason=" << kReasons[static_cast<std::size_t>(reason)] << " messages=" << messages_
+                    << " in=" << bytesIn_ << " out=" << bytesOut_;
+  gone(reason);
+  loop_.bury(self);
+}
+
+void Connection::endSoon(Reason reason) {
+  loop_.soon([self = shared_from_this(), reason] { self->end(reason); });
+}
+
+bool Connection::stale() {
+  std::array<char, 1> byte{};
+  try {
+    return socket_.receiveBytes(byte.data(), 1, MSG_PEEK) >= 0;
+  } catch (const Poco::Exception& error) {
+    return !wouldBlock(error);
+  }
+}
+
+void Connection::onReadable(ReadableNotification* event) {
+  event->release();
+  const auto self = shared_from_this();
+  if (!loop_.guarded([this] { read(); })) end(Reason::fault);
+}
+
+void Connection::onWritable(WritableNotification* event) {
+  event->release();
+  const auto self = shared_from_this();
+  const auto handler = [this] {
+    if (ended_) return;
+    if (dialing_) {
+      if (socket_.impl()->socketError() != 0) return end(Reason::refused);
+      dialing_ = false;
+      open();
+      opened();
+      if (ended_) return;
+    }
+    write();
+  };
+  if (!loop_.guarded(handler)) end(Reason::fault);
+}
+
+void Connection::read() {
+  if (ended_) return;
+  static std::array<char, 64 * 1024> buffer;
+  int size = 0;
+  try {
+    size = socket_.receiveBytes(buffer.data(), static_cast<int>(buffer.size()));
+  } catch (const Poco::Exception& error) {
+    if (!wouldBlock(error)) end(finishing_ ? finishReason_ : Reason::peerReset);
+    return;
+  }
+  if (size < 0) return;
+  if (size == 0) return end(finishing_ ? finishReason_ : Reason::peerClosed);
+  bytesIn_ += static_cast<std::uint64_t>(size);
+  if (finishing_) return;  // what comes after the last answer is not read
+  in_.append(buffer.data(), static_cast<std::size_t>(size));
+  received();
+}
+
+void Connection::write() {
+  if (broken_) return;
+  while (!out_.empty()) {
+    Poco::Net::SocketBufVec buffers;
+    for (const std::string_view piece : out_.pieces()) {
+      if (buffers.size() == kMostPieces) break;
+      buffers.push_back({const_cast<char*>(piece.data()), piece.size()});
+    }
+    int size = 0;
+    try {
+      size = socket_.sendBytes(buffers);
+    } catch (const Poco::Exception& error) {
+      if (wouldBlock(error)) return wantWrite(true);
+      broken_ = true;  // what is left stays: its last byte was not written
+      wantWrite(false);
+      return endSoon(Reason::peerReset);
+    }
+    if (size < 0) return wantWrite(true);
+    bytesOut_ += static_cast<std::uint64_t>(size);
+    out_.written(static_cast<std::size_t>(size));
+  }
+  wantWrite(false);
+  written();
+  if (finishing_ && !ended_) {
+    try {
+      socket_.shutdownSend();
+    } catch (const Poco::Exception&) {
+      endSoon(finishReason_);
+    }
+  }
+}
+
+void Connection::wantWrite(bool want) {
+  if (want == wantsWrite_) return;
+  wantsWrite_ = want;
+  const Poco::Observer<Connection, WritableNotification> writable(*this, &Connection::onWritable);
+  if (want) {
+    loop_.addEventHandler(socket_, writable);
+  } else {
+    loop_.removeEventHandler(socket_, writable);
+  }
+}
+
+}  // namespace rackroute::sidecar
--- /dev/null
+++ b/src/sidecar/counters.hpp
@@ -0,0 +1,34 @@
+#pragma once
+
+// What the sidecar took in, sent and answered since its start. Each part of the program counts its own lines
+// here; nothing reads them back but the printing.
+
+#include <cstdint>
+#include <ostream>
+
+namespace rackroute::sidecar {
+
+struct Counters {
+  std::uint64_t queries = 0;
+  std::uint64_t completed = 0;
+  std::uint64_t rejected = 0;
+  std::uint64_t aborted = 0;
+  std::uint64_t clientsLeft = 0;
+  std::uint64_t badQueries = 0;
+  std::uint64_t executions = 0;
+  std::uint64_t outcomes[8] = {};  // by Outcome
+  std::uint64_t lateAnswers = 0;   // whole, but their query was over
+  std::uint64_t clientConnections = 0;
+  std::uint64_t serverConnections = 0;
+  std::uint64_t dialsFailed = 0;
+  std::uint64_t reused = 0;
+  std::uint64_t discoveryCalls = 0;
+  std::uint64_t discoveryFailures = 0;
+  std::uint64_t lists = 0;
+  std::uint64_t outOfDescriptors = 0;
+  std::uint64_t faults = 0;  // errors of the program itself
+
+  void print(std::ostream& out) const;
+};
+
+}  // namespace rackroute::sidecar
--- /dev/null
+++ b/src/sidecar/discovery.hpp
@@ -0,0 +1,57 @@
+#pragma once
+
+// Discovery as the balancer asks for it: a watch on changes and calls for the whole list. It owns the
+// connections to discovery and the version of the list last told. It must never make up a list: what fails,
+// falls silent or can't be parsed is told as a failure. When to ask again is not its business.
+
+#include <Poco/Dynamic/Var.h>
+#include <Poco/Net/SocketAddress.h>
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "sidecar/exchange.hpp"
+#include "sidecar/loop.hpp"
+#include "terms/told.hpp"
+
+namespace rackroute::sidecar {
+
+class DiscoveryCall;
+
+/// An address in numbers; anything else throws, as no name is ever looked up.
+Poco::Net::SocketAddress numericAddress(const std::string& text);
+
+/// A list in discovery's form, which the configuration shares; throws what is wrong with it.
+Listed readList(const Poco::Dynamic::Var& json, told::Names& zones, const Loop& loop, std::uint64_t& index);
+
+class Discovery {
+ public:
+  Discovery(Loop& loop, Exchange& exchange, told::Names& zones, Poco::Net::SocketAddress address,
+            std::uint64_t index);
+  Discovery(const Discovery&) = delete;
+  Discovery& operator=(const Discovery&) = delete;
+  ~Discovery();
+
+  void watch();
+  void list();
+
+ private:
+  friend class DiscoveryCall;
+
+  std::shared_ptr<DiscoveryCall> call(bool watch);
+  /// False: it can't be parsed.
+  bool told(const std::string& json, bool watch, bool first);
+
+  Loop& loop_;
+  Exchange& exchange_;
+  told::Names& zones_;
+  Poco::Net::SocketAddress address_;
+  std::uint64_t index_;
+  std::map<DiscoveryCall*, std::shared_ptr<DiscoveryCall>> calls_;
+  std::shared_ptr<DiscoveryCall> watch_;
+};
+
+}  // namespace rackroute::sidecar
--- /dev/null
+++ b/src/sidecar/exchange.cpp
@@ -0,0 +1,104 @@
+#include "sidecar/exchange.hpp"
+
+#include "sidecar/client_side.hpp"
+#include "sidecar/discovery.hpp"
+
+namespace rackroute::sidecar {
+
+void Exchange::start(const told::Told& told, ClientSide& clients, ServerSide& servers, Discovery& discovery,
+                     const Listed& known) {
+  clients_ = &clients;
+  servers_ = &servers;
+  discovery_ = &discovery;
+  balancer_.emplace(told.terms, *this);
+  serversListed(known);
+}
+
+void Exchange::take(const std::shared_ptr<const http::Message>& message, const Query& query) {
+  ++loop_.counters.queries;
+  inFlight_[query.id].message = message;
+  const QueryHandle handle = balancer_->take(loop_.now(), query);
+  inFlight_.at(query.id).handle = handle;
+  settle(query.id);
+}
+
+void Exchange::clientLeft(QueryId query) {
+  const auto at = inFlight_.find(query);
+  if (at == inFlight_.end()) return;
+  at->second.answered = true;
+  at->second.handle->clientLeft(loop_.now());
+  settle(query);
+}
+
+void Exchange::executionEnded(ExecutionKey execution, Outcome outcome, Span service,
+                              const std::shared_ptr<const http::Message>& answer) {
+  ++loop_.counters.outcomes[static_cast<std::size_t>(outcome)];
+  const auto at = inFlight_.find(execution.query);
+  if (at == inFlight_.end()) return;
+  InFlight& query = at->second;
+  if (outcome == Outcome::completed && query.answered) ++loop_.counters.lateAnswers;
+  if (outcome == Outcome::completed && !query.answered) {
+    query.answered = true;
+    ++loop_.counters.completed;
+    clients_->complete(execution.query, answer);
+  }
+  query.handle->executionEnded(loop_.now(), execution.no, outcome, query.answered, service);
+  settle(execution.query);
+}
+
+void Exchange::serversListed(const Listed& listed) {
+  ++loop_.counters.lists;
+  for (const auto& [server, address] : listed.addresses) servers_->listed(server, address);
+  balancer_->serversListed(loop_.now(), listed.listing, listed.servers);
+  settle({});
+}
+
+void Exchange::discoveryFailed() {
+  ++loop_.counters.discoveryFailures;
+  balancer_->discoveryFailed(loop_.now());
+}
+
+void Exchange::execute(QueryId query, ServerId server, Span timeout) {
+  ++loop_.counters.executions;
+  InFlight& sent = inFlight_.at(query);
+  servers_->execute({query, {sent.executions++}}, server, sent.message, timeout);
+}
+
+void Exchange::cancel(QueryId query, ExecutionNo execution) { servers_->cancel({query, execution}); }
+
+void Exchange::reject(QueryId query, Span comeBackAfter) {
+  ++loop_.counters.rejected;
+  inFlight_.at(query).answered = true;
+  answered_.push_back(query);
+  clients_->reject(query, comeBackAfter);
+}
+
+void Exchange::abort(QueryId query) {
+  ++loop_.counters.aborted;
+  inFlight_.at(query).answered = true;
+  answered_.push_back(query);
+  clients_->abort(query);
+}
+
+void Exchange::wakeAt(Span time) {
+  loop_.at(time, [this] {
+    balancer_->wake(loop_.now());
+    settle({});
+  });
+}
+
+void Exchange::watchServers() { discovery_->watch(); }
+
+void Exchange::listServers() { discovery_->list(); }
+
+// Forgets the queries that are over: this one, and those that the balancer answered by itself.
+void Exchange::settle(QueryId query) {
+  answered_.push_back(query);
+  for (const QueryId over : answered_) {
+    const auto at = inFlight_.find(over);
+    if (at != inFlight_.end() && at->second.handle && at->second.handle->over()) inFlight_.erase(at);
+  }
+  answered_.clear();
+}
+
+}  // namespace rackroute::sidecar
--- /dev/null
+++ b/src/sidecar/exchange.hpp
@@ -0,0 +1,79 @@
+#pragma once
+
+// The one place where the two sides meet. It owns the queries in flight and the one balancer, whose host it
+// is: what the sides tell becomes a call on it, what it asks for goes to a side or to discovery. It must
+// never decide anything, nor call the balancer from within a call of the balancer's.
+
+#include <Poco/Net/SocketAddress.h>
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <utility>
+#include <vector>
+
+#include "http/message.hpp"
+#include "rackroute/balancer.hpp"
+#include "sidecar/loop.hpp"
+#include "sidecar/server_side.hpp"
+#include "terms/told.hpp"
+
+namespace rackroute::sidecar {
+
+class ClientSide;
+class Discovery;
+
+/// A list as discovery told it.
+struct Listed {
+  Listing listing = Listing::persisted;
+  std::vector<ListedServer> servers;
+  std::vector<std::pair<ServerId, Poco::Net::SocketAddress>> addresses;
+};
+
+class Exchange : public Host {
+ public:
+  explicit Exchange(Loop& loop) : loop_(loop) {}
+  ~Exchange() override = default;
+  Exchange(const Exchange&) = delete;
+  Exchange& operator=(const Exchange&) = delete;
+
+  /// Makes the balancer, with the list as it was last known.
+  void start(const told::Told& told, ClientSide& clients, ServerSide& servers, Discovery& discovery,
+             const Listed& known);
+
+  void take(const std::shared_ptr<const http::Message>& message, const Query& query);
+  void clientLeft(QueryId query);
+  void executionEnded(ExecutionKey execution, Outcome outcome, Span service,
+                      const std::shared_ptr<const http::Message>& answer);
+  void serversListed(const Listed& listed);
+  void discoveryFailed();
+  bool freeDescriptor() { return servers_->freeDescriptor(); }
+
+ private:
+  struct InFlight {
+    std::shared_ptr<const http::Message> message;
+    std::optional<QueryHandle> handle;
+    std::uint32_t executions = 0;
+    bool answered = false;
+  };
+
+  void execute(QueryId query, ServerId server, Span timeout) override;
+  void cancel(QueryId query, ExecutionNo execution) override;
+  void reject(QueryId query, Span comeBackAfter) override;
+  void abort(QueryId query) override;
+  void wakeAt(Span time) override;
+  void watchServers() override;
+  void listServers() override;
+  void settle(QueryId query);
+
+  Loop& loop_;
+  ClientSide* clients_ = nullptr;
+  ServerSide* servers_ = nullptr;
+  Discovery* discovery_ = nullptr;
+  std::map<QueryId, InFlight> inFlight_;
+  std::vector<QueryId> answered_;
+  std::optional<Balancer> balancer_;
+};
+
+}  // namespace rackroute::sidecar
--- /dev/null
+++ b/src/sidecar/server_side.hpp
@@ -0,0 +1,61 @@
+#pragma once
+
+// The servers' side: one connection an execution, kept for the next, and what became of each execution in the
+// protocol's terms. It owns the connections to servers and the addresses they go to. It must never send an
+// execution twice, use a connection again after an answer it did not read whole, or tell that something never
+// ran when its last byte was written; which server gets what is not its business.
+
+#include <Poco/Net/SocketAddress.h>
+
+#include <cstddef>
+#include <list>
+#include <map>
+#include <memory>
+
+#include "http/message.hpp"
+#include "rackroute/balancer.hpp"
+#include "sidecar/loop.hpp"
+#include "terms/told.hpp"
+
+namespace rackroute::sidecar {
+
+class Exchange;
+class ServerConnection;
+
+struct ExecutionKey {
+  QueryId query;
+  ExecutionNo no;
+  auto operator<=>(const ExecutionKey&) const = default;
+};
+
+class ServerSide {
+ public:
+  ServerSide(Loop& loop, Exchange& exchange, const told::Told& told);
+  ServerSide(const ServerSide&) = delete;
+  ServerSide& operator=(const ServerSide&) = delete;
+  ~ServerSide();
+
+  void listed(ServerId server, const Poco::Net::SocketAddress& address);
+  void execute(ExecutionKey execution, ServerId server, const std::shared_ptr<const http::Message>& query,
+               Span timeout);
+  void cancel(ExecutionKey execution);
+  /// Closes the connection that has been idle for longest. False: none is idle.
+  bool freeDescriptor();
+
+ private:
+  friend class ServerConnection;
+
+  std::shared_ptr<ServerConnection> idleTo(ServerId server);
+  std::shared_ptr<ServerConnection> dial(ServerId server);
+
+  Loop& loop_;
+  Exchange& exchange_;
+  Span dialTimeout_;
+  Span idleLimit_;
+  std::map<ServerId, Poco::Net::SocketAddress> addresses_;
+  std::map<ServerConnection*, std::shared_ptr<ServerConnection>> connections_;
+  std::list<ServerConnection*> idle_;  // the longest idle first
+  std::map<ExecutionKey, ServerConnection*> executions_;
+};
+
+}  // namespace rackroute::sidecar
--- a/src/simwire/session.cpp
+++ b/src/simwire/session.cpp
@@ -5,14 +5,15 @@
 #include <unordered_map>
 #include <utility>
 
+#include "terms/told.hpp"
+
 namespace rackroute::simwire {
 namespace {
 
-constexpr std::size_t kLists = 16;
+using told::malformed;
+using told::micros;
 
-[[noreturn]] void malformed(std::string_view what, std::string_view value) {
-  throw Malformed(std::string(what) + ": '" + std::string(value) + "'");
-}
+constexpr std::size_t kLists = 16;
 
 template <class Number>
 Number number(std::string_view text, std::string_view what) {
@@ -22,12 +23,6 @@
   return value;
 }
 
-std::int64_t micros(std::string_view text, std::string_view what) {
-  const double value = number<double>(text, what);
-  if (!(std::abs(value) < 9e12)) malformed(what, text);
-  return std::llround(value * 1000.0);
-}
-
 bool flag(std::string_view text, std::string_view what) {
   if (text != "0" && text != "1") malformed(what, text);
   return text == "1";
@@ -51,56 +46,15 @@
   out += std::to_string(size / 1000) + '.' + std::string(3 - fraction.size(), '0') + fraction;
 }
 
-// The same server has the same id in every process: its name's FNV-1a hash.
-ServerId serverId(std::string_view name) {
-  std::uint64_t hash = 14695981039346656037U;
-  for (const char c : name) hash = (hash ^ static_cast<unsigned char>(c)) * 1099511628211U;
-  return {hash};
-}
-
-class Names {  // ids for names, in the order of their first mention
- public:
-  std::uint32_t id(std::string_view name) {
-    return ids_.emplace(std::string(name), static_cast<std::uint32_t>(ids_.size())).first->second;
-  }
-  [[nodiscard]] std::uint32_t known(std::string_view name, std::string_view what) const {
-    const auto at = ids_.find(name);
-    if (at == ids_.end()) malformed(what, name);
-    return at->second;
-  }
-
- private:
-  std::map<std::string, std::uint32_t, std::less<>> ids_;
-};
-
-/// The pairs of the first message, by name.
-class Pairs {
- public:
-  Pairs(const std::vector<std::string_view>& parts, std::size_t from) {
-    for (std::size_t i = from; i < parts.size(); ++i) {
-      const std::size_t at = parts[i].find('=');
-      if (at == std::string_view::npos) malformed("a setting without a value", parts[i]);
-      values_[parts[i].substr(0, at)] = parts[i].substr(at + 1);
-    }
-  }
-  [[nodiscard]] std::string_view text(const std::string& name) const {
-    const auto at = values_.find(name);
-    return at == values_.end() ? std::string_view{} : at->second;
+told::Pairs pairs(const std::vector<std::string_view>& parts, std::size_t from) {
+  told::Pairs made;
+  for (std::size_t i = from; i < parts.size(); ++i) {
+    const std::size_t at = parts[i].find('=');
+    if (at == std::string_view::npos) malformed("a setting without a value", parts[i]);
+    made.insert_or_assign(std::string(parts[i].substr(0, at)), std::string(parts[i].substr(at + 1)));
   }
-  template <class Number>
-  [[nodiscard]] Number value(const std::string& name, Number otherwise) const {
-    const std::string_view found = text(name);
-    return found.empty() || found == "-" ? otherwise : number<Number>(found, name);
-  }
-  [[nodiscard]] Span span(const std::string& name) const {
-    const std::string_view found = text(name);
-    return Span{found.empty() || found == "-" ? 0 : micros(found, name)};
-  }
-  [[nodiscard]] bool yes(const std::string& name) const { return text(name) == "true" || text(name) == "1"; }
-
- private:
-  std::map<std::string_view, std::string_view, std::less<>> values_;
-};
+  return made;
+}
 
 template <class Value>
 Value word(std::string_view text, std::string_view what,
@@ -140,10 +94,10 @@
 /// One balancer and its end of the wire.
 class Instance : public Host {
  public:
-  Instance(std::string_view number, std::string_view seed, const Pairs& pairs, std::int64_t clock,
+  Instance(std::string_view name, std::uint64_t seed, const told::Pairs& pairs, std::int64_t clock,
            std::string& reply)
-      : number_(number), start_(clock), reply_(reply) {
-    balancer_ = std::make_unique<Balancer>(terms(seed, pairs), *this);
+      : number_(name), start_(clock), reply_(reply), told_(seed, pairs) {
+    balancer_ = std::make_unique<Balancer>(told_.terms, *this);
   }
 
   void execute(QueryId query, ServerId server, Span timeout) override {
@@ -187,9 +141,9 @@
 
   [[nodiscard]] Span now(std::int64_t clock) const { return Span{clock - start_}; }
   Balancer& balancer() { return *balancer_; }
-  ZoneId zone(std::string_view name) { return {zones_.id(name)}; }
+  ZoneId zone(std::string_view name) { return {told_.zones.id(name)}; }
   ServerId server(const std::string& name) {
-    const ServerId id = serverId(name);
+    const ServerId id = told::serverId(name);
     servers_.emplace(id.value, name);
     return id;
   }
@@ -198,7 +152,7 @@
     Query query;
     query.id = {number<std::uint32_t>(parts[2], "op_id")};
     query.timeLeft = Span{micros(parts[3], "expires_in_ms")};
-    query.useCase = {useCases_.known(parts[4], "profile")};
+    query.useCase = {told_.useCases.known(parts[4], "profile")};
     if (parts[5] != "-" && !parts[5].empty()) {
       std::uint64_t key{};
       const auto end = std::from_chars(parts[5].data(), parts[5].data() + parts[5].size(), key, 16);
@@ -206,8 +160,8 @@
         malformed("path_key", parts[5]);
       query.key = KeyId{key};
     }
-    if (accounts_ > 0 && parts[6] != "-" && parts[6] != "0")
-      query.account = {accountNames_.known(parts[6], "user_group")};
+    if (!told_.accounts.empty() && parts[6] != "-" && parts[6] != "0")
+      query.account = {told_.accounts.known(parts[6], "user_group")};
     queries_.insert_or_assign(query.id.value, balancer_->take(at, query));
     settle();
   }
@@ -255,59 +209,10 @@
     reply_ += '\t' + std::to_string(query.value);
   }
 
-  Terms terms(std::string_view seed, const Pairs& pairs) {
-    Terms terms;
-    terms.seed = number<std::uint64_t>(seed, "salt");
-    const auto useCases = pairs.value<std::uint32_t>("use_cases.count", 0);
-    for (std::uint32_t i = 0; i < useCases; ++i) {
-      const std::string at = "use_cases." + std::to_string(i) + '.';
-      useCases_.id(pairs.text(at + "name"));
-      UseCase use;
-      use.repeat = word<Repeat>(pairs.text(at + "effect"), at + "effect",
-                                {{"retryable", Repeat::idempotent},
-                                 {"dedup", Repeat::deduplicated},
-                                 {"fragile", Repeat::nonIdempotent}});
-      use.group = word<DedupGroup>(pairs.text(at + "group"), at + "group",
-                                   {{"all", DedupGroup::all},
-                                    {"zone", DedupGroup::zone},
-                                    {"cell", DedupGroup::cell},
-                                    {"", DedupGroup::cell}});
-      use.dedupWindow = pairs.span(at + "window_ms");
-      use.importance = pairs.value(at + "importance", 1.0);
-      use.lateImportance = pairs.value(at + "late_importance", 0.0);
-      use.sloTime = pairs.span(at + "slo_time_ms");
-      terms.useCases.push_back(use);
-    }
-    accounts_ = pairs.value<std::uint32_t>("accounts.count", 0);
-    for (std::uint32_t i = 0; i < accounts_; ++i) {
-      const std::string at = "accounts." + std::to_string(i) + '.';
-      accountNames_.id(pairs.text(at + "name"));
-      terms.accounts.push_back(pairs.value(at + "portion", 0.0));
-    }
-    terms.beyondShareImportance = pairs.value("beyond_share_importance", 1.0);
-    terms.zone = zone(pairs.text("locality"));
-    terms.balancers = pairs.value<std::uint32_t>("peers_total", 1);
-    terms.number = pairs.value<std::uint32_t>("my_number", 0);
-    terms.discoveryOnRequest = pairs.text("registry_mode") == "on_request";
-    terms.longestAdvice = pairs.yes("bounds.retry_after") ? pairs.span("bounds.max_retry_after_ms") : Span{0};
-    terms.mostExecutions = pairs.value<std::uint32_t>("bounds.max_executions", 1);
-    terms.warmKeys = pairs.yes("family_info.warm_keys");
-    terms.tick = pairs.span("granularity_ms");
-    terms.drainGrace = pairs.span("rules.drain_grace_ms");
-    terms.coldShare = pairs.value("rules.cold_share", 1.0);
-    terms.coldTime = pairs.span("rules.cold_ms");
-    terms.tipMultiple = pairs.value("rules.tip_multiple", 1.0);
-    terms.tipWindow = pairs.span("rules.overload_for_ms");
-    return terms;
-  }
-
   std::string number_;
   std::int64_t start_;
   std::string& reply_;
-  Names zones_;
-  Names useCases_;
-  Names accountNames_;
-  std::uint32_t accounts_ = 0;
+  told::Told told_;
   std::unordered_map<std::uint64_t, std::string> servers_;
   std::unordered_map<std::uint32_t, QueryHandle> queries_;
   std::vector<QueryId> answered_;
@@ -401,7 +306,8 @@
 }
 
 void Session::start(const std::vector<std::string_view>& parts) {
-  auto made = std::make_unique<Instance>(parts[1], parts[2], Pairs(parts, 3), clock_, reply_);
+  auto made = std::make_unique<Instance>(parts[1], number<std::uint64_t>(parts[2], "salt"), pairs(parts, 3),
+                                         clock_, reply_);
   instances_.insert_or_assign(number<std::int64_t>(parts[1], "instance"), std::move(made));
 }
 
--- a/src/simwire/session.hpp
+++ b/src/simwire/session.hpp
@@ -3,18 +3,16 @@
 #include <cstdint>
 #include <map>
 #include <memory>
-#include <stdexcept>
 #include <string>
 #include <string_view>
 #include <vector>
 
 #include "rackroute/balancer.hpp"
+#include "terms/told.hpp"
 
 namespace rackroute::simwire {
 
-struct Malformed : std::runtime_error {
-  using std::runtime_error::runtime_error;
-};
+using told::Malformed;
 
 class Instance;
 
