Take the read handler off and on with the write handler: no more spinning

A system-call trace of one idle sidecar showed 51,000 epoll_wait calls a second, each with EPOLLOUT for a connection with nothing to write, and no EPOLL_CTL_MOD after the write handler was removed: POCO 1.11's removeEventHandler takes a socket out of the poll only with its last handler. Ruled out: timers (the time-outs handed to epoll_wait were right) and the dial itself.

Lines at fault: Connection::wantWrite. Now the read handler goes with the write handler and comes back.

--- a/src/sidecar/connection.cpp
+++ b/src/sidecar/connection.cpp
@@ -114,6 +114,7 @@
     if (dialing_) {
       if (socket_.impl()->socketError() != 0) return end(Reason::refused);
       dialing_ = false;
+      wantWrite(false);
       open();
       opened();
       if (ended_) return;
@@ -181,6 +182,11 @@
     loop_.addEventHandler(socket_, writable);
   } else {
     loop_.removeEventHandler(socket_, writable);
+    // Guards against a loop that spins: the reactor polls for writing on while another handler is left, so
+    // that one goes too, and comes back.
+    if (!registered_) return;
+    loop_.removeEventHandler(socket_, Readable(*this, &Connection::onReadable));
+    if (!ended_) loop_.addEventHandler(socket_, Readable(*this, &Connection::onReadable));
   }
 }
 
