--- a/src/sidecar/server_side.cpp
+++ b/src/sidecar/server_side.cpp
@@ -29,8 +29,9 @@
   if (!report) return Span{0};
   try {
     const auto object = Poco::JSON::Parser().parse(std::string(*report)).extract<Poco::JSON::Object::Ptr>();
-    if (!object->has("latency_ms")) return Span{0};
-    const double millis = object->getValue<double>("latency_ms");
+    const std::string name(told::kServiceTime);
+    if (!object->has(name)) return Span{0};
+    const double millis = object->getValue<double>(name);
     return millis > 0 && millis < 1e6 ? Span{static_cast<Span::rep>(millis * 1000)} : Span{0};
   } catch (const Poco::Exception&) {
     return Span{0};
--- a/src/simwire/session.cpp
+++ b/src/simwire/session.cpp
@@ -169,7 +169,7 @@
     const ExecutionNo no{number<std::uint32_t>(parts[3], "send_no")};
     const Outcome how = outcome(parts[5]);
     const bool terminal = flag(parts[7], "terminal");
-    const Span service = reported(parts[8], "lat_ms");
+    const Span service = reported(parts[8], told::kServiceTime);
     with(parts[2], [&](QueryHandle& query) { query.executionEnded(at, no, how, terminal, service); });
   }
   void begun(const std::vector<std::string_view>& parts) {
--- a/src/terms/told.hpp
+++ b/src/terms/told.hpp
@@ -18,6 +18,9 @@
 
 std::int64_t micros(std::string_view millis, std::string_view what);
 
+/// A server's service time in its load reports, which have the settings' names and units.
+inline constexpr std::string_view kServiceTime = "lat_ms";
+
 /// What a balancer is told at its start, each value by its path.
 using Pairs = std::map<std::string, std::string, std::less<>>;
 
