--- a/src/sidecar/client_side.cpp
+++ b/src/sidecar/client_side.cpp
@@ -3,6 +3,7 @@
 #include <Poco/Exception.h>
 #include <Poco/Observer.h>
 
+#include <algorithm>
 #include <charconv>
 #include <optional>
 #include <string>
@@ -11,7 +12,6 @@
 
 #include "sidecar/connection.hpp"
 #include "sidecar/exchange.hpp"
-#include "sidecar/log.hpp"
 
 namespace rackroute::sidecar {
 namespace {
@@ -23,6 +23,7 @@
 constexpr Span kStall = 10s;          // for the rest of a query; above every statement timeout
 constexpr Span kAcceptPause = 20ms;   // without descriptors; a few queries' time, and no spinning
 constexpr Span kStillComing = 600ms;  // after the call to stop; half again what the protocol names
+constexpr Span kLastBytes = 1s;       // more, for a query that had begun; ends well before the kill
 constexpr int kBacklog = 512;         // connections; all that a descriptor limit lets in at once
 
 std::string_view phrase(int status) {
@@ -62,7 +63,7 @@
       head.view(body->body());
     }
     send(std::move(head));
-    if (close) return finish(Reason::closeAsked);
+    if (close) return finish(why_.empty() ? Reason::closeAsked : Reason::badMessage);
     // In a turn of its own: the answer may come from within a call on the balancer.
     if (!in_.empty()) loop_.soon([self = shared_from_this(), this] { next(); });
   }
@@ -71,9 +72,15 @@
     head.text("HTTP/1.1 " + std::string(phrase(status)) + "\r\n" + fields);
     answer(std::move(head));
   }
-  /// Closes it if the application sent nothing that is still to be answered.
-  void stop() {
-    if (!query_ && !reader_.begun(in_) && allWritten() && !stale()) end(Reason::shutdown);
+  /// Closes it if it is between queries, with nothing of the next in sight.
+  bool endIfIdle(Reason reason) {
+    if (query_ || messages_ == 0 || reader_.begun(in_) || !allWritten() || stale()) return false;
+    end(reason);
+    return true;
+  }
+  /// Closes it unless a query of it is in flight.
+  void endUnlessBusy() {
+    if (!query_) end(Reason::shutdown);
   }
 
  protected:
@@ -103,8 +110,8 @@
       if (reader_.begun(in_)) stall_ = loop_.in(kStall, [this] { refuse(408, "stalled"); });
       return;
     }
-    if (progress == Progress::headTooLong) return refuse(431, "head too long");
-    if (progress == Progress::bodyTooLong) return refuse(413, "body too long");
+    if (progress == Progress::headTooLong) return refuse(431, "head_too_long");
+    if (progress == Progress::bodyTooLong) return refuse(413, "body_too_long");
     if (progress == Progress::malformed) return refuse(400, "malformed");
     ++messages_;
     const auto message = std::make_shared<const Message>(reader_.take(in_));
@@ -121,25 +128,29 @@
   std::optional<Query> read(const Message& message, std::string_view& lack) {
     const auto useCase = message.field("X-Class");
     const auto time = message.field("X-Deadline-Ms");
-    lack = !message.field("X-Request-Id") ? "no id" : !useCase ? "no class" : !time ? "no deadline" : "";
+    lack = message.word(0) != "GET" && message.word(0) != "POST" ? "method"
+           : !message.field("X-Request-Id")                      ? "no_id"
+           : !useCase                                            ? "no_class"
+           : !time                                               ? "no_deadline"
+                                                                 : "";
     if (!lack.empty()) return std::nullopt;
     Query query;
     try {
       query.useCase = {side_.told_.useCases.known(*useCase, "class")};
     } catch (const told::Malformed&) {
-      lack = "unknown class";
+      lack = "unknown_class";
       return std::nullopt;
     }
     std::uint32_t millis = 0;
     const auto end = std::from_chars(time->data(), time->data() + time->size(), millis);
     if (end.ec != std::errc{} || end.ptr != time->data() + time->size()) {
-      lack = "deadline not in whole milliseconds";
+      lack = "deadline_not_whole_milliseconds";
       return std::nullopt;
     }
     query.timeLeft = std::chrono::milliseconds(millis);
     if (side_.told_.terms.useCases[query.useCase.value].repeat == Repeat::deduplicated &&
         !message.field("Idempotency-Key")) {
-      lack = "no mark against repeats";
+      lack = "no_mark_against_repeats";
       return std::nullopt;
     }
     // The last part of the path, beside the first: a number in hexadecimal digits.
@@ -158,7 +169,7 @@
 
   void refuse(int status, std::string_view why) {
     ++loop_.counters.badQueries;
-    Line(Level::warning) << "bad_query status=" << status << " why=\"" << why << '"';
+    why_ = why;
     closes_ = true;
     in_.clear();
     answer(status);
@@ -258,10 +269,20 @@
 void ClientSide::stop(std::function<void()> stopped) {
   if (stopped_) return;
   stopped_ = std::move(stopped);
+  for (const auto& connection : all()) connection->endIfIdle(Reason::shutdown);
+  loop_.in(kStillComing, [this] { closeListener(); });
+}
+
+std::vector<std::shared_ptr<ClientConnection>> ClientSide::all() const {
   std::vector<std::shared_ptr<ClientConnection>> all;
   for (const auto& [at, connection] : connections_) all.push_back(connection);
-  for (const auto& connection : all) connection->stop();
-  loop_.in(kStillComing, [this] { closeListener(); });
+  return all;
+}
+
+bool ClientSide::freeDescriptor() {
+  const auto connections = all();
+  return std::any_of(connections.begin(), connections.end(),
+                     [](const auto& connection) { return connection->endIfIdle(Reason::descriptors); });
 }
 
 // What the machine accepted is taken in before the listener goes.
@@ -273,10 +294,12 @@
   listening(false);
   closed_ = true;
   listener_.close();
-  std::vector<std::shared_ptr<ClientConnection>> all;
-  for (const auto& [at, connection] : connections_) all.push_back(connection);
-  for (const auto& connection : all) connection->stop();
-  if (connections_.empty()) stopped_();
+  for (const auto& connection : all()) connection->endIfIdle(Reason::shutdown);
+  if (connections_.empty()) return stopped_();
+  // Guards against a query that never comes whole and would keep the program up until it is killed.
+  loop_.in(kLastBytes, [this] {
+    for (const auto& connection : all()) connection->endUnlessBusy();
+  });
 }
 
 void ClientSide::ended(ClientConnection& connection) {
--- a/src/sidecar/client_side.hpp
+++ b/src/sidecar/client_side.hpp
@@ -12,6 +12,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <vector>
 
 #include "http/gather.hpp"
 #include "http/message.hpp"
@@ -38,6 +39,8 @@
   void abort(QueryId query);
   /// Goes on taking what still comes, and calls back once all of it is answered.
   void stop(std::function<void()> stopped);
+  /// Closes a connection that is between queries. False: none is.
+  bool freeDescriptor();
 
  private:
   friend class ClientConnection;
@@ -48,6 +51,7 @@
   void answer(QueryId query, http::Gather pieces);
   void closeListener();
   void ended(ClientConnection& connection);
+  [[nodiscard]] std::vector<std::shared_ptr<ClientConnection>> all() const;
 
   Loop& loop_;
   Exchange& exchange_;
--- a/src/sidecar/connection.cpp
+++ b/src/sidecar/connection.cpp
@@ -82,7 +82,7 @@
   socket_.close();
   Line(Level::info) << "ended side=" << side_ << " peer=" << peer_
                     << " reason=" << kReasons[static_cast<std::size_t>(reason)] << " messages=" << messages_
-                    << " in=" << bytesIn_ << " out=" << bytesOut_;
+                    << " in=" << bytesIn_ << " out=" << bytesOut_ << (why_.empty() ? "" : " why=") << why_;
   gone(reason);
   loop_.bury(self);
 }
--- a/src/sidecar/connection.hpp
+++ b/src/sidecar/connection.hpp
@@ -68,6 +68,7 @@
   Loop& loop_;
   std::string in_;
   std::uint64_t messages_ = 0;  // for the log line
+  std::string_view why_;        // for the log line, where the reason alone says too little
 
  private:
   void onReadable(Poco::Net::ReadableNotification* event);
--- a/src/sidecar/counters.cpp
+++ b/src/sidecar/counters.cpp
@@ -18,7 +18,8 @@
       << " server_connections=" << serverConnections << " dials_failed=" << dialsFailed
       << " reused=" << reused << " discovery_calls=" << discoveryCalls
       << " discovery_failures=" << discoveryFailures << " lists=" << lists
-      << " out_of_descriptors=" << outOfDescriptors << " faults=" << faults;
+      << " out_of_descriptors=" << outOfDescriptors << " timers=" << timers
+      << " latest_timer_us=" << latestTimer << " faults=" << faults;
 }
 
 }  // namespace rackroute::sidecar
--- a/src/sidecar/exchange.cpp
+++ b/src/sidecar/exchange.cpp
@@ -58,6 +58,8 @@
   balancer_->discoveryFailed(loop_.now());
 }
 
+bool Exchange::freeDescriptor() { return servers_->freeDescriptor() || clients_->freeDescriptor(); }
+
 void Exchange::execute(QueryId query, ServerId server, Span timeout) {
   ++loop_.counters.executions;
   InFlight& sent = inFlight_.at(query);
--- a/src/sidecar/exchange.hpp
+++ b/src/sidecar/exchange.hpp
@@ -48,7 +48,8 @@
                       const std::shared_ptr<const http::Message>& answer);
   void serversListed(const Listed& listed);
   void discoveryFailed();
-  bool freeDescriptor() { return servers_->freeDescriptor(); }
+  /// Closes an idle connection, of the servers' side first. False: there is none.
+  bool freeDescriptor();
 
  private:
   struct InFlight {
--- a/src/sidecar/loop.cpp
+++ b/src/sidecar/loop.cpp
@@ -47,6 +47,11 @@
   const Span now = this->now();
   while (!timers_.empty() && timers_.begin()->first.first <= now) {
     const Task task = std::move(timers_.begin()->second);
+    const Span due = timers_.begin()->first.first;
+    if (due > Span{0}) {  // not one that is only to run soon
+      ++counters.timers;
+      counters.latestTimer = std::max(counters.latestTimer, static_cast<std::uint64_t>((now - due).count()));
+    }
     timers_.erase(timers_.begin());
     guarded(task);
   }
--- a/src/sidecar/main.cpp
+++ b/src/sidecar/main.cpp
@@ -93,6 +93,12 @@
   }
 }
 
+Var needed(const Object& document, const std::string& name) {
+  const Var value = document.get(name);
+  if (value.isEmpty()) throw std::runtime_error("the configuration lacks " + name);
+  return value;
+}
+
 int run() {
   if (const char* level = std::getenv("RACKROUTE_LOG"); level != nullptr && !setLevel(level))
     throw std::runtime_error("RACKROUTE_LOG is not a level: " + std::string(level));
@@ -103,13 +109,13 @@
   if (!file || !(text << file.rdbuf())) throw std::runtime_error(std::string("cannot read ") + path);
   const auto document = Poco::JSON::Parser().parse(text.str()).extract<Object::Ptr>();
 
-  const auto seedText = document->getValue<std::string>("seed");
+  const auto seedText = needed(*document, "seed").convert<std::string>();
   std::uint64_t seed = 0;
   const auto read = std::from_chars(seedText.data(), seedText.data() + seedText.size(), seed, 16);
   if (read.ec != std::errc{} || read.ptr != seedText.data() + seedText.size())
     told::malformed("seed", seedText);
   told::Pairs pairs;
-  flatten("", document->get("settings"), pairs);
+  flatten("", needed(*document, "settings"), pairs);
   told::Told told(seed, pairs);
   told.terms.discoveryOnRequest = true;  // here discovery only ever answers
 
@@ -126,15 +132,15 @@
   ClientSide clients(loop, exchange, told);
   ServerSide servers(loop, exchange, told);
   std::uint64_t index = 0;
-  Listed known = readList(document->get("known"), told.zones, loop, index);
+  Listed known = readList(needed(*document, "known"), told.zones, loop, index);
   known.listing = Listing::persisted;
   Discovery discovery(loop, exchange, told.zones,
-                      numericAddress(document->getValue<std::string>("discovery")), index);
+                      numericAddress(needed(*document, "discovery").convert<std::string>()), index);
   const Signals signals(loop, [&] {
     Line(Level::info) << "stopping";
     clients.stop([&] { loop.stop(); });
   });
-  const auto listen = document->getValue<std::string>("listen");
+  const auto listen = needed(*document, "listen").convert<std::string>();
   exchange.start(told, clients, servers, discovery, known);
   clients.listen(numericAddress(listen));
   Line(Level::info) << "listening address=" << listen << " servers=" << known.servers.size();
--- a/src/sidecar/server_side.cpp
+++ b/src/sidecar/server_side.cpp
@@ -38,6 +38,10 @@
   }
 }
 
+bool knownStatus(std::uint32_t status) {
+  return status == 200 || status == 500 || status == 503 || status == 504;
+}
+
 Outcome outcomeOf(const Message& answer) {
   if (answer.status() == 200) return Outcome::completed;
   const bool notRun = answer.field("X-Not-Run") == "1";
@@ -55,6 +59,7 @@
   void dialUp(const Poco::Net::SocketAddress& address) {
     if (side_.dialTimeout_ > Span{0})
       dialTimer_ = loop_.in(side_.dialTimeout_, [this] { end(Reason::dialTimeout); });
+    address_ = address;
     dial(address);
   }
   void execute(ExecutionKey execution, std::shared_ptr<const Message> query, Span timeout) {
@@ -82,12 +87,13 @@
       if (progress != Progress::done) return end(Reason::badMessage);
       const auto answer = std::make_shared<const Message>(reader_.take(in_));
       if (answer->status() < 200) continue;  // the answer proper follows
-      const bool reusable = answer->keepsOpen() && in_.empty() && sent_ && allWritten();
+      const bool known = knownStatus(answer->status());
+      const bool reusable = known && answer->keepsOpen() && in_.empty() && allWritten();
       const ExecutionKey execution = take();
       if (reusable) {
         rest();
       } else {
-        end(in_.empty() ? Reason::closeAsked : Reason::unreadAnswer);
+        end(!known ? Reason::badMessage : !in_.empty() ? Reason::unreadAnswer : Reason::closeAsked);
       }
       side_.exchange_.executionEnded(execution, outcomeOf(*answer), reportedService(*answer), answer);
       return;
@@ -139,12 +145,14 @@
   }
   void rest() {
     sent_ = false;
+    if (side_.addresses_.at(server_) != address_) return end(Reason::moved);
     side_.idle_.push_back(this);
     if (side_.idleLimit_ > Span{0}) idleTimer_ = loop_.in(side_.idleLimit_, [this] { end(Reason::idle); });
   }
 
   ServerSide& side_;
   ServerId server_;
+  Poco::Net::SocketAddress address_;
   http::Reader reader_{http::Reader::Kind::answer};
   std::optional<ExecutionKey> execution_;
   std::shared_ptr<const Message> query_;
@@ -199,7 +207,7 @@
       // Guards against running out of descriptors: idle connections go first; without one it never ran.
       ++loop_.counters.outOfDescriptors;
       Line(Level::warning) << "no_socket what=\"" << error.displayText() << '"';
-      if (!freeDescriptor()) return nullptr;
+      if (!exchange_.freeDescriptor()) return nullptr;
     }
   }
 }
