--- a/src/sidecar/client_side.cpp
+++ b/src/sidecar/client_side.cpp
@@ -188,7 +188,7 @@
 ClientSide::~ClientSide() = default;
 
 void ClientSide::listen(const Poco::Net::SocketAddress& address) {
-  listener_.bind(address, true);
+  listener_.bind(address, true, false);  // not shared: an address in use must fail
   listener_.listen(kBacklog);
   listener_.setBlocking(false);
   listening(true);
--- a/src/sidecar/connection.cpp
+++ b/src/sidecar/connection.cpp
@@ -75,6 +75,7 @@
 void Connection::end(Reason reason) {
   if (ended_) return;
   ended_ = true;
+  if (finishing_) reason = finishReason_;
   loop_.cancel(lingering_);
   const auto self = shared_from_this();
   wantWrite(false);
@@ -131,11 +132,11 @@
   try {
     size = socket_.receiveBytes(buffer.data(), static_cast<int>(buffer.size()));
   } catch (const Poco::Exception& error) {
-    if (!wouldBlock(error)) end(finishing_ ? finishReason_ : Reason::peerReset);
+    if (!wouldBlock(error)) end(Reason::peerReset);
     return;
   }
   if (size < 0) return;
-  if (size == 0) return end(finishing_ ? finishReason_ : Reason::peerClosed);
+  if (size == 0) return end(Reason::peerClosed);
   bytesIn_ += static_cast<std::uint64_t>(size);
   if (finishing_) return;  // what comes after the last answer is not read
   in_.append(buffer.data(), static_cast<std::size_t>(size));
--- /dev/null
+++ b/tests/sidecar_test.cpp
@@ -0,0 +1,561 @@
+// Stories of the whole program: it runs as a process of its own, its application, servers and discovery are
+// stand-ins played by hand on loopback sockets.
+
+#include <Poco/Net/NetException.h>
+#include <Poco/Net/ServerSocket.h>
+#include <Poco/Net/StreamSocket.h>
+#include <Poco/Pipe.h>
+#include <Poco/PipeStream.h>
+#include <Poco/Process.h>
+#include <Poco/TemporaryFile.h>
+#include <signal.h>
+#include <sys/wait.h>
+
+#include <catch2/catch.hpp>
+#include <chrono>
+#include <fstream>
+#include <memory>
+#include <optional>
+#include <sstream>
+#include <string>
+#include <thread>
+#include <utility>
+#include <vector>
+
+using namespace std::chrono_literals;
+using Poco::Net::ServerSocket;
+using Poco::Net::SocketAddress;
+using Poco::Net::StreamSocket;
+
+namespace {
+
+const Poco::Timespan kPatience(20, 0);  // far more than anything here takes, also with sanitizers
+
+/// The other end of one of the sidecar's connections.
+class Peer {
+ public:
+  explicit Peer(const StreamSocket& socket) : socket_(socket) { socket_.setReceiveTimeout(kPatience); }
+  void say(const std::string& text) { socket_.sendBytes(text.data(), static_cast<int>(text.size())); }
+  /// Everything up to this text and with it; fails if it does not come.
+  std::string until(const std::string& end) {
+    while (in_.find(end) == std::string::npos) REQUIRE(more());
+    return cut(in_.find(end) + end.size());
+  }
+  /// One whole message, by its length.
+  std::string message() {
+    std::string head = until("\r\n\r\n");
+    const std::size_t at = head.find("Content-Length: ");
+    const std::size_t size = at == std::string::npos ? 0 : std::stoul(head.substr(at + 16));
+    while (in_.size() < size) REQUIRE(more());
+    return head + cut(size);
+  }
+  /// Whether the sidecar ends it, saying nothing more.
+  bool ends() {
+    try {
+      return in_.empty() && !more();
+    } catch (const Poco::Net::NetException&) {
+      return true;
+    }
+  }
+  [[nodiscard]] bool quiet() {
+    return in_.empty() && !socket_.poll(Poco::Timespan(0, 200000), StreamSocket::SELECT_READ);
+  }
+  void close() { socket_.close(); }
+  void reset() {
+    socket_.setLinger(true, 0);
+    socket_.close();
+  }
+
+ private:
+  bool more() {
+    char bytes[4096];
+    const int size = socket_.receiveBytes(bytes, sizeof bytes);
+    if (size > 0) in_.append(bytes, static_cast<std::size_t>(size));
+    return size > 0;
+  }
+  std::string cut(std::size_t size) {
+    std::string first = in_.substr(0, size);
+    in_.erase(0, size);
+    return first;
+  }
+  StreamSocket socket_;
+  std::string in_;
+};
+
+Peer accept(ServerSocket& listener) {
+  REQUIRE(listener.poll(kPatience, StreamSocket::SELECT_READ));
+  return Peer(listener.acceptConnection());
+}
+
+std::string entry(const std::string& name, const ServerSocket& at, const std::string& status = "up") {
+  return R"({"name":")" + name + R"(","address":")" + at.address().toString() +
+         R"(","zone":"a","type":"m","group":0,"status":")" + status + R"(","weight":1.0,"since_ms":0})";
+}
+
+std::string chunk(const std::string& data) {
+  std::ostringstream size;
+  size << std::hex << data.size();
+  return size.str() + "\r\n" + data + "\r\n";
+}
+
+class Sidecar {
+ public:
+  ServerSocket discovery{SocketAddress("127.0.0.1", 0)};
+  std::vector<ServerSocket> servers;
+  SocketAddress address = ServerSocket(SocketAddress("127.0.0.1", 0)).address();
+  std::string bounds = R"("conn_idle_ms":60000)";
+  std::string sockets = "256";
+
+  explicit Sidecar(std::size_t count = 2) {
+    for (std::size_t i = 0; i < count; ++i) servers.emplace_back(SocketAddress("127.0.0.1", 0));
+  }
+  ~Sidecar() {
+    if (!process_) return;
+    signal(SIGKILL);
+    ended();
+  }
+  std::string form() {
+    std::string list;
+    for (std::size_t i = 0; i < servers.size(); ++i)
+      list.append(i == 0 ? "" : ",").append(entry(std::string("s-").append(std::to_string(i)), servers[i]));
+    return R"({"name":"n0","listen":")" + address.toString() + R"(","discovery":")" +
+           discovery.address().toString() + R"(","seed":"8c1f30d27a5be964","limits":{"sockets":)" + sockets +
+           R"(},"known":{"index":41,"snapshot":true,"endpoints":[)" + list +
+           R"(]},"settings":{"locality":"a","granularity_ms":5.0,"registry_mode":"on_request","use_cases":[
+           {"name":"read","effect":"retryable","group":"all","slo_time_ms":400.0},
+           {"name":"pay","effect":"fragile","group":"all","slo_time_ms":400.0},
+           {"name":"book","effect":"dedup","group":"zone","window_ms":2000.0,"slo_time_ms":400.0}],
+           "bounds":{"max_executions":4,"dial_timeout_ms":250.0,"retry_after":true,"max_retry_after_ms":1500.0,)" +
+           bounds + R"(},"rules":{"drain_grace_ms":500.0}}})";
+  }
+  void launch(const std::string& form, bool told = true) {
+    std::ofstream(file_.path()) << form;
+    const Poco::Process::Env env = {{"LB_CONFIG", told ? file_.path() : ""}, {"RACKROUTE_LOG", "info"}};
+    process_ = Poco::Process::launch(RACKROUTE_PROGRAM, {}, nullptr, nullptr, &errors_, env);
+  }
+  Sidecar& start() {
+    launch(form());
+    for (int tries = 0; tries < 400; ++tries) {
+      std::this_thread::sleep_for(20ms);
+      try {
+        Peer client = connect();
+        client.say("GET /up HTTP/1.1\r\nHost: b\r\n\r\n");
+        REQUIRE(client.message().find("HTTP/1.1 200 ") == 0);
+        return *this;
+      } catch (const Poco::Net::NetException&) {
+        continue;  // not yet listening
+      }
+    }
+    FAIL("it never served");
+    return *this;
+  }
+  Peer connect() { return Peer(StreamSocket(address)); }
+  /// The next connection to any server, and which.
+  Peer server(std::size_t* which = nullptr) {
+    for (int tries = 0; tries < 4000; ++tries) {
+      for (std::size_t i = 0; i < servers.size(); ++i) {
+        if (!servers[i].poll(Poco::Timespan(0, 2000), StreamSocket::SELECT_READ)) continue;
+        if (which != nullptr) *which = i;
+        return Peer(servers[i].acceptConnection());
+      }
+    }
+    FAIL("no server was dialled");
+    return connect();
+  }
+  bool nobodyDialled() {
+    std::this_thread::sleep_for(100ms);
+    for (ServerSocket& server : servers) {
+      if (server.poll(Poco::Timespan(0), StreamSocket::SELECT_READ)) return false;
+    }
+    return true;
+  }
+  void signal(int number) { ::kill(process_->id(), number); }
+  /// Its exit code; it gets 20 s to end.
+  int ended() {
+    const int id = std::exchange(process_, std::nullopt)->id();
+    int status = 0;
+    for (int tries = 0; tries < 1000; ++tries) {
+      if (::waitpid(id, &status, WNOHANG) == id) return WIFEXITED(status) ? WEXITSTATUS(status) : -1;
+      std::this_thread::sleep_for(20ms);
+    }
+    ::kill(id, SIGKILL);
+    ::waitpid(id, &status, 0);
+    return -1;
+  }
+  /// All that it logged; to be asked once, after its end.
+  std::string log() {
+    errors_.close(Poco::Pipe::CLOSE_WRITE);
+    Poco::PipeInputStream stream(errors_);
+    return {std::istreambuf_iterator<char>(stream), {}};
+  }
+
+ private:
+  Poco::TemporaryFile file_;
+  Poco::Pipe errors_;
+  std::optional<Poco::ProcessHandle> process_;
+};
+
+std::string query(const std::string& useCase, const std::string& fields = "",
+                  const std::string& deadline = "2000") {
+  return "POST /" + useCase +
+         "/7f3a9c21e0b4d655 HTTP/1.1\r\nHost: b\r\nX-Request-Id: 9b1f\r\nX-Class: " + useCase +
+         "\r\nX-Deadline-Ms: " + deadline + "\r\n" + fields + "Content-Length: 4\r\n\r\nbody";
+}
+
+std::string served(const std::string& body, const std::string& fields = "") {
+  return "HTTP/1.1 200 OK\r\n" + fields + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" +
+         body;
+}
+
+bool has(const std::string& text, const std::string& part) { return text.find(part) != std::string::npos; }
+
+}  // namespace
+
+TEST_CASE("a query goes to a server as it came, its answer comes back unchanged, connections serve again") {
+  Sidecar sidecar(1);
+  sidecar.start();
+  Peer client = sidecar.connect();
+  client.say(query("book", "Idempotency-Key: 5c0f\r\n"));
+  Peer server = sidecar.server();
+  const std::string sent = server.message();
+  CHECK(sent.find("POST /book/7f3a9c21e0b4d655 HTTP/1.1\r\n") == 0);
+  CHECK(has(sent, "X-Request-Id: 9b1f\r\n"));
+  CHECK(has(sent, "Idempotency-Key: 5c0f\r\n"));
+  CHECK(sent.substr(sent.size() - 4) == "body");
+  const int left = std::stoi(sent.substr(sent.find("X-Deadline-Ms: ") + 15));
+  CHECK((left > 0 && left <= 2000));
+  const std::string body("a\0b\r\n\r\n", 7);
+  server.say(served(body, "X-Load: {\"busy\":oops\r\n"));
+  const std::string answer = client.message();
+  CHECK(answer.find("HTTP/1.1 200 ") == 0);
+  CHECK(answer.substr(answer.size() - 7) == body);
+  client.say(query("read") + query("read"));  // the second waits for its turn
+  CHECK(has(server.message(), "POST /read/"));
+  CHECK(server.quiet());
+  server.say("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + chunk("on") + chunk("e") +
+             "0\r\n\r\n");
+  CHECK(has(client.message(), "Content-Length: 3\r\n\r\none"));
+  server.message();
+  server.say(served("two"));
+  CHECK(has(client.message(), "two"));
+}
+
+TEST_CASE("what never ran goes out again, what may have run does not") {
+  struct Case {
+    std::string says;
+    bool ran;
+  };
+  const Case now =
+      GENERATE(Case{"HTTP/1.1 503 x\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n", false},
+               Case{"HTTP/1.1 504 x\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n", false},
+               Case{"HTTP/1.1 503 x\r\nContent-Length: 0\r\n\r\n", true},
+               Case{"HTTP/1.1 500 x\r\nContent-Length: 0\r\n\r\n", true},
+               Case{"HTTP/1.1 500 x\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n", true},
+               Case{"HTTP/1.1 302 x\r\nContent-Length: 0\r\n\r\n", true}, Case{"nonsense\r\n\r\n", true},
+               Case{"HTTP/1.1 200 x\r\nContent-Length: 70000\r\n\r\n", true},
+               Case{"HTTP/1.1 200 x\r\nContent-Length: 9\r\n\r\nhalf", true}, Case{"", true});
+  CAPTURE(now.says);
+  Sidecar sidecar;
+  sidecar.start();
+  Peer client = sidecar.connect();
+  client.say(query("pay"));
+  Peer server = sidecar.server();
+  server.message();
+  if (!now.says.empty()) server.say(now.says);
+  if (now.says.empty() || has(now.says, "half")) server.reset();
+  if (now.ran) {
+    CHECK(client.message().find("HTTP/1.1 502 ") == 0);
+    CHECK(sidecar.nobodyDialled());
+  } else {
+    Peer other = sidecar.server();
+    other.message();
+    other.say(served("done"));
+    CHECK(has(client.message(), "done"));
+  }
+  if (has(now.says, "302") || has(now.says, "nonsense") || has(now.says, "70000")) CHECK(server.ends());
+}
+
+TEST_CASE("a refused connection never ran: the query goes to the other server") {
+  Sidecar sidecar;
+  const std::string form = sidecar.form();
+  sidecar.start();
+  sidecar.servers.erase(sidecar.servers.begin());  // its listener closes
+  for (int i = 0; i < 6; ++i) {
+    Peer client = sidecar.connect();
+    client.say(query("pay"));
+    Peer server = sidecar.server();
+    server.message();
+    server.say(served("done", "Connection: close\r\n"));
+    CHECK(has(client.message(), "done"));
+    CHECK(server.ends());
+  }
+}
+
+TEST_CASE("a half answer is not passed on; one that may run again is served by the other server") {
+  Sidecar sidecar;
+  sidecar.start();
+  Peer client = sidecar.connect();
+  client.say(query("read"));
+  Peer server = sidecar.server();
+  server.message();
+  server.say("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf");
+  server.close();
+  Peer other = sidecar.server();
+  other.message();
+  other.say(served("whole"));
+  const std::string answer = client.message();
+  CHECK(has(answer, "whole"));
+  CHECK_FALSE(has(answer, "half"));
+}
+
+TEST_CASE("silence ends at the statement timeout: one answer, and the connection goes") {
+  Sidecar sidecar(1);
+  sidecar.start();
+  Peer client = sidecar.connect();
+  client.say(query("pay", "", "300"));
+  Peer server = sidecar.server();
+  server.message();
+  CHECK(client.message().find("HTTP/1.1 502 ") == 0);
+  CHECK(server.ends());
+  CHECK(client.quiet());
+}
+
+TEST_CASE("a client that leaves gets nothing, and its server connection serves the next") {
+  Sidecar sidecar(1);
+  sidecar.start();
+  Peer client = sidecar.connect();
+  client.say(query("read"));
+  Peer server = sidecar.server();
+  server.message();
+  client.close();
+  std::this_thread::sleep_for(50ms);
+  server.say(served("late"));
+  std::this_thread::sleep_for(50ms);
+  Peer next = sidecar.connect();
+  next.say(query("read"));
+  server.message();
+  server.say(served("fresh"));
+  const std::string answer = next.message();
+  CHECK(has(answer, "fresh"));
+  CHECK_FALSE(has(answer, "late"));
+}
+
+TEST_CASE("a bad query is answered, ends its connection, and reaches no server") {
+  const std::string line = "POST /read/1 HTTP/1.1\r\n";
+  const std::string id = "X-Request-Id: 1\r\n";
+  const std::string rest = "X-Deadline-Ms: 500\r\nContent-Length: 0\r\n\r\n";
+  const auto [text, status] = GENERATE_COPY(
+      std::pair<std::string, std::string>{"GET /read\r\n\r\n", "400"},
+      std::pair<std::string, std::string>{line + id + rest, "400"},
+      std::pair<std::string, std::string>{line + "X-Class: read\r\n" + rest, "400"},
+      std::pair<std::string, std::string>{line + id + "X-Class: read\r\nContent-Length: 0\r\n\r\n", "400"},
+      std::pair<std::string, std::string>{
+          line + id + "X-Class: read\r\nX-Deadline-Ms: soon\r\nContent-Length: 0\r\n\r\n", "400"},
+      std::pair<std::string, std::string>{line + id + "X-Class: unheard\r\n" + rest, "400"},
+      std::pair<std::string, std::string>{line + id + "X-Class: book\r\n" + rest, "400"},
+      std::pair<std::string, std::string>{"PUT /read/1 HTTP/1.1\r\n" + id + "X-Class: read\r\n" + rest,
+                                          "400"},
+      std::pair<std::string, std::string>{line + "A: " + std::string(20000, 'a'), "431"},
+      std::pair<std::string, std::string>{line + "Content-Length: 65537\r\n\r\n", "413"});
+  CAPTURE(text.substr(0, 200));
+  Sidecar sidecar;
+  sidecar.start();
+  Peer client = sidecar.connect();
+  client.say(text);
+  const std::string answer = client.message();
+  CHECK(answer.find("HTTP/1.1 " + status + ' ') == 0);
+  CHECK(has(answer, "Connection: close\r\n"));
+  CHECK(client.ends());
+  CHECK(sidecar.nobodyDialled());
+  sidecar.signal(SIGTERM);
+  CHECK(sidecar.ended() == 0);
+  const std::string log = sidecar.log();
+  const std::size_t at = log.find("reason=bad_message");
+  CHECK(at != std::string::npos);
+  CHECK(log.find("reason=bad_message", at + 1) == std::string::npos);
+}
+
+TEST_CASE("a client that stalls in the middle of a query holds up nobody") {
+  Sidecar sidecar(1);
+  sidecar.start();
+  Peer stalled = sidecar.connect();
+  stalled.say(query("read").substr(0, 90));
+  Peer client = sidecar.connect();
+  client.say(query("read"));
+  Peer server = sidecar.server();
+  server.message();
+  server.say(served("on"));
+  CHECK(has(client.message(), "on"));
+  stalled.say(query("read").substr(90));
+  server.message();
+  server.say(served("at last"));
+  CHECK(has(stalled.message(), "at last"));
+}
+
+TEST_CASE("a connection that the server closed while idle is not used again") {
+  Sidecar sidecar(1);
+  sidecar.start();
+  for (int i = 0; i < 3; ++i) {
+    Peer client = sidecar.connect();
+    client.say(query("pay"));
+    Peer server = sidecar.server();
+    server.message();
+    server.say(served("done"));
+    CHECK(has(client.message(), "done"));
+    server.close();
+  }
+}
+
+TEST_CASE("an idle connection is closed before the server's own limit") {
+  Sidecar sidecar(1);
+  sidecar.bounds = R"("conn_idle_ms":400)";
+  sidecar.start();
+  Peer client = sidecar.connect();
+  client.say(query("read"));
+  Peer server = sidecar.server();
+  server.message();
+  server.say(served("done"));
+  client.message();
+  CHECK(server.ends());
+}
+
+TEST_CASE(
+    "a watch's lines count wherever they are split, a bad one counts as a failure, and it is asked anew") {
+  Sidecar sidecar(2);
+  ServerSocket hidden = sidecar.servers[1];
+  sidecar.servers.pop_back();
+  sidecar.start();
+  Peer watch = accept(sidecar.discovery);
+  CHECK(has(watch.until("\r\n\r\n"), "GET /discovery/hosts?watch=1&after=41 HTTP/1.1\r\n"));
+  watch.say("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + chunk("\n"));
+  const std::string news = R"({"index":42,"snapshot":false,"endpoints":[)" +
+                           entry("s-0", sidecar.servers[0], "draining") + "," + entry("s-new", hidden) +
+                           "]}\n";
+  for (const char byte : news) watch.say(chunk(std::string(1, byte)));
+  std::this_thread::sleep_for(100ms);
+  Peer client = sidecar.connect();
+  client.say(query("pay"));
+  Peer server = accept(hidden);
+  server.message();
+  server.say(served("new"));
+  CHECK(has(client.message(), "new"));
+
+  watch.say(chunk(R"({"index":43,"snapshot":true,"endpoints":[{"name":"s-0","status":"odd"}]})"
+                  "\n"));
+  CHECK(watch.ends());
+  Peer again = accept(sidecar.discovery);
+  CHECK(has(again.until("\r\n\r\n"), "after=42"));
+  again.say("HTTP/1.1 503 x\r\nContent-Length: 0\r\n\r\n");
+  Peer third = accept(sidecar.discovery);
+  third.until("\r\n\r\n");
+  client.say(query("pay"));  // the held list stays
+  server.message();
+  server.say(served("held"));
+  CHECK(has(client.message(), "held"));
+}
+
+TEST_CASE("a doubted list is asked for again, and a known name's new address is honoured") {
+  Sidecar sidecar(2);
+  sidecar.start();
+  Peer watch = accept(sidecar.discovery);
+  watch.until("\r\n\r\n");
+  watch.say("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" +
+            chunk("{\"index\":42,\"snapshot\":true,\"endpoints\":[]}\n"));
+  Peer list = accept(sidecar.discovery);
+  CHECK(has(list.until("\r\n\r\n"), "GET /discovery/hosts HTTP/1.1\r\n"));
+  ServerSocket moved(SocketAddress("127.0.0.1", 0));
+  list.say(served(R"({"index":42,"snapshot":true,"endpoints":[)" + entry("s-0", moved) + "," +
+                  entry("s-1", moved) + "]}"));
+  CHECK(list.ends());
+  Peer client = sidecar.connect();
+  client.say(query("pay"));
+  Peer server = accept(moved);
+  server.message();
+  server.say(served("moved"));
+  CHECK(has(client.message(), "moved"));
+}
+
+TEST_CASE("a watch that falls silent is asked for anew") {
+  Sidecar sidecar(1);
+  sidecar.start();
+  Peer watch = accept(sidecar.discovery);
+  watch.say("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + chunk("\n"));
+  Peer again = accept(sidecar.discovery);
+  CHECK(has(again.until("\r\n\r\n"), "watch=1"));
+}
+
+TEST_CASE("asked to stop, it answers what it has and what still comes, and ends") {
+  Sidecar sidecar(1);
+  sidecar.start();
+  Peer idle = sidecar.connect();
+  idle.say("GET /up HTTP/1.1\r\n\r\n");
+  idle.message();
+  Peer client = sidecar.connect();
+  client.say(query("read"));
+  Peer server = sidecar.server();
+  server.message();
+  sidecar.signal(SIGTERM);
+  CHECK(idle.ends());
+  Peer late = sidecar.connect();
+  late.say(query("read"));
+  Peer second = sidecar.server();
+  second.message();
+  second.say(served("late"));
+  CHECK(has(late.message(), "Connection: close\r\n"));
+  server.say(served("held"));
+  const std::string answer = client.message();
+  CHECK(has(answer, "held"));
+  CHECK(has(answer, "Connection: close\r\n"));
+  client.close();
+  late.close();
+  CHECK(sidecar.ended() == 0);
+  CHECK(has(sidecar.log(), "counters queries=2 completed=2 rejected=0"));
+}
+
+TEST_CASE("without descriptors, idle connections make room and no query is lost") {
+  Sidecar sidecar(1);
+  sidecar.sockets = "24";
+  sidecar.start();
+  Peer first = sidecar.connect();
+  first.say(query("read"));
+  Peer server = sidecar.server();
+  server.message();
+  server.say(served("done"));
+  first.message();
+  std::vector<Peer> clients;
+  for (int i = 0; i < 40; ++i) {
+    clients.push_back(sidecar.connect());
+    clients.back().say("GET /up HTTP/1.1\r\n\r\n");
+    CHECK(has(clients.back().message(), "200 OK"));
+  }
+  CHECK(server.ends());
+  CHECK(first.ends());
+  clients.push_back(sidecar.connect());
+  clients.back().say(query("read"));
+  Peer next = sidecar.server();
+  next.message();
+  next.say(served("done"));
+  CHECK(has(clients.back().message(), "done"));
+  sidecar.signal(SIGUSR1);
+  sidecar.signal(SIGTERM);
+  CHECK(sidecar.ended() == 0);
+  CHECK(has(sidecar.log(), "counters queries=2 completed=2 "));
+}
+
+TEST_CASE("what it is told wrongly at start is one line and a failed exit") {
+  Sidecar sidecar(1);
+  std::string form = sidecar.form();
+  bool told = true;
+  ServerSocket taken;
+  SECTION("no variable") { told = false; }
+  SECTION("not JSON") { form = "listen"; }
+  SECTION("nothing in it") { form = "{}"; }
+  SECTION("a name for an address") { form.replace(form.find("127.0.0.1"), 9, "localhost"); }
+  SECTION("an address in use") { taken = ServerSocket(sidecar.address); }
+  SECTION("an unknown kind of repeat") { form.replace(form.find("fragile"), 7, "brittle"); }
+  sidecar.launch(form, told);
+  CHECK(sidecar.ended() == 1);
+  const std::string log = sidecar.log();
+  CHECK(log.find("rackroute: ") == 0);
+  CHECK(log.find('\n') == log.size() - 1);
+}
