Close the client connection that is idle for longest when descriptors run out

Seen: the story of the taken descriptors failed once in six runs. The sidecar closed any idle client connection, in the order of addresses in memory; a just answered one might be it while an old one stayed. Line at fault: ClientSide::freeDescriptor. Now the longest idle goes; 16 of 16 runs of the story in parallel pass.

--- a/src/sidecar/client_side.cpp
+++ b/src/sidecar/client_side.cpp
@@ -54,6 +54,7 @@
 
   void answer(http::Gather head, const std::shared_ptr<const Message>& body = nullptr) {
     query_.reset();
+    answeredAt_ = loop_.now();
     const bool close = closes_ || side_.stopped_;
     std::string rest = "Content-Length: " + std::to_string(body ? body->body().size() : 0) + "\r\n";
     rest += close ? "Connection: close\r\n\r\n" : "\r\n";
@@ -78,6 +79,7 @@
     end(reason);
     return true;
   }
+  [[nodiscard]] Span answeredAt() const { return answeredAt_; }
   /// Closes it unless a query of it is in flight.
   void endUnlessBusy() {
     if (!query_) end(Reason::shutdown);
@@ -179,6 +181,7 @@
   http::Reader reader_{http::Reader::Kind::query};
   std::optional<QueryId> query_;  // read, and not yet answered
   Loop::TimerId stall_;
+  Span answeredAt_{};
   bool closes_ = false;
 };
 
@@ -280,7 +283,9 @@
 }
 
 bool ClientSide::freeDescriptor() {
-  const auto connections = all();
+  auto connections = all();
+  std::sort(connections.begin(), connections.end(),
+            [](const auto& a, const auto& b) { return a->answeredAt() < b->answeredAt(); });
   return std::any_of(connections.begin(), connections.end(),
                      [](const auto& connection) { return connection->endIfIdle(Reason::descriptors); });
 }
--- a/src/sidecar/client_side.hpp
+++ b/src/sidecar/client_side.hpp
@@ -39,7 +39,7 @@
   void abort(QueryId query);
   /// Goes on taking what still comes, and calls back once all of it is answered.
   void stop(std::function<void()> stopped);
-  /// Closes a connection that is between queries. False: none is.
+  /// Closes the connection that has been between queries for longest. False: none is.
   bool freeDescriptor();
 
  private:
