--- a/src/sidecar/counters.hpp
+++ b/src/sidecar/counters.hpp
@@ -3,11 +3,17 @@
 // What the sidecar took in, sent and answered since its start. Each part of the program counts its own lines
 // here; nothing reads them back but the printing.
 
+#include <array>
 #include <cstdint>
 #include <ostream>
+#include <string_view>
+
+#include "rackroute/balancer.hpp"
 
 namespace rackroute::sidecar {
 
+std::string_view nameOf(Outcome outcome);
+
 struct Counters {
   std::uint64_t queries = 0;
   std::uint64_t completed = 0;
@@ -16,8 +22,8 @@
   std::uint64_t clientsLeft = 0;
   std::uint64_t badQueries = 0;
   std::uint64_t executions = 0;
-  std::uint64_t outcomes[8] = {};  // by Outcome
-  std::uint64_t lateAnswers = 0;   // whole, but their query was over
+  std::array<std::uint64_t, 8> outcomes{};  // by Outcome
+  std::uint64_t lateAnswers = 0;            // whole, but their query was over
   std::uint64_t clientConnections = 0;
   std::uint64_t serverConnections = 0;
   std::uint64_t dialsFailed = 0;
--- a/src/sidecar/exchange.cpp
+++ b/src/sidecar/exchange.cpp
@@ -2,6 +2,7 @@
 
 #include "sidecar/client_side.hpp"
 #include "sidecar/discovery.hpp"
+#include "sidecar/log.hpp"
 
 namespace rackroute::sidecar {
 
@@ -32,7 +33,9 @@
 
 void Exchange::executionEnded(ExecutionKey execution, Outcome outcome, Span service,
                               const std::shared_ptr<const http::Message>& answer) {
-  ++loop_.counters.outcomes[static_cast<std::size_t>(outcome)];
+  ++loop_.counters.outcomes.at(static_cast<std::size_t>(outcome));
+  Line(Level::debug) << "execution query=" << execution.query.value << " no=" << execution.no.value
+                     << " outcome=" << nameOf(outcome);
   const auto at = inFlight_.find(execution.query);
   if (at == inFlight_.end()) return;
   InFlight& query = at->second;
@@ -48,6 +51,8 @@
 
 void Exchange::serversListed(const Listed& listed) {
   ++loop_.counters.lists;
+  Line(Level::debug) << "listed servers=" << listed.servers.size()
+                     << (listed.listing == Listing::changes ? " changes" : " whole");
   for (const auto& [server, address] : listed.addresses) servers_->listed(server, address);
   balancer_->serversListed(loop_.now(), listed.listing, listed.servers);
   settle({});
--- a/src/sidecar/log.cpp
+++ b/src/sidecar/log.cpp
@@ -11,7 +11,7 @@
 namespace rackroute::sidecar {
 namespace {
 
-constexpr std::array<std::string_view, 5> kNames = {"debug", "info", "warning", "error", "off"};
+constexpr std::array<std::string_view, 5> kNames = {"debug", "info", "warning", "error", "asked"};
 Level lowest = Level::info;
 std::uint64_t dropped = 0;
 
@@ -26,7 +26,7 @@
   return false;
 }
 
-bool logs(Level level) { return level >= lowest && level != Level::off; }
+bool logs(Level level) { return level >= lowest; }
 
 Line::~Line() {
   if (!logs(level_)) return;
--- a/src/sidecar/log.hpp
+++ b/src/sidecar/log.hpp
@@ -9,7 +9,7 @@
 
 namespace rackroute::sidecar {
 
-enum class Level { debug, info, warning, error, off };
+enum class Level { debug, info, warning, error, asked };  // asked: what somebody asked for just now
 
 /// What is logged from here on; by its name, as in RACKROUTE_LOG. False: no such level.
 bool setLevel(std::string_view name);
--- a/src/sidecar/main.cpp
+++ b/src/sidecar/main.cpp
@@ -69,7 +69,7 @@
       if (number != SIGUSR1) return stop_();
       std::ostringstream text;
       loop_.counters.print(text);
-      Line(Level::error) << text.str();
+      Line(Level::asked) << text.str();
     });
   }
 
@@ -143,7 +143,8 @@
   const auto listen = needed(*document, "listen").convert<std::string>();
   exchange.start(told, clients, servers, discovery, known);
   clients.listen(numericAddress(listen));
-  Line(Level::info) << "listening address=" << listen << " servers=" << known.servers.size();
+  Line(Level::info) << "listening name=" << document->optValue<std::string>("name", "-")
+                    << " address=" << listen << " servers=" << known.servers.size();
   loop.run();
 
   std::ostringstream counters;
