Bind before the balancer starts; count the loop's turns

The stories of the two mends without a test: a reported service time reaches the module under the settings' name, and open connections leave the loop at rest (turns are counted; a spinning loop makes 50,000 a second). Seen while writing them: at debug level a bad listening address left two lines, as discovery had been asked before the bind. Line at fault: the order in run().

--- a/src/sidecar/counters.cpp
+++ b/src/sidecar/counters.cpp
@@ -20,7 +20,7 @@
       << " server_connections=" << serverConnections << " dials_failed=" << dialsFailed
       << " reused=" << reused << " discovery_calls=" << discoveryCalls
       << " discovery_failures=" << discoveryFailures << " lists=" << lists
-      << " out_of_descriptors=" << outOfDescriptors << " timers=" << timers
+      << " out_of_descriptors=" << outOfDescriptors << " turns=" << turns << " timers=" << timers
       << " latest_timer_us=" << latestTimer << " faults=" << faults;
 }
 
--- a/src/sidecar/counters.hpp
+++ b/src/sidecar/counters.hpp
@@ -32,6 +32,7 @@
   std::uint64_t discoveryFailures = 0;
   std::uint64_t lists = 0;
   std::uint64_t outOfDescriptors = 0;
+  std::uint64_t turns = 0;  // of the loop
   std::uint64_t timers = 0;
   std::uint64_t latestTimer = 0;  // microseconds after its time
   std::uint64_t faults = 0;       // errors of the program itself
--- a/src/sidecar/exchange.cpp
+++ b/src/sidecar/exchange.cpp
@@ -35,7 +35,7 @@
                               const std::shared_ptr<const http::Message>& answer) {
   ++loop_.counters.outcomes.at(static_cast<std::size_t>(outcome));
   Line(Level::debug) << "execution query=" << execution.query.value << " no=" << execution.no.value
-                     << " outcome=" << nameOf(outcome);
+                     << " outcome=" << nameOf(outcome) << " service_us=" << service.count();
   const auto at = inFlight_.find(execution.query);
   if (at == inFlight_.end()) return;
   InFlight& query = at->second;
--- a/src/sidecar/loop.cpp
+++ b/src/sidecar/loop.cpp
@@ -44,6 +44,7 @@
 
 void Loop::runDue() {
   dead_.clear();
+  ++counters.turns;
   const Span now = this->now();
   while (!timers_.empty() && timers_.begin()->first.first <= now) {
     const Task task = std::move(timers_.begin()->second);
--- a/src/sidecar/main.cpp
+++ b/src/sidecar/main.cpp
@@ -141,8 +141,8 @@
     clients.stop([&] { loop.stop(); });
   });
   const auto listen = needed(*document, "listen").convert<std::string>();
-  exchange.start(told, clients, servers, discovery, known);
   clients.listen(numericAddress(listen));
+  exchange.start(told, clients, servers, discovery, known);
   Line(Level::info) << "listening name=" << document->optValue<std::string>("name", "-")
                     << " address=" << listen << " servers=" << known.servers.size();
   loop.run();
--- a/tests/sidecar_test.cpp
+++ b/tests/sidecar_test.cpp
@@ -130,7 +130,7 @@
   }
   void launch(const std::string& form, bool told = true) {
     std::ofstream(file_.path()) << form;
-    const Poco::Process::Env env = {{"LB_CONFIG", told ? file_.path() : ""}, {"RACKROUTE_LOG", "info"}};
+    const Poco::Process::Env env = {{"LB_CONFIG", told ? file_.path() : ""}, {"RACKROUTE_LOG", "debug"}};
     process_ = Poco::Process::launch(RACKROUTE_PROGRAM, {}, nullptr, nullptr, &errors_, env);
   }
   Sidecar& start() {
@@ -240,6 +240,24 @@
   CHECK(has(client.message(), "two"));
 }
 
+TEST_CASE("a service time is read under the settings' name, and open connections leave the loop at rest") {
+  Sidecar sidecar(1);
+  sidecar.start();
+  Peer watch = accept(sidecar.discovery);
+  Peer client = sidecar.connect();
+  client.say(query("read"));
+  Peer server = sidecar.server();
+  server.message();
+  server.say(served("done", "X-Load: {\"busy\":0.3,\"lat_ms\":96.153}\r\n"));
+  CHECK_FALSE(has(client.message(), "X-Load"));
+  std::this_thread::sleep_for(500ms);  // a loop that polls for writing in vain turns some 20,000 times
+  sidecar.signal(SIGTERM);
+  CHECK(sidecar.ended() == 0);
+  const std::string log = sidecar.log();
+  CHECK(has(log, "service_us=96153"));
+  CHECK(std::stoi(log.substr(log.find(" turns=") + 7)) < 1000);
+}
+
 TEST_CASE("what never ran goes out again, what may have run does not") {
   struct Case {
     std::string says;
