--- a/tests/sidecar_test.cpp
+++ b/tests/sidecar_test.cpp
@@ -309,6 +309,29 @@
   }
 }
 
+TEST_CASE("a connection that never comes up never ran: the query goes to the other server") {
+  Sidecar sidecar;
+  ServerSocket full;  // its queue of connections is full and nobody accepts them
+  full.bind(SocketAddress("127.0.0.1", 0));
+  full.listen(0);
+  std::vector<StreamSocket> queued(3);
+  for (StreamSocket& one : queued) one.connectNB(full.address());
+  sidecar.servers[0] = full;
+  sidecar.start();
+  sidecar.servers.erase(sidecar.servers.begin());
+  for (int i = 0; i < 8; ++i) {
+    Peer client = sidecar.connect();
+    client.say(query("pay"));
+    Peer server = sidecar.server();
+    server.message();
+    server.say(served("done", "Connection: close\r\n"));
+    CHECK(has(client.message(), "done"));
+  }
+  sidecar.signal(SIGTERM);
+  CHECK(sidecar.ended() == 0);
+  CHECK(has(sidecar.log(), "reason=dial_timeout"));
+}
+
 TEST_CASE("a half answer is not passed on; one that may run again is served by the other server") {
   Sidecar sidecar;
   sidecar.start();
