Read the configuration again on SIGHUP and move the watch to its discovery

Cause: main.cpp handled TERM, INT and USR1 only, so HUP kept the default action. Checked: nothing else ended the program (no fault line, no other signal).

Now the file is read and checked as at the start; one that can't be used changes nothing and says so. Discovery moves at once, a watch stands at the new address and leaving the old one is no failure; queries, list and ejections stay. The descriptor limit is applied; a change of listen, name or settings is logged as waiting for a restart. HUP before the start is over is taken in and does nothing, as the start reads the file itself.

--- a/src/sidecar/discovery.cpp
+++ b/src/sidecar/discovery.cpp
@@ -172,6 +172,20 @@
 
 void Discovery::list() { call(false); }
 
+// What was asked for and not yet told is asked for anew, so that nothing of it is lost on the way.
+void Discovery::moveTo(const Poco::Net::SocketAddress& address) {
+  if (address == address_ && watch_) return;
+  address_ = address;
+  bool listing = false;
+  const auto calls = calls_;
+  for (const auto& [at, call] : calls) {
+    listing = listing || call != watch_;
+    call->drop();
+  }
+  watch();
+  if (listing) list();
+}
+
 std::shared_ptr<DiscoveryCall> Discovery::call(bool watch) {
   ++loop_.counters.discoveryCalls;
   try {
--- a/src/sidecar/discovery.hpp
+++ b/src/sidecar/discovery.hpp
@@ -37,6 +37,8 @@
 
   void watch();
   void list();
+  /// Goes on at another address: a watch stands there at once, and leaving the old one is no failure.
+  void moveTo(const Poco::Net::SocketAddress& address);
 
  private:
   friend class DiscoveryCall;
--- a/src/sidecar/main.cpp
+++ b/src/sidecar/main.cpp
@@ -1,10 +1,12 @@
 // Starts the sidecar from what it is told, and ends it when asked. It owns the parts and their order, and
-// turns signals into calls: TERM and INT stop it, USR1 prints the counters. It must never start half told.
+// turns signals into calls: TERM and INT stop it, HUP has it told anew, USR1 prints the counters. It must
+// never start half told, nor end or forget anything because it was told anew.
 
 #include <Poco/Exception.h>
 #include <Poco/JSON/Array.h>
 #include <Poco/JSON/Object.h>
 #include <Poco/JSON/Parser.h>
+#include <Poco/Net/SocketAddress.h>
 #include <Poco/Net/StreamSocketImpl.h>
 #include <Poco/Observer.h>
 #include <sys/resource.h>
@@ -17,6 +19,8 @@
 #include <cstdlib>
 #include <fstream>
 #include <iostream>
+#include <map>
+#include <optional>
 #include <sstream>
 #include <stdexcept>
 #include <string>
@@ -43,21 +47,25 @@
   [[maybe_unused]] const auto written = ::write(signalEnds[1], &byte, 1);
 }
 
-/// Signals as bytes on a socket, so that they come in a turn of the loop like all else.
+/// Signals as bytes on a socket, so that they come in a turn of the loop like all else; what comes before the
+/// loop runs waits there.
 class Signals {
  public:
-  Signals(Loop& loop, std::function<void()> stop) : loop_(loop), stop_(std::move(stop)) {
+  explicit Signals(Loop& loop) : loop_(loop) {
     if (::socketpair(AF_UNIX, SOCK_STREAM | SOCK_NONBLOCK, 0, signalEnds) != 0)
       throw std::runtime_error("no socket for signals");
     socket_ = Poco::Net::StreamSocket(new Poco::Net::StreamSocketImpl(signalEnds[0]));
     socket_.setBlocking(false);
     loop_.addEventHandler(socket_,
                           Poco::Observer<Signals, Poco::Net::ReadableNotification>(*this, &Signals::read));
+    std::signal(SIGPIPE, SIG_IGN);
+  }
+  void on(int number, Loop::Task task) {
+    tasks_[number] = std::move(task);
     struct sigaction action {};
     action.sa_handler = onSignal;
     action.sa_flags = SA_RESTART;
-    for (const int number : {SIGTERM, SIGINT, SIGUSR1}) ::sigaction(number, &action, nullptr);
-    std::signal(SIGPIPE, SIG_IGN);
+    ::sigaction(number, &action, nullptr);
   }
 
  private:
@@ -65,16 +73,12 @@
     event->release();
     loop_.guarded([this] {
       char number = 0;
-      if (socket_.receiveBytes(&number, 1) != 1) return;
-      if (number != SIGUSR1) return stop_();
-      std::ostringstream text;
-      loop_.counters.print(text);
-      Line(Level::asked) << text.str();
+      if (socket_.receiveBytes(&number, 1) == 1) tasks_.at(number)();
     });
   }
 
   Loop& loop_;
-  std::function<void()> stop_;
+  std::map<int, Loop::Task> tasks_;
   Poco::Net::StreamSocket socket_;
 };
 
@@ -99,52 +103,113 @@
   return value;
 }
 
-int run() {
-  if (const char* level = std::getenv("RACKROUTE_LOG"); level != nullptr && !setLevel(level))
-    throw std::runtime_error("RACKROUTE_LOG is not a level: " + std::string(level));
+/// What the file that LB_CONFIG names tells, checked as a whole; the same at the start and on HUP.
+struct Assignment {
+  std::string name;
+  std::string listen;
+  Poco::Net::SocketAddress discovery;
+  std::uint64_t seed = 0;
+  told::Pairs pairs;
+  std::optional<rlim_t> descriptors;
+  Var known;
+};
+
+Assignment readAssignment() {
   const char* const path = std::getenv("LB_CONFIG");
   if (path == nullptr) throw std::runtime_error("LB_CONFIG is not set");
   std::ifstream file(path);
   std::ostringstream text;
   if (!file || !(text << file.rdbuf())) throw std::runtime_error(std::string("cannot read ") + path);
-  const auto document = Poco::JSON::Parser().parse(text.str()).extract<Object::Ptr>();
+  const Var parsed = Poco::JSON::Parser().parse(text.str());
+  if (parsed.type() != typeid(Object::Ptr)) throw std::runtime_error("the configuration is no object");
+  const auto document = parsed.extract<Object::Ptr>();
+
+  Assignment made;
+  made.name = document->optValue<std::string>("name", "-");
+  made.listen = needed(*document, "listen").convert<std::string>();
+  numericAddress(made.listen);
+  made.discovery = numericAddress(needed(*document, "discovery").convert<std::string>());
+  const auto seed = needed(*document, "seed").convert<std::string>();
+  const auto read = std::from_chars(seed.data(), seed.data() + seed.size(), made.seed, 16);
+  if (read.ec != std::errc{} || read.ptr != seed.data() + seed.size()) told::malformed("seed", seed);
+  flatten("", needed(*document, "settings"), made.pairs);
+  if (const auto limits = document->getObject("limits"); limits && limits->has("sockets"))
+    made.descriptors = limits->getValue<std::uint32_t>("sockets");
+  made.known = needed(*document, "known");
+  return made;
+}
 
-  const auto seedText = needed(*document, "seed").convert<std::string>();
-  std::uint64_t seed = 0;
-  const auto read = std::from_chars(seedText.data(), seedText.data() + seedText.size(), seed, 16);
-  if (read.ec != std::errc{} || read.ptr != seedText.data() + seedText.size())
-    told::malformed("seed", seedText);
-  told::Pairs pairs;
-  flatten("", needed(*document, "settings"), pairs);
-  told::Told told(seed, pairs);
-  told.terms.discoveryOnRequest = true;  // here discovery only ever answers
+// Guards against more descriptors than the machine is given: the system itself then says no.
+void limitDescriptors(const Assignment& told) {
+  static const rlim_t atStart = [] {
+    rlimit limit{};
+    ::getrlimit(RLIMIT_NOFILE, &limit);
+    return limit.rlim_cur;
+  }();
+  rlimit limit{};
+  ::getrlimit(RLIMIT_NOFILE, &limit);
+  limit.rlim_cur = std::min(atStart, told.descriptors.value_or(atStart));
+  ::setrlimit(RLIMIT_NOFILE, &limit);
+}
 
-  // Guards against more descriptors than the machine is given: the system itself then says no.
-  rlimit descriptors{};
-  ::getrlimit(RLIMIT_NOFILE, &descriptors);
-  const auto limits = document->getObject("limits");
-  if (limits)
-    descriptors.rlim_cur = std::min<rlim_t>(descriptors.rlim_cur, limits->optValue("sockets", 1024U));
-  ::setrlimit(RLIMIT_NOFILE, &descriptors);
+// Guards against a reload that costs service: a file that can't be used changes nothing, and one that can
+// moves discovery and the descriptor limit; the rest is told to the balancer once, and waits for a restart.
+void tellAnew(Assignment& told, Discovery& discovery) {
+  try {
+    Assignment anew = readAssignment();
+    const told::Told checked(anew.seed, anew.pairs);
+    limitDescriptors(anew);
+    discovery.moveTo(anew.discovery);
+    std::string waits;
+    if (anew.listen != told.listen) waits += ",listen";
+    if (anew.name != told.name) waits += ",name";
+    if (anew.pairs != told.pairs) waits += ",settings";
+    Line(Level::info) << "reloaded discovery=" << anew.discovery.toString()
+                      << (waits.empty() ? "" : " needs_restart=") << waits.substr(waits.empty() ? 0 : 1);
+    told.discovery = anew.discovery;
+  } catch (const Poco::Exception& error) {
+    Line(Level::warning) << "reload_refused what=\"" << error.displayText() << '"';
+  } catch (const std::exception& error) {
+    Line(Level::warning) << "reload_refused what=\"" << error.what() << '"';
+  }
+}
 
+int run() {
+  if (const char* level = std::getenv("RACKROUTE_LOG"); level != nullptr && !setLevel(level))
+    throw std::runtime_error("RACKROUTE_LOG is not a level: " + std::string(level));
   Loop loop;
+  Signals signals(loop);
+  // Guards against a reload that comes before the start is over: its default action would end the program.
+  signals.on(SIGHUP, [] {});
+  Assignment assignment = readAssignment();
+  told::Told told(assignment.seed, assignment.pairs);
+  told.terms.discoveryOnRequest = true;  // here discovery only ever answers
+  limitDescriptors(assignment);
+
   Exchange exchange(loop);
   ClientSide clients(loop, exchange, told);
   ServerSide servers(loop, exchange, told);
   std::uint64_t index = 0;
-  Listed known = readList(needed(*document, "known"), told.zones, loop, index);
+  Listed known = readList(assignment.known, told.zones, loop, index);
   known.listing = Listing::persisted;
-  Discovery discovery(loop, exchange, told.zones,
-                      numericAddress(needed(*document, "discovery").convert<std::string>()), index);
-  const Signals signals(loop, [&] {
+  assignment.known.clear();
+  Discovery discovery(loop, exchange, told.zones, assignment.discovery, index);
+  const auto stop = [&] {
     Line(Level::info) << "stopping";
     clients.stop([&] { loop.stop(); });
+  };
+  signals.on(SIGTERM, stop);
+  signals.on(SIGINT, stop);
+  signals.on(SIGHUP, [&] { tellAnew(assignment, discovery); });
+  signals.on(SIGUSR1, [&] {
+    std::ostringstream text;
+    loop.counters.print(text);
+    Line(Level::asked) << text.str();
   });
-  const auto listen = needed(*document, "listen").convert<std::string>();
-  clients.listen(numericAddress(listen));
+  clients.listen(numericAddress(assignment.listen));
   exchange.start(told, clients, servers, discovery, known);
-  Line(Level::info) << "listening name=" << document->optValue<std::string>("name", "-")
-                    << " address=" << listen << " servers=" << known.servers.size();
+  Line(Level::info) << "listening name=" << assignment.name << " address=" << assignment.listen
+                    << " servers=" << known.servers.size();
   loop.run();
 
   std::ostringstream counters;
--- a/tests/sidecar_test.cpp
+++ b/tests/sidecar_test.cpp
@@ -128,8 +128,9 @@
            "bounds":{"max_executions":4,"dial_timeout_ms":250.0,"retry_after":true,"max_retry_after_ms":1500.0,)" +
            bounds + R"(},"rules":{"drain_grace_ms":500.0}}})";
   }
+  void tell(const std::string& form) { std::ofstream(file_.path()) << form; }
   void launch(const std::string& form, bool told = true) {
-    std::ofstream(file_.path()) << form;
+    tell(form);
     const Poco::Process::Env env = {{"LB_CONFIG", told ? file_.path() : ""}, {"RACKROUTE_LOG", "debug"}};
     process_ = Poco::Process::launch(RACKROUTE_PROGRAM, {}, nullptr, nullptr, &errors_, env);
   }
@@ -525,6 +526,42 @@
   CHECK(has(again.until("\r\n\r\n"), "watch=1"));
 }
 
+TEST_CASE("told anew under way, it watches discovery at the new address and loses nothing") {
+  Sidecar sidecar(1);
+  sidecar.start();
+  Peer watch = accept(sidecar.discovery);
+  watch.until("\r\n\r\n");
+  Peer client = sidecar.connect();
+  client.say(query("pay"));
+  Peer server = sidecar.server();
+  server.message();
+  const ServerSocket old = std::exchange(sidecar.discovery, ServerSocket(SocketAddress("127.0.0.1", 0)));
+  const std::string moved = sidecar.form();
+  sidecar.tell("{\"discovery\":");  // half a file changes nothing
+  sidecar.signal(SIGHUP);
+  sidecar.tell(moved.substr(0, moved.find("fragile")) + "brittle" + moved.substr(moved.find("fragile") + 7));
+  sidecar.signal(SIGHUP);
+  CHECK(watch.quiet());
+  sidecar.tell(moved);
+  sidecar.signal(SIGHUP);
+  Peer anew = accept(sidecar.discovery);
+  CHECK(has(anew.until("\r\n\r\n"), "watch=1&after=41"));
+  CHECK(watch.ends());
+  sidecar.signal(SIGHUP);  // once more: the watch that stands stays
+  anew.say(
+      "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" +
+      chunk("{\"index\":3,\"snapshot\":true,\"endpoints\":[" + entry("s-0", sidecar.servers[0]) + "]}\n"));
+  CHECK(anew.quiet());
+  server.say(served("held"));
+  CHECK(has(client.message(), "held"));
+  sidecar.signal(SIGTERM);
+  sidecar.signal(SIGHUP);
+  CHECK(sidecar.ended() == 0);
+  const std::string log = sidecar.log();
+  CHECK(has(log, "reload_refused"));
+  CHECK(has(log, " discovery_failures=0 lists=2 "));
+}
+
 TEST_CASE("asked to stop, it answers what it has and what still comes, and ends") {
   Sidecar sidecar(1);
   sidecar.start();
