Bound and check the application's connections; a server's 400 tells of the query alone

A probe that logged what servers answer with unknown statuses: 305 of 305 were 400, to queries well formed in every way whose id was another's in flight; each went to up to five servers and counted as an error against each. Connections that had never sent a whole query had no timer at all (client_side.cpp, next()). Ruled out: memory (2 MB).

Now: without a query a connection ends after 2.1 s, a query begun just then has 0.5 s more; the application has half the descriptors, and past that what is least needed goes (waiting for its last answer to be seen, silent, idle); accepting takes up to 32 a turn and reads at once; what follows a last answer is read up to 64 KB. Turned away with a 4xx: an id in flight, doubled or empty; a path or method that does not fit the class; no time; a second query before the answer; 400 and 404 of a server, which then stays in good standing. Raw chunks have a bound. Bytes that come between the look at an idle connection and its query are not read as its answer.

--- a/src/http/message.cpp
+++ b/src/http/message.cpp
@@ -53,6 +53,11 @@
   return std::nullopt;
 }
 
+std::size_t Message::count(std::string_view name) const {
+  return static_cast<std::size_t>(std::count_if(
+      fields_.begin(), fields_.end(), [&](const Field& field) { return sameName(text(field.name), name); }));
+}
+
 bool Message::keepsOpen() const {
   bool open = word(status_ == 0 ? 2 : 0) != "HTTP/1.0";
   for (const Field& field : fields_) {
@@ -219,6 +224,8 @@
   const Progress chunks =
       chunks_.read(std::string_view(in).substr(end_), used, message_.unchunked_, longestBody_);
   end_ += used;
+  // Guards against chunks of a byte each behind long size lines: the raw bytes have a bound too.
+  if (chunks == Progress::more && in.size() > headEnd_ + 2 * longestBody_) return Progress::bodyTooLong;
   return chunks;
 }
 
--- a/src/http/message.hpp
+++ b/src/http/message.hpp
@@ -40,6 +40,7 @@
   [[nodiscard]] std::string_view start() const { return text({0, words_[1].from + words_[1].size}); }
   [[nodiscard]] const std::vector<Field>& fields() const { return fields_; }
   [[nodiscard]] std::optional<std::string_view> field(std::string_view name) const;
+  [[nodiscard]] std::size_t count(std::string_view name) const;
   [[nodiscard]] std::string_view body() const { return chunked_ ? unchunked_ : text(body_); }
   [[nodiscard]] std::uint32_t status() const { return status_; }
   /// Whether the sender keeps the connection open after this message.
--- a/src/sidecar/client_side.cpp
+++ b/src/sidecar/client_side.cpp
@@ -20,7 +20,12 @@
 using http::Message;
 using http::Progress;
 
-constexpr Span kStall = 10s;          // for the rest of a query; above every statement timeout
+constexpr Span kIdle = 2100ms;      // without a query; what clients are promised and a margin
+constexpr Span kRest = 500ms;       // more, for the rest of a query begun just then; ends within 3 s
+constexpr Span kFresh = 100ms;      // a connection's first query may still be on its way; some hundred trips
+constexpr int kAccepted = 32;       // connections a turn; a storm of them must not hold up queries
+constexpr std::size_t kShare = 2;   // of the descriptors, one in so many is the application's; they ask for 3
+constexpr Span kLongestTime = 60s;  // of a query; keeps its descriptor no longer, whatever it says
 constexpr Span kAcceptPause = 20ms;   // without descriptors; a few queries' time, and no spinning
 constexpr Span kStillComing = 600ms;  // after the call to stop; half again what the protocol names
 constexpr Span kLastBytes = 1s;       // more, for a query that had begun; ends well before the kill
@@ -52,9 +57,15 @@
   ClientConnection(ClientSide& side, Poco::Net::StreamSocket socket, std::string peer)
       : Connection(side.loop_, "client", std::move(socket), std::move(peer)), side_(side) {}
 
+  void start() {
+    idleFrom_ = loop_.now();
+    awaitQuery();
+    open();
+    readNow();  // most often the query is there already
+  }
   void answer(http::Gather head, const std::shared_ptr<const Message>& body = nullptr) {
-    query_.reset();
-    answeredAt_ = loop_.now();
+    forgetQuery();
+    idleFrom_ = loop_.now();
     const bool close = closes_ || side_.stopped_;
     std::string rest = "Content-Length: " + std::to_string(body ? body->body().size() : 0) + "\r\n";
     rest += close ? "Connection: close\r\n\r\n" : "\r\n";
@@ -65,6 +76,7 @@
     }
     send(std::move(head));
     if (close) return finish(why_.empty() ? Reason::closeAsked : Reason::badMessage);
+    awaitQuery();
     // In a turn of its own: the answer may come from within a call on the balancer.
     if (!in_.empty()) loop_.soon([self = shared_from_this(), this] { next(); });
   }
@@ -73,13 +85,28 @@
     head.text("HTTP/1.1 " + std::string(phrase(status)) + "\r\n" + fields);
     answer(std::move(head));
   }
+  void refuse(int status, std::string_view why) {
+    ++loop_.counters.badQueries;
+    why_ = why;
+    closes_ = true;
+    in_.clear();
+    answer(status);
+  }
   /// Closes it if it is between queries, with nothing of the next in sight.
   bool endIfIdle(Reason reason) {
     if (query_ || messages_ == 0 || reader_.begun(in_) || !allWritten() || stale()) return false;
     end(reason);
     return true;
   }
-  [[nodiscard]] Span answeredAt() const { return answeredAt_; }
+  /// Which connection goes first when descriptors run out, the least of these: one that only waits for its
+  /// last answer to be seen, one that never sent a whole query, one between queries; the oldest of its kind.
+  [[nodiscard]] std::optional<std::pair<int, Span>> priority() const {
+    if (query_ || ended()) return std::nullopt;
+    if (finishing()) return std::pair(0, idleFrom_);
+    if (!allWritten()) return std::nullopt;
+    if (messages_ == 0) return std::pair(loop_.now() - idleFrom_ > kFresh ? 1 : 3, idleFrom_);
+    return std::pair(reader_.begun(in_) ? 3 : 2, idleFrom_);
+  }
   /// Closes it unless a query of it is in flight.
   void endUnlessBusy() {
     if (!query_) end(Reason::shutdown);
@@ -88,8 +115,9 @@
  protected:
   void received() override { next(); }
   void gone(Reason) override {
-    loop_.cancel(stall_);
-    const auto query = std::exchange(query_, std::nullopt);
+    loop_.cancel(timer_);
+    const auto query = query_;
+    forgetQuery();
     side_.ended(*this);
     if (!query) return;
     side_.waiting_.erase(*query);
@@ -100,88 +128,101 @@
  private:
   void next() {
     if (ended() || closes_) return;
-    if (query_) {
-      // Guards against a client that sends on and on without waiting for its answer.
-      if (in_.size() > http::kLongestHead + http::kLongestBody) end(Reason::badMessage);
-      return;
-    }
+    // Guards against a client that sends on without waiting for its answer, which no client is allowed to:
+    // how its messages are to be told apart is not to be relied on.
+    if (query_) return leave("not_one_at_a_time");
     const Progress progress = reader_.read(in_);
-    loop_.cancel(stall_);
-    if (progress == Progress::more) {
-      // Guards against a client that stalls in the middle of a query and would keep its descriptor for ever.
-      if (reader_.begun(in_)) stall_ = loop_.in(kStall, [this] { refuse(408, "stalled"); });
-      return;
-    }
+    if (progress == Progress::more) return;
     if (progress == Progress::headTooLong) return refuse(431, "head_too_long");
     if (progress == Progress::bodyTooLong) return refuse(413, "body_too_long");
     if (progress == Progress::malformed) return refuse(400, "malformed");
     ++messages_;
     const auto message = std::make_shared<const Message>(reader_.take(in_));
+    if (!in_.empty()) return refuse(400, "not_one_at_a_time");
     closes_ = !message->keepsOpen();
     if (message->word(0) == "GET" && message->word(1) == "/up") return answer(200);
-    std::string_view lack;
-    const std::optional<Query> query = read(*message, lack);
-    if (!query) return refuse(400, lack);
-    query_ = query->id;
-    side_.waiting_[query->id] = this;
-    side_.exchange_.take(message, *query);
+    Query query;
+    if (const std::string_view lack = read(*message, query); !lack.empty()) return refuse(400, lack);
+    loop_.cancel(timer_);
+    query_ = query.id;
+    openId_ = *message->field("X-Request-Id");
+    side_.openIds_.insert(openId_);
+    side_.waiting_[query.id] = this;
+    side_.exchange_.take(message, query);
+  }
+
+  // Guards against connections that hold a descriptor and ask nothing, or never all of it: the time counts
+  // from the last answer, not from the last byte.
+  void awaitQuery(Span wait = kIdle) {
+    loop_.cancel(timer_);
+    timer_ = loop_.in(wait, [this, wait] {
+      if (!reader_.begun(in_)) return end(Reason::idle);
+      if (wait == kIdle) return awaitQuery(kRest);
+      refuse(408, "stalled");
+    });
+  }
+
+  void forgetQuery() {
+    if (query_) side_.openIds_.erase(openId_);
+    query_.reset();
   }
 
-  std::optional<Query> read(const Message& message, std::string_view& lack) {
+  void leave(std::string_view why) {
+    ++loop_.counters.badQueries;
+    why_ = why;
+    end(Reason::badMessage);
+  }
+
+  /// Decodes it; what is wrong with it, or nothing.
+  std::string_view read(const Message& message, Query& query) {
+    for (const std::string_view once : {"X-Request-Id", "X-Class", "X-Deadline-Ms", "Idempotency-Key"}) {
+      if (message.count(once) > 1) return "doubled_field";
+    }
+    const auto id = message.field("X-Request-Id");
     const auto useCase = message.field("X-Class");
     const auto time = message.field("X-Deadline-Ms");
-    lack = message.word(0) != "GET" && message.word(0) != "POST" ? "method"
-           : !message.field("X-Request-Id")                      ? "no_id"
-           : !useCase                                            ? "no_class"
-           : !time                                               ? "no_deadline"
-                                                                 : "";
-    if (!lack.empty()) return std::nullopt;
-    Query query;
+    if (!id || id->empty()) return "no_id";
+    if (!useCase) return "no_class";
+    if (!time) return "no_deadline";
+    // Guards against a second query under the id of one in flight: servers could not tell them apart.
+    if (side_.openIds_.contains(*id)) return "id_in_flight";
     try {
       query.useCase = {side_.told_.useCases.known(*useCase, "class")};
     } catch (const told::Malformed&) {
-      lack = "unknown_class";
-      return std::nullopt;
+      return "unknown_class";
     }
+    std::string_view path = message.word(1);
+    path = path.substr(1, path.find('?') - 1);
+    if (path.substr(0, path.find('/')) != *useCase) return "path_of_another_class";
     std::uint32_t millis = 0;
     const auto end = std::from_chars(time->data(), time->data() + time->size(), millis);
-    if (end.ec != std::errc{} || end.ptr != time->data() + time->size()) {
-      lack = "deadline_not_whole_milliseconds";
-      return std::nullopt;
-    }
-    query.timeLeft = std::chrono::milliseconds(millis);
-    if (side_.told_.terms.useCases[query.useCase.value].repeat == Repeat::deduplicated &&
-        !message.field("Idempotency-Key")) {
-      lack = "no_mark_against_repeats";
-      return std::nullopt;
-    }
+    if (end.ec != std::errc{} || end.ptr != time->data() + time->size() || millis == 0)
+      return "deadline_not_whole_milliseconds";
+    query.timeLeft = std::min<Span>(std::chrono::milliseconds(millis), kLongestTime);
+    const Repeat repeat = side_.told_.terms.useCases[query.useCase.value].repeat;
+    if (message.word(0) != (repeat == Repeat::idempotent ? "GET" : "POST")) return "method";
+    if (repeat == Repeat::idempotent && !message.body().empty()) return "body";
+    if (repeat == Repeat::deduplicated && message.field("Idempotency-Key").value_or("").empty())
+      return "no_mark_against_repeats";
     // The last part of the path, beside the first: a number in hexadecimal digits.
-    std::string_view path = message.word(1);
-    path = path.substr(0, path.find('?'));
-    const std::string_view last = path.substr(path.rfind('/') + 1);
+    const std::size_t slash = path.rfind('/');
+    const std::string_view last = slash == std::string_view::npos ? "" : path.substr(slash + 1);
     std::uint64_t key{};
     const auto read = std::from_chars(last.data(), last.data() + last.size(), key, 16);
-    if (path.rfind('/') > 0 && !last.empty())
+    if (!last.empty())
       query.key = read.ec == std::errc{} && read.ptr == last.data() + last.size()
                       ? KeyId{key}
                       : KeyId{told::serverId(last).value};
     query.id = {++side_.lastQuery_};
-    return query;
-  }
-
-  void refuse(int status, std::string_view why) {
-    ++loop_.counters.badQueries;
-    why_ = why;
-    closes_ = true;
-    in_.clear();
-    answer(status);
+    return {};
   }
 
   ClientSide& side_;
   http::Reader reader_{http::Reader::Kind::query};
   std::optional<QueryId> query_;  // read, and not yet answered
-  Loop::TimerId stall_;
-  Span answeredAt_{};
+  std::string openId_;            // the id it came with
+  Loop::TimerId timer_;           // until the next query must be there
+  Span idleFrom_{};
   bool closes_ = false;
 };
 
@@ -210,29 +251,37 @@
 
 void ClientSide::accept(Poco::Net::ReadableNotification* event) {
   event->release();
-  loop_.guarded([this] { acceptOne(); });
+  loop_.guarded([this] {
+    for (int i = 0; i < kAccepted && acceptOne(); ++i) continue;
+  });
 }
 
-void ClientSide::acceptOne() {
-  if (!listening_) return;
+bool ClientSide::acceptOne() {
+  if (!listening_) return false;
   try {
     Poco::Net::SocketAddress peer;
     const Poco::Net::StreamSocket socket = listener_.acceptConnection(peer);
     auto made = std::make_shared<ClientConnection>(*this, socket, peer.toString());
     connections_.emplace(made.get(), made);
     ++loop_.counters.clientConnections;
-    made->open();
+    made->start();
+    // Guards against connections by the hundred that leave no descriptor for executions: the application has
+    // its share, and with that used up one that is not needed goes for each that comes.
+    if (connections_.size() < most_ || freeDescriptor()) return true;
   } catch (const Poco::Exception& error) {
-    if (error.code() != EMFILE && error.code() != ENFILE) return;  // it left before it was accepted
-    // Guards against running out of descriptors: an idle server connection goes first; without one the
-    // listener rests, as it would stay readable and keep the loop spinning.
+    // Nothing is left to accept, or it left before it was.
+    if (error.code() != EMFILE && error.code() != ENFILE) return false;
     ++loop_.counters.outOfDescriptors;
-    if (exchange_.freeDescriptor()) return;
-    listening(false);
-    loop_.in(kAcceptPause, [this] { listening(true); });
+    if (exchange_.freeDescriptor()) return true;
   }
+  // The listener rests, as it would stay readable and keep the loop spinning.
+  listening(false);
+  loop_.in(kAcceptPause, [this] { listening(true); });
+  return false;
 }
 
+void ClientSide::limitDescriptors(std::size_t all) { most_ = std::max<std::size_t>(all / kShare, 1); }
+
 void ClientSide::answer(QueryId query, http::Gather pieces) {
   const auto at = waiting_.find(query);
   if (at == waiting_.end()) return;
@@ -276,6 +325,14 @@
   loop_.in(kStillComing, [this] { closeListener(); });
 }
 
+void ClientSide::turnAway(QueryId query) {
+  const auto at = waiting_.find(query);
+  if (at == waiting_.end()) return;
+  ClientConnection& connection = *at->second;
+  waiting_.erase(at);
+  connection.refuse(400, "refused_by_server");
+}
+
 std::vector<std::shared_ptr<ClientConnection>> ClientSide::all() const {
   std::vector<std::shared_ptr<ClientConnection>> all;
   for (const auto& [at, connection] : connections_) all.push_back(connection);
@@ -283,19 +340,19 @@
 }
 
 bool ClientSide::freeDescriptor() {
-  auto connections = all();
-  std::sort(connections.begin(), connections.end(),
-            [](const auto& a, const auto& b) { return a->answeredAt() < b->answeredAt(); });
-  return std::any_of(connections.begin(), connections.end(),
-                     [](const auto& connection) { return connection->endIfIdle(Reason::descriptors); });
+  std::shared_ptr<ClientConnection> first;
+  for (const auto& [at, connection] : connections_) {
+    const auto priority = connection->priority();
+    if (!priority || (first && first->priority() <= priority)) continue;
+    if (connection->finishing() || !connection->stale()) first = connection;
+  }
+  if (first) first->end(Reason::descriptors);
+  return first != nullptr;
 }
 
 // What the machine accepted is taken in before the listener goes.
 void ClientSide::closeListener() {
-  for (std::size_t before = connections_.size() + 1; listening_ && before != connections_.size();) {
-    before = connections_.size();
-    acceptOne();
-  }
+  while (acceptOne()) continue;
   listening(false);
   closed_ = true;
   listener_.close();
--- a/src/sidecar/client_side.hpp
+++ b/src/sidecar/client_side.hpp
@@ -12,6 +12,8 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
+#include <string>
 #include <vector>
 
 #include "http/gather.hpp"
@@ -37,16 +39,20 @@
   void complete(QueryId query, const std::shared_ptr<const http::Message>& answer);
   void reject(QueryId query, Span comeBackAfter);
   void abort(QueryId query);
+  /// The final answer to one that servers refuse as none that a client may send.
+  void turnAway(QueryId query);
   /// Goes on taking what still comes, and calls back once all of it is answered.
   void stop(std::function<void()> stopped);
-  /// Closes the connection that has been between queries for longest. False: none is.
+  /// Of so many descriptors in all the application's connections get their share.
+  void limitDescriptors(std::size_t all);
+  /// Closes the connection that is least needed. False: all are.
   bool freeDescriptor();
 
  private:
   friend class ClientConnection;
 
   void accept(Poco::Net::ReadableNotification* event);
-  void acceptOne();
+  bool acceptOne();  // false: not now
   void listening(bool on);
   void answer(QueryId query, http::Gather pieces);
   void closeListener();
@@ -59,6 +65,8 @@
   Poco::Net::ServerSocket listener_;
   std::map<ClientConnection*, std::shared_ptr<ClientConnection>> connections_;
   std::map<QueryId, ClientConnection*> waiting_;
+  std::set<std::string, std::less<>> openIds_;  // of queries in flight, as they came
+  std::size_t most_ = 1;                        // connections
   std::uint32_t lastQuery_ = 0;
   std::function<void()> stopped_;
   bool listening_ = false;
--- a/src/sidecar/connection.cpp
+++ b/src/sidecar/connection.cpp
@@ -20,8 +20,9 @@
 using Poco::Net::WritableNotification;
 using Readable = Poco::Observer<Connection, ReadableNotification>;
 
-constexpr Span kLinger = 1s;             // for the peer to see a last answer; far above any round trip
-constexpr std::size_t kMostPieces = 64;  // pieces a write; a head and a body need about five
+constexpr Span kLinger = 1s;                // for the peer to see a last answer; far above any round trip
+constexpr std::size_t kUnread = 64 * 1024;  // bytes after a last answer; the rest of a query that is too long
+constexpr std::size_t kMostPieces = 64;     // pieces a write; a head and a body need about five
 
 constexpr std::array<std::string_view, 17> kReasons = {
     "peer_closed", "peer_reset",  "refused",       "dial_timeout", "execution_timeout",
@@ -138,7 +139,12 @@
   if (size < 0) return;
   if (size == 0) return end(Reason::peerClosed);
   bytesIn_ += static_cast<std::uint64_t>(size);
-  if (finishing_) return;  // what comes after the last answer is not read
+  if (finishing_) {
+    // Guards against a peer that sends on at full speed: the last answer has been there for that long.
+    unread_ += static_cast<std::size_t>(size);
+    if (unread_ > kUnread) end(finishReason_);
+    return;
+  }
   in_.append(buffer.data(), static_cast<std::size_t>(size));
   received();
 }
--- a/src/sidecar/connection.hpp
+++ b/src/sidecar/connection.hpp
@@ -54,12 +54,15 @@
   void finish(Reason reason);
   void end(Reason reason);
   [[nodiscard]] bool ended() const { return ended_; }
+  [[nodiscard]] bool finishing() const { return finishing_; }
   [[nodiscard]] bool allWritten() const { return out_.empty(); }
   [[nodiscard]] bool dialing() const { return dialing_; }
   /// Whether the peer has closed it or sent bytes that nobody asked for.
   [[nodiscard]] bool stale();
 
  protected:
+  /// Takes what has come already, without waiting for the reactor to tell.
+  void readNow() { read(); }
   virtual void opened() {}
   virtual void received() = 0;
   virtual void written() {}
@@ -83,6 +86,7 @@
   Poco::Net::StreamSocket socket_;
   http::Gather out_;
   Loop::TimerId lingering_;
+  std::size_t unread_ = 0;  // bytes that came after the last answer
   std::uint64_t bytesIn_ = 0;
   std::uint64_t bytesOut_ = 0;
   Reason finishReason_ = Reason::done;
--- a/src/sidecar/exchange.cpp
+++ b/src/sidecar/exchange.cpp
@@ -45,6 +45,12 @@
     ++loop_.counters.completed;
     clients_->complete(execution.query, answer);
   }
+  // Guards against a bad query that would go from server to server and count against each: that a server
+  // can't use it is told of the query, not of the server, and so is its final answer.
+  if (outcome == Outcome::moot && !query.answered) {
+    query.answered = true;
+    clients_->turnAway(execution.query);
+  }
   query.handle->executionEnded(loop_.now(), execution.no, outcome, query.answered, service);
   settle(execution.query);
 }
--- a/src/sidecar/main.cpp
+++ b/src/sidecar/main.cpp
@@ -140,7 +140,7 @@
 }
 
 // Guards against more descriptors than the machine is given: the system itself then says no.
-void limitDescriptors(const Assignment& told) {
+void limitDescriptors(const Assignment& told, ClientSide& clients) {
   static const rlim_t atStart = [] {
     rlimit limit{};
     ::getrlimit(RLIMIT_NOFILE, &limit);
@@ -150,15 +150,16 @@
   ::getrlimit(RLIMIT_NOFILE, &limit);
   limit.rlim_cur = std::min(atStart, told.descriptors.value_or(atStart));
   ::setrlimit(RLIMIT_NOFILE, &limit);
+  clients.limitDescriptors(limit.rlim_cur);
 }
 
 // Guards against a reload that costs service: a file that can't be used changes nothing, and one that can
 // moves discovery and the descriptor limit; the rest is told to the balancer once, and waits for a restart.
-void tellAnew(Assignment& told, Discovery& discovery) {
+void tellAnew(Assignment& told, ClientSide& clients, Discovery& discovery) {
   try {
     Assignment anew = readAssignment();
     const told::Told checked(anew.seed, anew.pairs);
-    limitDescriptors(anew);
+    limitDescriptors(anew, clients);
     discovery.moveTo(anew.discovery);
     std::string waits;
     if (anew.listen != told.listen) waits += ",listen";
@@ -184,10 +185,10 @@
   Assignment assignment = readAssignment();
   told::Told told(assignment.seed, assignment.pairs);
   told.terms.discoveryOnRequest = true;  // here discovery only ever answers
-  limitDescriptors(assignment);
 
   Exchange exchange(loop);
   ClientSide clients(loop, exchange, told);
+  limitDescriptors(assignment, clients);
   ServerSide servers(loop, exchange, told);
   std::uint64_t index = 0;
   Listed known = readList(assignment.known, told.zones, loop, index);
@@ -200,7 +201,7 @@
   };
   signals.on(SIGTERM, stop);
   signals.on(SIGINT, stop);
-  signals.on(SIGHUP, [&] { tellAnew(assignment, discovery); });
+  signals.on(SIGHUP, [&] { tellAnew(assignment, clients, discovery); });
   signals.on(SIGUSR1, [&] {
     std::ostringstream text;
     loop.counters.print(text);
--- a/src/sidecar/server_side.cpp
+++ b/src/sidecar/server_side.cpp
@@ -38,12 +38,16 @@
   }
 }
 
+// The protocol's words for a query that no client may send: 400, and 404 for one without an id.
+bool refusesQuery(std::uint32_t status) { return status == 400 || status == 404; }
+
 bool knownStatus(std::uint32_t status) {
-  return status == 200 || status == 500 || status == 503 || status == 504;
+  return refusesQuery(status) || status == 200 || status == 500 || status == 503 || status == 504;
 }
 
 Outcome outcomeOf(const Message& answer) {
   if (answer.status() == 200) return Outcome::completed;
+  if (refusesQuery(answer.status())) return Outcome::moot;
   const bool notRun = answer.field("X-Not-Run") == "1";
   if ((answer.status() == 503 || answer.status() == 504) && notRun) return Outcome::full;
   return Outcome::error;
@@ -81,6 +85,7 @@
   }
 
   void received() override {
+    if (spoilt_) return end(Reason::unreadAnswer);
     while (execution_ && !ended()) {
       const Progress progress = reader_.read(in_);
       if (progress == Progress::more) return;
@@ -135,6 +140,9 @@
     pieces.text(rest + "\r\n");
     pieces.view(body);
     send(std::move(pieces));
+    // Guards against bytes that came after the look at the idle connection and would be read as this answer:
+    // nobody answers before the query's last byte is there.
+    spoilt_ = messages_ > 1 && stale();
   }
   ExecutionKey take() {
     loop_.cancel(timer_);
@@ -160,7 +168,8 @@
   Loop::TimerId timer_;
   Loop::TimerId dialTimer_;
   Loop::TimerId idleTimer_;
-  bool sent_ = false;  // its first byte, at least
+  bool sent_ = false;    // its first byte, at least
+  bool spoilt_ = false;  // bytes lay there that answer nothing
 };
 
 ServerSide::ServerSide(Loop& loop, Exchange& exchange, const told::Told& told)
