Keep a use case from a server after two errors only when it is rare there

Cause (balancer.cpp, judge()): two errors in a row shut a use case for 10 to 13 s, and one more renews it. With 3% of all answers spoilt and some fifty answers a second at a server, two in a row come by chance every 20 s.

Now two errors in a row must span a second; where the use case is frequent, five are needed, which take less. Test: two spoilt answers in a row among many good ones keep no use case away.

--- a/src/decide/balancer.cpp
+++ b/src/decide/balancer.cpp
@@ -58,6 +58,7 @@
 constexpr double kLeastServed = 0.5;  // share of a use case's queries; bounds what starving adds
 constexpr double kAnswerRoom = 1.5;   // of the usual answer time; sent later, half would come too late
 constexpr double kShareSlack = 1.15;  // of an account's part; a balancer sees no exact mix
+constexpr Span kRareRun = 1s;         // a run of two errors lasts that long, or five are needed and come soon
 constexpr Span kRest = 400ms;         // after one full; a few queries' work, within an SLO time
 constexpr Span kLeastWait = 20ms;     // between looks for room while queries wait; well under any SLO time
 constexpr Span kAdvice = 150ms;  // when to come back; leaves a client's retry a chance within the SLO time
@@ -118,6 +119,12 @@
   bool overdue = false;  // counted as a time-out before its end
 };
 
+struct UseRun {                // of one use case at one server
+  std::uint32_t failures = 0;  // in a row
+  Span since{};                // the first of them
+  Span shutUntil = Span::min();
+};
+
 struct Server {
   ServerId id;
   ZoneId zone;
@@ -128,9 +135,8 @@
   bool held = false;              // in the last good list
   bool used = false;              // in this balancer's set, its pool
   double weight = 1;
-  std::uint32_t run = 0;               // failures in a row
-  std::vector<std::uint32_t> useRuns;  // failures in a row of each use case
-  std::vector<Span> useShutUntil;      // and until when that use case keeps away
+  std::uint32_t run = 0;  // failures in a row
+  std::vector<UseRun> useRuns;
   bool ejected = false;
   Span trialAt{};
   bool onTrial = false;
@@ -165,17 +171,17 @@
   std::vector<Execution> executions;
 };
 
-double fraction(std::uint64_t key, std::uint64_t server) {     // of 1, never 0; by splitmix64's finish
-  std::uint64_t value = key ^ (server * 0x9e3779b97f4a7c15U);  // splitmix64's finish
+double fraction(std::uint64_t key, std::uint64_t server) {  // of 1, never 0; by splitmix64's finish
+  std::uint64_t value = key ^ (server * 0x9e3779b97f4a7c15U);
   value = (value ^ (value >> 30U)) * 0xbf58476d1ce4e5b9U;
   value = (value ^ (value >> 27U)) * 0x94d049bb133111ebU;
   return (static_cast<double>((value ^ (value >> 31U)) >> 12U) + 0.5) / 4503599627370496.0;
 }
 
 Fate fateAfter(Outcome outcome) {
-  const bool never =
-      outcome == Outcome::full || outcome == Outcome::connectFailed || outcome == Outcome::moot;
-  return never ? Fate::neverRan : Fate::mayHaveRun;
+  for (const Outcome never : {Outcome::full, Outcome::connectFailed, Outcome::moot})
+    if (outcome == never) return Fate::neverRan;
+  return Fate::mayHaveRun;
 }
 
 bool isFailure(Outcome outcome) {  // full is back pressure; cancelled and moot say nothing
@@ -337,8 +343,7 @@
       // Guards against a grown fleet whose new servers are in nobody's set: each joins its part of the sets.
       at->used = known ? used : setSize_ > 0 && draw() * listedCount_ < setSize_;
       at->weight = meanWeight(now);
-      at->useRuns.assign(terms_.useCases.size(), 0);
-      at->useShutUntil.assign(terms_.useCases.size(), Span::min());
+      at->useRuns.assign(terms_.useCases.size(), {});
       at->coldCredit = draw();  // Guards against a thousand balancers that spend their parts at one moment.
       at->coldCreditAt = now;
       at->limit = firstLimit();
@@ -440,21 +445,23 @@
       // Guards against servers that are slow but answer: an answer past its SLO time earns no weight.
       if (took <= slo) server.weight = std::min(1.0, server.weight + kWeightStep);
       server.run = 0;
-      server.useRuns[use] = 0;
+      server.useRuns[use].failures = 0;
       server.ejected = false;
       server.onTrial = false;
     } else if (isFailure(outcome)) {
       if (!pending.overdue) countFailure(now, server, use);
       // Guards against a server that fails one use case only and so never builds a run: that use case keeps
-      // away from it for the eject time, then one more failure renews it. The cap is the same.
-      if ((outcome == Outcome::error || outcome == Outcome::reset) &&
-          ++server.useRuns[use] >= kErrorsToShut && mayPutOut(now, use)) {
-        server.useShutUntil[use] = now + scaled(kEjectTime, 1.0 + kEjectSpread * draw());
-      }
+      // away for the eject time, then one more failure renews it; the cap is the same. And against answers
+      // spoilt here and there: where a use case is frequent, two in a row come by chance.
+      UseRun& run = server.useRuns[use];
+      if (run.failures == 0) run.since = now;
+      if ((outcome == Outcome::error || outcome == Outcome::reset) && ++run.failures >= kErrorsToShut &&
+          (run.failures >= kFailuresToEject || now - run.since >= kRareRun) && mayPutOut(now, use))
+        run.shutUntil = now + scaled(kEjectTime, 1.0 + kEjectSpread * draw());
     } else if (outcome == Outcome::full) {
       // Guards against a server that turns a use case away at once and so always looks the emptiest: that use
       // case keeps away for a while. The others go on, as theirs may be a room of its own.
-      server.useShutUntil[use] = std::max(server.useShutUntil[use], now + kRest);
+      server.useRuns[use].shutUntil = std::max(server.useRuns[use].shutUntil, now + kRest);
     }
     server.onTrial = server.onTrial && !server.out.empty();
   }
@@ -519,7 +526,7 @@
     for (const Server& server : servers_) {
       if (!server.held || !inPool(now, server)) continue;
       ++pool;
-      if (server.ejected || now < server.useShutUntil[use]) ++out;
+      if (server.ejected || now < server.useRuns[use].shutUntil) ++out;
     }
     return out + 1 <= kMostOut * pool;
   }
@@ -535,8 +542,7 @@
 
   // Guards against pushing a cold server over, also when most of the fleet is out and all would flow to it.
   // Measured by what warm servers answered this balancer: each balancer then stays within its own part.
-  // What its part allows over the tipping window is saved up: a part below one is spent that much more
-  // rarely.
+  // What its part allows over the tipping window is saved up: a part below one is spent more rarely.
   [[nodiscard]] bool coldRoom(Span now, Server& server) {
     const double part = ramp(now, server);
     if (part >= 1) return true;
@@ -548,9 +554,8 @@
     return server.coldCredit >= 1;
   }
 
-  // Answers a second that a warm server gave this balancer, for each unit of size: in the set and outside,
-  // as a member gets more of this balancer's queries but is a member of few. Guards against a fleet that is
-  // down and so finishes little: the mean since the start still tells what a warm server can do.
+  // Answers a second that a warm server gave this balancer, for each unit of size, in the set and outside.
+  // Guards against a fleet that is down and so finishes little: the mean since the start still tells.
   void measureWarmRate(Span now) {
     for (const Server& server : servers_) {
       if (server.held && !server.ejected && ramp(now, server) >= 1)
@@ -599,14 +604,13 @@
         if (trialDue(now, server, held) && coldRoom(now, server) && !triedBefore(held, slot)) return slot;
         continue;
       }
-      if (now < server.useShutUntil[held.query.useCase.value]) continue;
+      if (now < server.useRuns[held.query.useCase.value].shutUntil) continue;
       expected_[slot] = std::max(expected(now, server, usual), 1e-6);
       if (!server.used) continue;
       inverse += 1 / expected_[slot];
       ++pool;
     }
-    // The harmonic mean: no outlier moves it.
-    const double crowded = pool > 0 ? kCrowded * pool / inverse : kCrowded * usual;
+    const double crowded = kCrowded * (pool > 0 ? pool / inverse : usual);  // harmonic: no outlier moves it
     const bool atHome = homes && draw() < kHome;
     std::optional<ServerSlot> home;
     std::optional<ServerSlot> least;
@@ -634,17 +638,15 @@
     if (home && expected_[*home] <= kHomeCrowded * crowded && room(now, servers_[*home])) return home;
     if (sum <= 0) return least;
     double rest = draw() * sum;
-    for (ServerSlot slot = 0; slot < servers_.size(); ++slot) {
+    for (ServerSlot slot = 0; slot < servers_.size() && rest >= 0; ++slot) {
       if (odds_[slot] <= 0) continue;
       least = slot;
       rest -= odds_[slot];
-      if (rest < 0) break;
     }
     return least;
   }
 
-  // A trial costs what its query costs: one that may run again goes first, another only if none came for
-  // long.
+  // A trial costs what its query costs: one that may run again goes first, others only if none came for long.
   [[nodiscard]] bool trialDue(Span now, const Server& server, const Held& held) const {
     if (server.onTrial || now < server.trialAt || !server.out.empty()) return false;
     return useCase(held).repeat == Repeat::idempotent || now >= server.trialAt + kEjectTime;
--- a/tests/mechanism_test.cpp
+++ b/tests/mechanism_test.cpp
@@ -157,6 +157,20 @@
   CHECK(fleet.share({2}, 60, kNonIdempotent) > 0);
 }
 
+TEST_CASE("two spoilt answers in a row, by chance among many good ones, keep no use case away") {
+  Fleet fleet(terms());
+  fleet.hold(3);
+  fleet.share({2}, 60, kNonIdempotent);
+  for (int spoilt = 0; spoilt < 2;) {
+    fleet.take(kNonIdempotent);
+    const auto execution = fleet.last();
+    fleet.now += 20ms;
+    fleet.end(execution, execution.server.value == 2 ? Outcome::error : Outcome::completed);
+    spoilt += execution.server.value == 2 ? 1 : 0;
+  }
+  CHECK(fleet.share({2}, 60, kNonIdempotent) > 0);
+}
+
 TEST_CASE("a use case that a server turns away keeps away for a while, the others go on") {
   Fleet fleet(terms());
   fleet.hold(2);
