Let the limits' floor know near answers from far ones, so that a lost zone is not cut off

Cause (balancer.cpp, moveLimit()): every far answer counts as late, and the floor that should hold what was lately finished multiplies the rate by the least mean answer time ever, which was the near zone's. Less rate, less floor, and so on down.

Now own zone and others each have their least time. A look at a connection just after its query was written is taken back: an answer may be that quick when the process is not running between the two calls; the look just before stays.

--- a/src/decide/balancer.cpp
+++ b/src/decide/balancer.cpp
@@ -437,17 +437,18 @@
       server.pace.add(now, seconds(took) / (pending.others + 1));
       answers_.add(now, seconds(took));
       if (held.query.account) accountAnswers_[held.query.account->value].add(now, 1);
-      if (answers_.count(now) >= kEnough) unloaded_ = std::min(unloaded_, answers_.mean(now, kUnmeasured));
+      const bool near = server.zone == terms_.zone;
+      Ring& alike = answersFrom_[near];
+      alike.add(now, seconds(took));
+      if (alike.count(now) >= kEnough) unloaded_[near] = std::min(unloaded_[near], alike.mean(now, 0));
       if (!held.answered) served_[use].add(now, 1);
       if (ramp(now, server) >= 1) ++warmAnswers_[server.used];
       if (tight && took <= scaled(slo, kTimely)) moveLimit(now, server, 1 + kLimitStep);
       if (took > scaled(slo, kLate)) moveLimit(now, server, kLimitCut);
       // Guards against servers that are slow but answer: an answer past its SLO time earns no weight.
       if (took <= slo) server.weight = std::min(1.0, server.weight + kWeightStep);
-      server.run = 0;
-      server.useRuns[use].failures = 0;
-      server.ejected = false;
-      server.onTrial = false;
+      server.run = server.useRuns[use].failures = 0;
+      server.ejected = server.onTrial = false;
     } else if (isFailure(outcome)) {
       if (!pending.overdue) countFailure(now, server, use);
       // Guards against a server that fails one use case only and so never builds a run: that use case keeps
@@ -459,15 +460,14 @@
           (run.failures >= kFailuresToEject || now - run.since >= kRareRun) && mayPutOut(now, use))
         run.shutUntil = now + scaled(kEjectTime, 1.0 + kEjectSpread * draw());
     } else if (outcome == Outcome::full) {
-      // Guards against a server that turns a use case away at once and so always looks the emptiest: that use
-      // case keeps away for a while. The others go on, as theirs may be a room of its own.
+      // Guards against a server that turns a use case away at once and so looks the emptiest: that one rests.
       server.useRuns[use].shutUntil = std::max(server.useRuns[use].shutUntil, now + kRest);
     }
     server.onTrial = server.onTrial && !server.out.empty();
   }
 
   // An answer moves its server's limit; one from outside the set moves the whole set's by a member's part, as
-  // their sum binds all. Guards against cutting below what was lately finished: that is out without a queue.
+  // their sum binds all. Guards against cutting below what was lately finished, near or far, without a queue.
   void moveLimit(Span now, Server& answered, double by) {
     double sizes = 0;
     double members = 0;
@@ -476,7 +476,8 @@
       sizes += server.size;
       ++members;
     }
-    const double flow = kFlow * answers_.count(now) / measuredSpan(now) * unloaded_;
+    const double ran = answersFrom_[0].count(now) * unloaded_[0] + answersFrom_[1].count(now) * unloaded_[1];
+    const double flow = kFlow * ran / measuredSpan(now);
     for (Server& server : servers_) {
       if (&server != &answered && (answered.used || !inPool(now, server))) continue;
       const double step = &server == &answered ? by : std::pow(by, 1 / members);
@@ -792,11 +793,10 @@
     const UseCase& use = useCase(held);
     const bool harmless = mayHaveRun(held) == nullptr || use.repeat == Repeat::idempotent ||
                           (use.repeat == Repeat::deduplicated && use.group == DedupGroup::all);
-    if (harmless && now < held.deadline) {
-      host_.reject(held.query.id, std::min(kAdvice, terms_.longestAdvice));
-    } else {
+    if (!harmless || now >= held.deadline)
       host_.abort(held.query.id);
-    }
+    else
+      host_.reject(held.query.id, std::min(kAdvice, terms_.longestAdvice));
     release(slot);
   }
 
@@ -857,8 +857,9 @@
   double listedCount_ = 0;  // servers in the last good list
   double setSize_ = 0;      // servers wanted in the set
   std::uint32_t setPicks_ = 0;
-  double unloaded_ = 1;  // seconds; the least mean answer time so far
-  double saved_ = 1;     // seconds of execution that the limits allow; at the start all that may be saved
+  std::array<Ring, 2> answersFrom_;       // other zones, and the own
+  std::array<double, 2> unloaded_{1, 1};  // seconds; the least mean answer time so far of each
+  double saved_ = 1;  // seconds of execution that the limits allow; at the start all that may be saved
   Span savedAt_{};
   Span askAt_ = Span::max();
   Span askBackoff_ = kFirstAsk;
--- a/src/sidecar/server_side.cpp
+++ b/src/sidecar/server_side.cpp
@@ -85,7 +85,6 @@
   }
 
   void received() override {
-    if (spoilt_) return end(Reason::unreadAnswer);
     while (execution_ && !ended()) {
       const Progress progress = reader_.read(in_);
       if (progress == Progress::more) return;
@@ -140,9 +139,6 @@
     pieces.text(rest + "\r\n");
     pieces.view(body);
     send(std::move(pieces));
-    // Guards against bytes that came after the look at the idle connection and would be read as this answer:
-    // nobody answers before the query's last byte is there.
-    spoilt_ = messages_ > 1 && stale();
   }
   ExecutionKey take() {
     loop_.cancel(timer_);
@@ -168,8 +164,7 @@
   Loop::TimerId timer_;
   Loop::TimerId dialTimer_;
   Loop::TimerId idleTimer_;
-  bool sent_ = false;    // its first byte, at least
-  bool spoilt_ = false;  // bytes lay there that answer nothing
+  bool sent_ = false;  // its first byte, at least
 };
 
 ServerSide::ServerSide(Loop& loop, Exchange& exchange, const told::Told& told)
--- a/tests/mechanism_test.cpp
+++ b/tests/mechanism_test.cpp
@@ -157,6 +157,31 @@
   CHECK(fleet.share({2}, 60, kNonIdempotent) > 0);
 }
 
+TEST_CASE("with the near servers gone, far ones that take their time are not cut to next to nothing") {
+  Fleet fleet(terms());
+  fleet.list(Listing::persisted, {server(1), server(2, 1), server(3, 1), server(4, 1)});
+  for (int i = 0; i < 200; ++i) {
+    fleet.take(kIdempotent);
+    const auto execution = fleet.last();
+    fleet.now += execution.server.value == 1 ? 10ms : 400ms;
+    fleet.end(execution, Outcome::completed);
+  }
+  auto gone = server(1);
+  gone.lifecycle = Lifecycle::gone;
+  fleet.list(Listing::changes, {gone});
+  std::vector<std::pair<Fleet::Sent, Span>> out;
+  std::size_t seen = fleet.sent.size();
+  for (int i = 0; i < 600; ++i, fleet.now += 10ms) {
+    while (!out.empty() && out.front().second <= fleet.now) {
+      fleet.end(out.front().first, Outcome::completed);
+      out.erase(out.begin());
+    }
+    fleet.take(kIdempotent);
+    for (; seen < fleet.sent.size(); ++seen) out.emplace_back(fleet.sent[seen], fleet.now + 400ms);
+  }
+  CHECK(out.size() > 3);
+}
+
 TEST_CASE("two spoilt answers in a row, by chance among many good ones, keep no use case away") {
   Fleet fleet(terms());
   fleet.hold(3);
