Take answers of up to 1 MiB, as servers give longer ones than the protocol's pages say

A probe that logged what could not be read: 416 of 416 were good heads, 200 with a load report, and a Content-Length of 203,609 or 277,388. Cause (server_side.cpp, reader_): the bound of 64 KiB, meant for queries, held for answers too; each counted as an error against its server. Ruled out: damage in the bytes before the bound.

Answers may have 1 MiB now; one that names more is cut off as before. A client that is slow to read has 10 s for it.

Silent connections remain to be looked at.

--- a/src/sidecar/client_side.cpp
+++ b/src/sidecar/client_side.cpp
@@ -21,6 +21,7 @@
 using http::Progress;
 
 constexpr Span kIdle = 2100ms;      // without a query; what clients are promised and a margin
+constexpr Span kLongestRead = 10s;  // more, for a client that is slow to read a long answer
 constexpr Span kRest = 500ms;       // more, for the rest of a query begun just then; ends within 3 s
 constexpr Span kFresh = 100ms;      // a connection's first query may still be on its way; some hundred trips
 constexpr int kAccepted = 32;       // connections a turn; a storm of them must not hold up queries
@@ -156,6 +157,7 @@
   void awaitQuery(Span wait = kIdle) {
     loop_.cancel(timer_);
     timer_ = loop_.in(wait, [this, wait] {
+      if (!allWritten() && wait != kLongestRead) return awaitQuery(kLongestRead);
       if (!reader_.begun(in_)) return end(Reason::idle);
       if (wait == kIdle) return awaitQuery(kRest);
       refuse(408, "stalled");
--- a/src/sidecar/server_side.cpp
+++ b/src/sidecar/server_side.cpp
@@ -20,6 +20,8 @@
 using http::Message;
 using http::Progress;
 
+constexpr std::size_t kLongestAnswer = 1
+                                       << 20;  // bytes; four times the longest that servers were seen to give
 constexpr double kIdleShare =
     0.75;  // of the servers' idle limit; a query on its way must not cross their end
 
@@ -157,7 +159,8 @@
   ServerSide& side_;
   ServerId server_;
   Poco::Net::SocketAddress address_;
-  http::Reader reader_{http::Reader::Kind::answer};
+  // Guards against losing good answers to a bound: they may be longer than queries.
+  http::Reader reader_{http::Reader::Kind::answer, kLongestAnswer};
   std::optional<ExecutionKey> execution_;
   std::shared_ptr<const Message> query_;
   Span deadline_{};
