Give an execution that later ones overtook no room and no say at its server

Two thirds of all queries were rejected beside idle servers. Ruled out: CPU (0.14 of its share in the worst second), dialling (none), bad messages (none).

Cause (balancer.cpp, room(), poolWait(), expected(), countOverdue()): one silent execution spoke for its whole server. Now one that is out three times the usual answer time, while one sent later was completed there, takes no room and counts as no failure. Where nothing later is answered the server is silent itself, and all is as before.

--- a/src/decide/balancer.cpp
+++ b/src/decide/balancer.cpp
@@ -142,9 +142,10 @@
   bool onTrial = false;
   double limit = 1;  // executions that may be out here
   std::vector<Pending> out;
-  Ring pace;              // seconds an answer took for each execution out, itself included
-  double service = 0;     // seconds of work for one query, as last reported; 0: never
-  double coldCredit = 0;  // executions that may go to it while it is cold
+  Span passed = Span::min();  // when the latest execution that it completed was sent
+  Ring pace;                  // seconds an answer took for each execution out, itself included
+  double service = 0;         // seconds of work for one query, as last reported; 0: never
+  double coldCredit = 0;      // executions that may go to it while it is cold
   Span coldCreditAt{};
 };
 
@@ -159,7 +160,7 @@
 };
 
 struct Held {  // a query that is owed its final answer, or still has executions out
-  Query query;
+  Query query{};
   Span arrived{};
   Span deadline{};
   std::uint32_t turn = 0;
@@ -168,7 +169,7 @@
   bool answered = false;
   bool waiting = false;
   double rank = 0;  // among those waiting
-  std::vector<Execution> executions;
+  std::vector<Execution> executions{};
 };
 
 double fraction(std::uint64_t key, std::uint64_t server) {  // of 1, never 0; by splitmix64's finish
@@ -342,7 +343,7 @@
       at->out = std::move(out);
       // Guards against a grown fleet whose new servers are in nobody's set: each joins its part of the sets.
       at->used = known ? used : setSize_ > 0 && draw() * listedCount_ < setSize_;
-      at->weight = meanWeight(now);
+      at->weight = meanWeight_;
       at->useRuns.assign(terms_.useCases.size(), {});
       at->coldCredit = draw();  // Guards against a thousand balancers that spend their parts at one moment.
       at->coldCreditAt = now;
@@ -361,22 +362,24 @@
 
   // Guards against a thousand balancers that each hold connections to every server and know nothing of any.
   // The set is as large as this balancer's own answers can tell apart; each member is the next of a part of
-  // the list, which goes by location, so that a location is in the set by what it can carry. The places
-  // within the parts are spread evenly over the balancers by their numbers. Members stay until they go.
+  // the list, which goes by location; the places within the parts are spread evenly over the balancers.
   void fillSet(Span now) {
     order_.clear();
     double usable = 0;
     double unused = 0;
     double size = 0;
+    double weight = 0;
     for (ServerSlot slot = 0; slot < servers_.size(); ++slot) {
       const Server& server = servers_[slot];
       if (!server.held || !open(now, server)) continue;
       order_.push_back(slot);
       size += server.size;
+      weight += server.weight;
       unused += server.used ? 0 : 1;
       usable += server.used && !server.ejected ? 1 : 0;
     }
     listedCount_ = static_cast<double>(order_.size());
+    meanWeight_ = listedCount_ > 0 ? weight / listedCount_ : 1;
     const double told = answers_.count(now) / measuredSpan(now) * seconds(kBucket) * kBuckets / kSetAnswers;
     setSize_ = std::max({setSize_, kLeastSet, kCover * listedCount_ / terms_.balancers, told});
     const double wanted = std::min(setSize_, usable + unused);
@@ -405,17 +408,6 @@
 
   [[nodiscard]] static bool inPool(Span now, const Server& s) { return s.used && open(now, s); }
 
-  [[nodiscard]] double meanWeight(Span now) const {
-    double sum = 0;
-    double count = 0;
-    for (const Server& server : servers_) {
-      if (!server.held || !open(now, server)) continue;
-      sum += server.weight;
-      ++count;
-    }
-    return count > 0 ? sum / count : 1.0;
-  }
-
   // ---- The pool: failure runs eject until a trial, and ejection halts at a capped share.
 
   [[nodiscard]] static bool open(Span now, const Server& server) { return now < server.closedFrom; }
@@ -426,7 +418,7 @@
                                  [&](const Pending& p) { return p.query == slot && p.no == no; });
     if (at == server.out.end()) return;
     const Pending pending = *at;
-    const bool tight = poolWait(now) > Span{0} || static_cast<double>(server.out.size()) + 1 > server.limit;
+    const bool tight = poolWait(now) > Span{0} || load(now, server) + 1 > server.limit;
     server.out.erase(at);
     if (server.startedAt && execution.sentAt < *server.startedAt) return;  // says nothing of the new process
     const Span took = now - execution.sentAt;
@@ -434,6 +426,7 @@
     const std::size_t use = held.query.useCase.value;
     const Span slo = useCase(held).sloTime;
     if (outcome == Outcome::completed) {
+      server.passed = std::max(server.passed, execution.sentAt);
       server.pace.add(now, seconds(took) / (pending.others + 1));
       answers_.add(now, seconds(took));
       if (held.query.account) accountAnswers_[held.query.account->value].add(now, 1);
@@ -506,6 +499,7 @@
       for (Pending& pending : server.out) {
         if (pending.overdue || pending.started || now < overdueAt(now, pending)) continue;
         pending.overdue = true;
+        if (stuck(now, server, pending)) continue;
         moveLimit(now, server, kLimitCut);
         countFailure(now, server, queries_[pending.query].query.useCase.value);
       }
@@ -567,12 +561,24 @@
 
   // ---- The pick
 
+  // Guards against connections that fall silent while their server answers on others: what was sent later
+  // has been completed, so that such an execution takes no room there and tells nothing of the server.
+  [[nodiscard]] bool stuck(Span now, const Server& server, const Pending& pending) const {
+    return server.passed > pending.sentAt &&
+           now > pending.sentAt + scaled(1s, kOverdue * answers_.mean(now, kUnmeasured));
+  }
+  [[nodiscard]] double load(Span now, const Server& server) const {
+    return static_cast<double>(std::count_if(server.out.begin(), server.out.end(),
+                                             [&](const Pending& p) { return !stuck(now, server, p); }));
+  }
+
   // How long an answer would take: the server's recent pace times what would then be out there.
   [[nodiscard]] double expected(Span now, const Server& server, double usual) const {
-    double estimate = server.pace.mean(now, usual) * (static_cast<double>(server.out.size()) + 1);
+    double estimate = server.pace.mean(now, usual) * (load(now, server) + 1);
     // Guards against silence: nothing is quicker than the execution that is still unanswered.
     for (const Pending& pending : server.out) {
-      if (!pending.started) estimate = std::max(estimate, seconds(now - pending.sentAt));
+      if (!pending.started && !stuck(now, server, pending))
+        estimate = std::max(estimate, seconds(now - pending.sentAt));
     }
     return estimate;
   }
@@ -657,7 +663,7 @@
     // Guards against a real mass failure, in which the cap keeps dead servers in the pool: one that failed
     // often enough to be ejected stays in it, but gets one execution at a time, as in a trial.
     if (server.run >= kFailuresToEject && !server.out.empty()) return false;
-    return static_cast<double>(server.out.size()) + 1 <= std::max(1.0, server.limit) && coldRoom(now, server);
+    return load(now, server) + 1 <= std::max(1.0, server.limit) && coldRoom(now, server);
   }
 
   // How long until one more execution may be out: the limits' sum binds too. Guards against a thousand
@@ -667,7 +673,7 @@
     double out = 0;
     double limits = 0;
     for (const Server& server : servers_) {
-      out += static_cast<double>(server.out.size());
+      out += load(now, server);
       if (inPool(now, server) && !server.ejected) limits += server.limit;
     }
     const double usual = answers_.mean(now, kUnmeasured);
@@ -718,7 +724,7 @@
     Server& server = servers_[*picked];
     const ExecutionNo no{static_cast<std::uint32_t>(held.executions.size())};
     server.onTrial = server.ejected;
-    server.out.push_back({slot, no, now, static_cast<double>(server.out.size())});
+    server.out.push_back({slot, no, now, load(now, server)});
     server.coldCredit -= 1;
     held.executions.push_back({*picked, now, server.zone, server.cell});
     ++held.out;
@@ -803,22 +809,16 @@
   // ---- Housekeeping
 
   QuerySlot freeSlot() {
-    if (!free_.empty()) {
-      const QuerySlot slot = free_.back();
-      free_.pop_back();
-      return slot;
-    }
-    queries_.emplace_back();
-    return static_cast<QuerySlot>(queries_.size() - 1);
+    QuerySlot slot = 0;
+    while (slot < queries_.size() && queries_[slot].inUse) ++slot;
+    if (slot == queries_.size()) queries_.emplace_back();
+    return slot;
   }
 
   void release(QuerySlot slot) {
     Held& held = queries_[slot];
     if (!held.inUse || !held.answered || held.out > 0) return;
-    const std::uint32_t turn = held.turn + 1;
-    held = Held{};
-    held.turn = turn;
-    free_.push_back(slot);
+    held = Held{.turn = held.turn + 1};
   }
 
   // One pending wake at the earliest time that anything is due.
@@ -827,9 +827,8 @@
     for (const QuerySlot slot : waiting_) due = std::min(due, giveUpAt(now, queries_[slot]));
     if (!waiting_.empty()) due = std::min(due, now + std::max(poolWait(now), kLeastWait));
     for (const Server& server : servers_) {
-      for (const Pending& pending : server.out) {
+      for (const Pending& pending : server.out)
         if (!pending.overdue && !pending.started) due = std::min(due, overdueAt(now, pending));
-      }
     }
     due = std::max(due, now + terms_.tick);
     if (due >= wakeAt_ || due == Span::max()) return;
@@ -842,7 +841,6 @@
   std::ranlux24_base chance_;
   std::vector<Server> servers_;
   std::vector<Held> queries_;
-  std::vector<QuerySlot> free_;
   std::vector<QuerySlot> waiting_;  // the most important first
   std::vector<ServerSlot> order_;   // scratch of fillSet()
   std::vector<double> expected_;    // scratch of pick(), by server slot
@@ -855,6 +853,7 @@
   std::array<double, 2> warmTime_{};     // seconds of warm servers, by their size
   Span warmAt_{};
   double listedCount_ = 0;  // servers in the last good list
+  double meanWeight_ = 1;   // theirs
   double setSize_ = 0;      // servers wanted in the set
   std::uint32_t setPicks_ = 0;
   std::array<Ring, 2> answersFrom_;       // other zones, and the own
--- a/tests/mechanism_test.cpp
+++ b/tests/mechanism_test.cpp
@@ -182,6 +182,18 @@
   CHECK(out.size() > 3);
 }
 
+TEST_CASE("executions on connections that fell silent take no room where others are answered") {
+  Fleet fleet(terms());
+  fleet.hold(1);
+  fleet.share({1}, 40, kNonIdempotent);
+  for (int i = 0; i < 4; ++i, fleet.now += 1ms) fleet.take(kNonIdempotent);
+  fleet.end(fleet.last(), Outcome::completed);  // the three before it are silent
+  fleet.now += 200ms;
+  const std::size_t before = fleet.sent.size();
+  for (int i = 0; i < 4; ++i) fleet.take(kNonIdempotent);
+  CHECK(fleet.sent.size() == before + 4);
+}
+
 TEST_CASE("two spoilt answers in a row, by chance among many good ones, keep no use case away") {
   Fleet fleet(terms());
   fleet.hold(3);
