Shut a use case at a server that hangs on it while answering others

Cause (balancer.cpp, judge()): only errors and resets built a use case's run, and since overtaken executions count as no failure of their server, hanging on one use case cost it nothing.

Now a time-out that later executions overtook counts in its use case's run, by the same rule. Silent connections are rare enough not to build one: a completed query of the use case ends it.

--- a/src/decide/balancer.cpp
+++ b/src/decide/balancer.cpp
@@ -444,12 +444,13 @@
       server.ejected = server.onTrial = false;
     } else if (isFailure(outcome)) {
       if (!pending.overdue) countFailure(now, server, use);
-      // Guards against a server that fails one use case only and so never builds a run: that use case keeps
-      // away for the eject time, then one more failure renews it; the cap is the same. And against answers
-      // spoilt here and there: where a use case is frequent, two in a row come by chance.
+      // Guards against a server that fails or hangs on one use case only: that one keeps away for the eject
+      // time, then one more failure renews it. Where it is frequent, two in a row may come by chance.
       UseRun& run = server.useRuns[use];
       if (run.failures == 0) run.since = now;
-      if ((outcome == Outcome::error || outcome == Outcome::reset) && ++run.failures >= kErrorsToShut &&
+      const bool hung = outcome == Outcome::timeout && stuck(now, server, pending);
+      if ((outcome == Outcome::error || outcome == Outcome::reset || hung) &&
+          ++run.failures >= kErrorsToShut &&
           (run.failures >= kFailuresToEject || now - run.since >= kRareRun) && mayPutOut(now, use))
         run.shutUntil = now + scaled(kEjectTime, 1.0 + kEjectSpread * draw());
     } else if (outcome == Outcome::full) {
--- a/tests/mechanism_test.cpp
+++ b/tests/mechanism_test.cpp
@@ -194,6 +194,28 @@
   CHECK(fleet.sent.size() == before + 4);
 }
 
+TEST_CASE("a server that hangs on one use case only loses that use case") {
+  Fleet fleet(terms());
+  fleet.hold(3);
+  fleet.share({2}, 60, kNonIdempotent);
+  for (int i = 0; i < 40; ++i) {
+    fleet.take(kDeduplicatedByAll);
+    const auto execution = fleet.last();
+    const bool hangs = execution.server.value == 2;
+    fleet.now += 1ms;
+    std::size_t other = fleet.sent.size();
+    for (int k = 0; k < 9; ++k) fleet.take(kNonIdempotent);
+    fleet.now += 20ms;
+    for (; other < fleet.sent.size(); ++other) fleet.end(fleet.sent[other], Outcome::completed);
+    fleet.now += hangs ? 500ms : 10ms;
+    fleet.balancer.wake(fleet.now);
+    fleet.end(execution, hangs ? Outcome::timeout : Outcome::completed);
+    if (hangs && fleet.last().query == execution.query) fleet.end(fleet.last(), Outcome::completed);
+  }
+  CHECK(fleet.share({2}, 40, kDeduplicatedByAll) == 0);
+  CHECK(fleet.share({2}, 60, kNonIdempotent) > 0);
+}
+
 TEST_CASE("two spoilt answers in a row, by chance among many good ones, keep no use case away") {
   Fleet fleet(terms());
   fleet.hold(3);
