Forget servers that are gone: their connections at once, their addresses after a minute

Now a removed server's idle connections end at once, one that left a whole list keeps none after its execution, and an address is forgotten a minute after.

--- a/src/sidecar/exchange.cpp
+++ b/src/sidecar/exchange.cpp
@@ -59,7 +59,7 @@
   ++loop_.counters.lists;
   Line(Level::debug) << "listed servers=" << listed.servers.size()
                      << (listed.listing == Listing::changes ? " changes" : " whole");
-  for (const auto& [server, address] : listed.addresses) servers_->listed(server, address);
+  servers_->listed(listed);
   balancer_->serversListed(loop_.now(), listed.listing, listed.servers);
   settle({});
 }
--- a/src/sidecar/server_side.cpp
+++ b/src/sidecar/server_side.cpp
@@ -22,6 +22,7 @@
 
 constexpr std::size_t kLongestAnswer = 1
                                        << 20;  // bytes; four times the longest that servers were seen to give
+constexpr Span kForget = 60s;  // an address after its server has gone; above any grace for sending there
 constexpr double kIdleShare =
     0.75;  // of the servers' idle limit; a query on its way must not cross their end
 
@@ -151,7 +152,10 @@
   }
   void rest() {
     sent_ = false;
-    if (side_.addresses_.at(server_) != address_) return end(Reason::moved);
+    const auto place = side_.places_.find(server_);
+    if (place == side_.places_.end() || place->second.address != address_ ||
+        place->second.goneAt != Span::max())
+      return end(Reason::moved);
     side_.idle_.push_back(this);
     if (side_.idleLimit_ > Span{0}) idleTimer_ = loop_.in(side_.idleLimit_, [this] { end(Reason::idle); });
   }
@@ -178,10 +182,30 @@
 
 ServerSide::~ServerSide() = default;
 
-void ServerSide::listed(ServerId server, const Poco::Net::SocketAddress& address) {
-  const auto [at, fresh] = addresses_.emplace(server, address);
-  if (fresh || at->second == address) return;
-  at->second = address;
+// Guards against a fleet whose servers are ever new: one that has gone keeps no connection, and its address
+// only for as long as it might still get an execution.
+void ServerSide::listed(const Listed& listed) {
+  const Span now = loop_.now();
+  const bool whole = listed.listing != Listing::changes;
+  for (auto& [server, place] : places_) {
+    if (whole) place.goneAt = std::min(place.goneAt, now);
+  }
+  for (const auto& [server, address] : listed.addresses) {
+    Place& place = places_[server];
+    if (place.address != address) closeIdle(server);
+    place = {address, Span::max()};
+  }
+  for (const ListedServer& server : listed.servers) {
+    const auto place = places_.find(server.id);
+    if (server.lifecycle != Lifecycle::gone || place == places_.end()) continue;
+    place->second.goneAt = now;
+    closeIdle(server.id);
+  }
+  std::erase_if(places_,
+                [&](const auto& at) { return at.second.goneAt < now && now - at.second.goneAt > kForget; });
+}
+
+void ServerSide::closeIdle(ServerId server) {
   const std::list<ServerConnection*> idle = idle_;
   for (ServerConnection* connection : idle) {
     if (connection->server() == server) connection->end(Reason::moved);
@@ -201,7 +225,7 @@
 }
 
 std::shared_ptr<ServerConnection> ServerSide::dial(ServerId server) {
-  const Poco::Net::SocketAddress& address = addresses_.at(server);
+  const Poco::Net::SocketAddress address = places_.at(server).address;
   for (;;) {
     try {
       Poco::Net::StreamSocket socket(address.family());
--- a/src/sidecar/server_side.hpp
+++ b/src/sidecar/server_side.hpp
@@ -21,6 +21,7 @@
 
 class Exchange;
 class ServerConnection;
+struct Listed;
 
 struct ExecutionKey {
   QueryId query;
@@ -35,7 +36,7 @@
   ServerSide& operator=(const ServerSide&) = delete;
   ~ServerSide();
 
-  void listed(ServerId server, const Poco::Net::SocketAddress& address);
+  void listed(const Listed& listed);
   void execute(ExecutionKey execution, ServerId server, const std::shared_ptr<const http::Message>& query,
                Span timeout);
   void cancel(ExecutionKey execution);
@@ -52,7 +53,14 @@
   Exchange& exchange_;
   Span dialTimeout_;
   Span idleLimit_;
-  std::map<ServerId, Poco::Net::SocketAddress> addresses_;
+  struct Place {
+    Poco::Net::SocketAddress address;
+    Span goneAt = Span::max();
+  };
+
+  void closeIdle(ServerId server);
+
+  std::map<ServerId, Place> places_;
   std::map<ServerConnection*, std::shared_ptr<ServerConnection>> connections_;
   std::list<ServerConnection*> idle_;  // the longest idle first
   std::map<ExecutionKey, ServerConnection*> executions_;
--- a/tests/sidecar_test.cpp
+++ b/tests/sidecar_test.cpp
@@ -614,6 +614,29 @@
   CHECK(has(client.message(), "moved"));
 }
 
+TEST_CASE("a server that is removed keeps no connection, and another at its address gets its own") {
+  Sidecar sidecar(1);
+  sidecar.start();
+  Peer watch = accept(sidecar.discovery);
+  watch.until("\r\n\r\n");
+  Peer client = sidecar.connect();
+  client.say(query("pay"));
+  Peer before = sidecar.server();
+  before.message();
+  before.say(served("before"));
+  CHECK(has(client.message(), "before"));
+  watch.say("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" +
+            chunk("{\"index\":42,\"snapshot\":false,\"endpoints\":[" +
+                  entry("s-0", sidecar.servers[0], "removed") + "," + entry("s-9", sidecar.servers[0]) +
+                  "]}\n"));
+  CHECK(before.ends());
+  client.say(query("pay"));
+  Peer after = sidecar.server();
+  after.message();
+  after.say(served("after"));
+  CHECK(has(client.message(), "after"));
+}
+
 TEST_CASE("a watch that falls silent is asked for anew") {
   Sidecar sidecar(1);
   sidecar.start();
