End connections that ask once and stay with their answer in a crowd

Change: while the application uses more than a quarter of its share, an answer on a connection that brought fewer than two queries carries Connection: close (reason=crowded). A steady application with few connections keeps them, one with many keeps those that came back.

--- a/src/sidecar/client_side.cpp
+++ b/src/sidecar/client_side.cpp
@@ -26,7 +26,9 @@
 constexpr Span kFresh = 100ms;      // a connection's first query may still be on its way; some hundred trips
 constexpr int kAccepted = 32;       // connections a turn; a storm of them must not hold up queries
 constexpr std::size_t kShare = 2;   // of the descriptors, one in so many is the application's; they ask for 3
-constexpr Span kLongestTime = 60s;  // of a query; keeps its descriptor no longer, whatever it says
+constexpr std::size_t kCrowded = 4;   // one part in so many of that share in use: single askers are not kept
+constexpr int kSteady = 2;            // queries on one connection; it came back, so it is worth keeping
+constexpr Span kLongestTime = 60s;    // of a query; keeps its descriptor no longer, whatever it says
 constexpr Span kAcceptPause = 20ms;   // without descriptors; a few queries' time, and no spinning
 constexpr Span kStillComing = 600ms;  // after the call to stop; half again what the protocol names
 constexpr Span kLastBytes = 1s;       // more, for a query that had begun; ends well before the kill
@@ -67,7 +69,11 @@
   void answer(http::Gather head, const std::shared_ptr<const Message>& body = nullptr) {
     forgetQuery();
     idleFrom_ = loop_.now();
-    const bool close = closes_ || side_.stopped_;
+    // Guards against connections that ask once, or only /up, and then stay open: an application may hold only
+    // so many itself, and those fill its bound until the idle limit, so that its queries can't connect at
+    // all.
+    const bool crowded = queries_ < kSteady && side_.crowded();
+    const bool close = closes_ || crowded || side_.stopped_;
     std::string rest = "Content-Length: " + std::to_string(body ? body->body().size() : 0) + "\r\n";
     rest += close ? "Connection: close\r\n\r\n" : "\r\n";
     head.text(std::move(rest));
@@ -76,7 +82,8 @@
       head.view(body->body());
     }
     send(std::move(head));
-    if (close) return finish(why_.empty() ? Reason::closeAsked : Reason::badMessage);
+    if (close)
+      return finish(!why_.empty() ? Reason::badMessage : closes_ ? Reason::closeAsked : Reason::crowded);
     awaitQuery();
     // In a turn of its own: the answer may come from within a call on the balancer.
     if (!in_.empty()) loop_.soon([self = shared_from_this(), this] { next(); });
@@ -146,6 +153,7 @@
     if (const std::string_view lack = read(*message, query); !lack.empty()) return refuse(400, lack);
     loop_.cancel(timer_);
     query_ = query.id;
+    ++queries_;
     openId_ = *message->field("X-Request-Id");
     side_.openIds_.insert(openId_);
     side_.waiting_[query.id] = this;
@@ -225,6 +233,7 @@
   std::string openId_;            // the id it came with
   Loop::TimerId timer_;           // until the next query must be there
   Span idleFrom_{};
+  int queries_ = 0;
   bool closes_ = false;
 };
 
@@ -284,6 +293,8 @@
 
 void ClientSide::limitDescriptors(std::size_t all) { most_ = std::max<std::size_t>(all / kShare, 1); }
 
+bool ClientSide::crowded() const { return connections_.size() * kCrowded > most_; }
+
 void ClientSide::answer(QueryId query, http::Gather pieces) {
   const auto at = waiting_.find(query);
   if (at == waiting_.end()) return;
--- a/src/sidecar/client_side.hpp
+++ b/src/sidecar/client_side.hpp
@@ -55,6 +55,7 @@
   bool acceptOne();  // false: not now
   void listening(bool on);
   void answer(QueryId query, http::Gather pieces);
+  [[nodiscard]] bool crowded() const;
   void closeListener();
   void ended(ClientConnection& connection);
   [[nodiscard]] std::vector<std::shared_ptr<ClientConnection>> all() const;
--- a/src/sidecar/connection.cpp
+++ b/src/sidecar/connection.cpp
@@ -24,11 +24,10 @@
 constexpr std::size_t kUnread = 64 * 1024;  // bytes after a last answer; the rest of a query that is too long
 constexpr std::size_t kMostPieces = 64;     // pieces a write; a head and a body need about five
 
-constexpr std::array<std::string_view, 17> kReasons = {
-    "peer_closed", "peer_reset",  "refused",       "dial_timeout", "execution_timeout",
-    "cancelled",   "bad_message", "unread_answer", "close_asked",  "idle",
-    "stalled",     "silent",      "done",          "moved",        "descriptors",
-    "shutdown",    "fault"};
+constexpr std::array<std::string_view, 18> kReasons = {
+    "peer_closed", "peer_reset",    "refused",     "dial_timeout", "execution_timeout", "cancelled",
+    "bad_message", "unread_answer", "close_asked", "idle",         "stalled",           "silent",
+    "done",        "moved",         "descriptors", "crowded",      "shutdown",          "fault"};
 
 bool wouldBlock(const Poco::Exception& error) {
   return error.code() == EAGAIN || error.code() == EWOULDBLOCK ||
--- a/src/sidecar/connection.hpp
+++ b/src/sidecar/connection.hpp
@@ -34,6 +34,7 @@
   done,
   moved,
   descriptors,
+  crowded,
   shutdown,
   fault
 };
