Build the lab: failures played in virtual time and on sockets, judged and compared

Change: src/lab/ and rackroute-lab. Balancer::standing tells the pool and how many are ejected; no decision changes.

--- a/include/rackroute/balancer.hpp
+++ b/include/rackroute/balancer.hpp
@@ -48,6 +48,12 @@
   virtual void listServers() = 0;
 };
 
+/// What an observer may see of a balancer: servers in its pool, and how many of them are ejected.
+struct Standing {
+  std::uint32_t pool = 0;
+  std::uint32_t ejected = 0;
+};
+
 class Decider;
 
 /// A query that a balancer has taken. It must not outlive the balancer; calls on one that is over do nothing.
@@ -81,6 +87,7 @@
   void serversListed(Span now, Listing listing, std::span<const ListedServer> servers);
   void discoveryFailed(Span now);
   void wake(Span now);
+  [[nodiscard]] Standing standing(Span now) const;
 
  private:
   std::unique_ptr<Decider> decider_;
--- a/src/decide/balancer.cpp
+++ b/src/decide/balancer.cpp
@@ -288,6 +288,16 @@
     arm(now);
   }
 
+  [[nodiscard]] Standing standing(Span now) const {
+    Standing all;
+    for (const Server& server : servers_) {
+      if (!server.held || !inPool(now, server)) continue;
+      ++all.pool;
+      if (server.ejected) ++all.ejected;
+    }
+    return all;
+  }
+
   [[nodiscard]] bool current(QuerySlot slot, std::uint32_t turn) const {
     return queries_[slot].inUse && queries_[slot].turn == turn;
   }
@@ -882,6 +892,7 @@
 }
 void Balancer::discoveryFailed(Span now) { decider_->discoveryFailed(now); }
 void Balancer::wake(Span now) { decider_->wake(now); }
+Standing Balancer::standing(Span now) const { return decider_->standing(now); }
 
 void QueryHandle::executionEnded(Span now, ExecutionNo execution, Outcome outcome, bool terminal,
                                  Span service) {
--- /dev/null
+++ b/src/lab/main.cpp
@@ -0,0 +1,319 @@
+// rackroute-lab: plays scenarios, compares, sweeps and reports.
+// Exit: 0 done and as expected; 1 a rule broken or the expected figure missed; 2 bad input; 3 no verdict,
+// as the machine was too slow for the clients.
+
+#include <CLI/CLI.hpp>
+#include <chrono>
+#include <cstdio>
+#include <filesystem>
+#include <fstream>
+#include <iostream>
+#include <iterator>
+#include <thread>
+
+#include "lab/experiment.hpp"
+#include "lab/report.hpp"
+#include "lab/sockets.hpp"
+#include "lab/world.hpp"
+
+namespace {
+
+using namespace rackroute::lab;
+namespace fs = std::filesystem;
+
+constexpr int kAsExpected = 0;
+constexpr int kMissed = 1;
+constexpr int kBadInput = 2;
+constexpr int kNoVerdict = 3;
+constexpr auto kTellEvery = std::chrono::seconds(2);  // of progress; short runs stay silent
+
+struct BadInput : std::runtime_error {
+  using std::runtime_error::runtime_error;
+};
+
+/// Whole or not at all: written beside, then renamed.
+void writeWhole(const std::string& path, const std::string& text) {
+  const std::string beside = path + ".part";
+  {
+    std::ofstream out(beside, std::ios::binary);
+    out << text;
+    out.flush();
+    if (!out) {
+      std::error_code ignored;
+      fs::remove(beside, ignored);
+      throw BadInput(path + ": can't be written");
+    }
+  }
+  std::error_code failed;
+  fs::rename(beside, path, failed);
+  if (!failed) return;
+  std::error_code ignored;
+  fs::remove(beside, ignored);
+  throw BadInput(path + ": can't be written: " + failed.message());
+}
+
+std::string readWhole(const std::string& path) {
+  std::ifstream in(path, std::ios::binary);
+  std::string text{std::istreambuf_iterator<char>(in), {}};
+  if (!in || fs::is_directory(path)) throw BadInput(path + ": can't be read");
+  return text;
+}
+
+/// Says how far a long run is, on standard error, every few seconds.
+class Progress {
+ public:
+  void tell(double done) {
+    const auto now = std::chrono::steady_clock::now();
+    if (now < next_) return;
+    next_ = now + kTellEvery;
+    std::fprintf(stderr, "%3.0f%%\n", 100 * done);
+  }
+
+ private:
+  std::chrono::steady_clock::time_point next_ = std::chrono::steady_clock::now() + kTellEvery;
+};
+
+std::vector<Override> overridesOf(const std::vector<std::string>& sets) {
+  std::vector<Override> overrides;
+  for (const std::string& set : sets) {
+    const std::size_t at = set.find('=');
+    if (at == std::string::npos || at == 0) throw BadInput("--set " + set + ": wants KEY=VALUE");
+    overrides.emplace_back(set.substr(0, at), set.substr(at + 1));
+  }
+  return overrides;
+}
+
+std::vector<std::string> split(const std::string& text) {
+  std::vector<std::string> parts;
+  std::istringstream in(text);
+  for (std::string part; std::getline(in, part, ',');) parts.push_back(part);
+  return parts;
+}
+
+void tellBreaches(const Result& result) {
+  for (const Breach& breach : result.told) {
+    std::cout << "BROKEN " << nameOf(breach.rule) << ": " << breach.subject << '\n';
+    for (const std::string& line : breach.timeline) std::cout << "  " << line << '\n';
+  }
+  if (result.breaches > result.told.size())
+    std::cout << "and " << result.breaches - result.told.size() << " more\n";
+}
+
+struct Asked {
+  std::string file;
+  std::vector<std::string> sets;
+  std::string clock = "virtual";
+  std::string policy = "module";
+  std::string program;
+  std::uint64_t seed = 1;
+  unsigned seeds = 5;
+  unsigned jobs = std::max(1U, std::thread::hardware_concurrency());
+  std::string json;
+  std::string log;
+  std::string over;
+  std::string policies;
+  std::vector<std::string> results;
+  std::string html;
+  std::string folder = "lab/scenarios";
+};
+
+Result playOnSockets(const Asked& asked, const Scenario& scenario) {
+  if (asked.policy != "module")
+    throw BadInput("--policy " + asked.policy + ": sockets play the program alone");
+  if (!asked.log.empty()) throw BadInput("--log: goes with the virtual clock");
+  Progress progress;
+  SocketPlan plan;
+  plan.seed = asked.seed;
+  plan.program = asked.program;
+  if (!fs::exists(plan.program)) throw BadInput("--program " + plan.program + ": is not there");
+  plan.progress = [&](double done) { progress.tell(done); };
+  return playSockets(scenario, plan);
+}
+
+Result playInVirtualTime(const Asked& asked, const Scenario& scenario) {
+  RunPlan plan;
+  plan.seed = asked.seed;
+  plan.policy = asked.policy;
+  static_cast<void>(policyOf(asked.policy));
+  Progress progress;
+  plan.progress = [&](double done) { progress.tell(done); };
+  std::ostringstream log;
+  if (!asked.log.empty()) plan.executions = &log;
+  const Result result = playVirtual(scenario, plan);
+  if (!asked.log.empty()) writeWhole(asked.log, log.str());
+  return result;
+}
+
+int run(const Asked& asked) {
+  const Scenario scenario = readScenario(asked.file, overridesOf(asked.sets));
+  const Result result =
+      asked.clock == "sockets" ? playOnSockets(asked, scenario) : playInVirtualTime(asked, scenario);
+  if (!asked.json.empty()) writeWhole(asked.json, result.json.dump(1) + '\n');
+  tellBreaches(result);
+  const Json& figures = result.json["figures"];
+  std::printf("%s  goodput %.4f (expected %.2f)  worst 10 s %.3f  executions %llu  broken %llu\n",
+              scenario.name.c_str(), result.goodput, scenario.expected.goodput,
+              figures["worst_10_s"].get<double>(),
+              static_cast<unsigned long long>(figures["executions"].get<std::uint64_t>()),
+              static_cast<unsigned long long>(result.breaches));
+  // Guards against blaming the program for a machine that could not send in time.
+  if (result.ranLate) {
+    std::printf("the lab ran late, up to %.1f ms: no verdict\n",
+                result.json["lab_late"]["latest_ms"].get<double>());
+    return kNoVerdict;
+  }
+  const bool kept = result.breaches == 0 || !scenario.expected.rulesKept;
+  return kept && (asked.policy != "module" || result.goodput >= scenario.expected.goodput) ? kAsExpected
+                                                                                           : kMissed;
+}
+
+ExperimentPlan planOf(const Asked& asked, const std::vector<std::string>& policies, Progress& progress) {
+  ExperimentPlan plan;
+  for (unsigned i = 0; i < asked.seeds; ++i) plan.seeds.push_back(asked.seed + i);
+  plan.policies = asked.policies.empty() ? policies : split(asked.policies);
+  for (const std::string& policy : plan.policies) static_cast<void>(policyOf(policy));
+  plan.jobs = asked.jobs;
+  plan.progress = [&](std::size_t done, std::size_t all) {
+    progress.tell(static_cast<double>(done) / static_cast<double>(all));
+  };
+  return plan;
+}
+
+void tellRow(const Json& one, const std::string& first) {
+  std::printf("%-14s %-13s goodput %.4f +-%.4f  worst 10 s %.3f  broken %llu", first.c_str(),
+              one["policy"].get<std::string>().c_str(), one["goodput"]["mean"].get<double>(),
+              one["goodput"]["half"].get<double>(), one["worst_10_s"]["mean"].get<double>(),
+              static_cast<unsigned long long>(one["broken"].get<std::uint64_t>()));
+  if (one.contains("first_ahead"))
+    std::printf("  first ahead by %.4f +-%.4f: %s", one["first_ahead"]["mean"].get<double>(),
+                one["first_ahead"]["half"].get<double>(), one["verdict"].get<std::string>().c_str());
+  std::printf("\n");
+}
+
+/// The module's rules must hold; what baselines break is only told.
+int verdict(const Json& all) {
+  for (const Json& one : all) {
+    if (one["policy"] == "module" && one["broken"].get<std::uint64_t>() > 0) return kMissed;
+  }
+  return kAsExpected;
+}
+
+int compare(const Asked& asked) {
+  const Scenario scenario = readScenario(asked.file, overridesOf(asked.sets));
+  std::vector<std::string> policies;
+  for (const PolicyKind kind : kPolicies) policies.emplace_back(nameOf(kind));
+  Progress progress;
+  const Json all = compareJson(scenario, planOf(asked, policies, progress));
+  if (!asked.json.empty()) writeWhole(asked.json, all.dump(1) + '\n');
+  for (const Json& one : all["policies"]) tellRow(one, scenario.name);
+  return verdict(all["policies"]);
+}
+
+int sweep(const Asked& asked) {
+  const std::size_t at = asked.over.find('=');
+  if (at == std::string::npos || at == 0 || at + 1 == asked.over.size())
+    throw BadInput("--over " + asked.over + ": wants KEY=A,B,C");
+  Progress progress;
+  const Json all = sweepJson(asked.file, overridesOf(asked.sets),
+                             {asked.over.substr(0, at), split(asked.over.substr(at + 1))},
+                             planOf(asked, {"module"}, progress));
+  if (!asked.json.empty()) writeWhole(asked.json, all.dump(1) + '\n');
+  for (const Json& one : all["points"]) tellRow(one, one["value"].get<std::string>());
+  return verdict(all["points"]);
+}
+
+int report(const Asked& asked) {
+  std::vector<Json> results;
+  for (const std::string& path : asked.results) {
+    try {
+      results.push_back(Json::parse(readWhole(path)));
+    } catch (const Json::exception&) {
+      throw BadInput(path + ": is no JSON");
+    }
+  }
+  try {
+    writeWhole(asked.html, reportHtml(results));
+  } catch (const Json::exception& error) {
+    throw BadInput(std::string("a result lacks what a report needs: ") + error.what());
+  }
+  return kAsExpected;
+}
+
+int check(const Asked& asked) {
+  const Scenario scenario = readScenario(asked.file, overridesOf(asked.sets));
+  std::printf("%s: %u balancers, %u servers in %u zones, %.0f queries a second for %.0f s, %zu troubles\n",
+              scenario.name.c_str(), scenario.balancers, scenario.servers, scenario.zones,
+              scenario.queriesPerSecond(), seconds(scenario.length), scenario.troubles.size());
+  return kAsExpected;
+}
+
+int list(const Asked& asked) {
+  std::error_code failed;
+  std::vector<std::string> files;
+  for (const auto& entry : fs::directory_iterator(asked.folder, failed)) {
+    if (entry.path().extension() == ".toml") files.push_back(entry.path().string());
+  }
+  if (failed) throw BadInput(asked.folder + ": can't be read");
+  std::sort(files.begin(), files.end());
+  for (const std::string& file : files) {
+    const Scenario scenario = readScenario(file);
+    std::printf("%-22s %s\n", scenario.name.c_str(), scenario.about.c_str());
+  }
+  return kAsExpected;
+}
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  CLI::App app{"Plays scenarios of failure with the module, compares it with baselines, and reports."};
+  app.require_subcommand(1);
+  Asked asked;
+  const auto scenario = [&](CLI::App* command) {
+    command->add_option("FILE", asked.file, "the scenario")->required();
+    command->add_option("--set", asked.sets, "KEY=VALUE in place of the file's, such as load.share=0.8");
+    return command;
+  };
+  const auto experiment = [&](CLI::App* command) {
+    command->add_option("--seeds", asked.seeds, "how many, from --seed on")->check(CLI::Range(1U, 10'000U));
+    command->add_option("--seed", asked.seed, "the first");
+    command->add_option("--jobs", asked.jobs, "runs at once")->check(CLI::Range(1U, 1024U));
+    command->add_option("--policies", asked.policies, "some of them, by commas");
+    command->add_option("--json", asked.json, "the result file");
+  };
+  CLI::App* running = scenario(app.add_subcommand("run", "plays one scenario"));
+  running->add_option("--clock", asked.clock, "virtual, or sockets with real processes")
+      ->check(CLI::IsMember({"virtual", "sockets"}));
+  asked.program = (fs::path(argv[0]).parent_path() / "rackroute").string();
+  running->add_option("--program", asked.program,
+                      "the rackroute that sockets start; else the one beside this");
+  running->add_option("--policy", asked.policy, "module, random, round_robin, least_of_two or all_seeing");
+  running->add_option("--seed", asked.seed);
+  running->add_option("--json", asked.json, "the result file");
+  running->add_option("--log", asked.log, "the execution log, one JSON object a line");
+  CLI::App* comparing = scenario(app.add_subcommand("compare", "plays one scenario with all policies"));
+  experiment(comparing);
+  CLI::App* sweeping = scenario(app.add_subcommand("sweep", "plays one scenario over values of a key"));
+  sweeping->add_option("--over", asked.over, "KEY=A,B,C")->required();
+  experiment(sweeping);
+  CLI::App* reporting = app.add_subcommand("report", "makes one page of result files");
+  reporting->add_option("OUT", asked.results, "result files")->required();
+  reporting->add_option("--html", asked.html, "the page")->required();
+  CLI::App* checking = scenario(app.add_subcommand("check", "reads a scenario and says what it would play"));
+  CLI::App* listing = app.add_subcommand("list", "the scenarios of a folder");
+  listing->add_option("--folder", asked.folder);
+  try {
+    app.parse(argc, argv);
+    if (*running) return run(asked);
+    if (*comparing) return compare(asked);
+    if (*sweeping) return sweep(asked);
+    if (*reporting) return report(asked);
+    if (*checking) return check(asked);
+    if (*listing) return list(asked);
+  } catch (const CLI::ParseError& error) {
+    return app.exit(error) == 0 ? kAsExpected : kBadInput;
+  } catch (const std::exception& error) {
+    std::cerr << error.what() << '\n';
+    return kBadInput;
+  }
+  return kBadInput;
+}
