Take keys from a home that fails, and from a whole zone after five failures in a row

Cause: with keys, nine queries in ten go to homes in the own zone. In a large fleet each balancer meets each dead home on its own and lost a query there until five had failed, one after the other; with discovery 8 s late a lost zone cost a third of all service for 9 s.

Change: a home whose last answer was a failure keeps no keys until it answers, or for the eject time; after five failures in a row in the own zone, none answered since, none of its homes does.

--- a/src/decide/balancer.cpp
+++ b/src/decide/balancer.cpp
@@ -136,6 +136,7 @@
   bool used = false;              // in this balancer's set, its pool
   double weight = 1;
   std::uint32_t run = 0;  // failures in a row
+  Span failedAt{};        // the latest of them
   std::vector<UseRun> useRuns;
   bool ejected = false;
   Span trialAt{};
@@ -385,7 +386,7 @@
       order_.push_back(slot);
       size += server.size;
       weight += server.weight;
-      unused += server.used ? 0 : 1;
+      unused += server.used || server.ejected ? 0 : 1;
       usable += server.used && !server.ejected ? 1 : 0;
     }
     listedCount_ = static_cast<double>(order_.size());
@@ -405,7 +406,8 @@
       std::size_t at = 0;
       for (; at + 1 < order_.size() && before >= servers_[order_[at]].size; ++at)
         before -= servers_[order_[at]].size;
-      while (servers_[order_[at]].used) at = (at + 1) % order_.size();
+      // Guards against a home that was ejected outside the set: it would join as one more that is out.
+      while (servers_[order_[at]].used || servers_[order_[at]].ejected) at = (at + 1) % order_.size();
       servers_[order_[at]].used = true;
       servers_[order_[at]].limit = firstLimit();
     }
@@ -451,6 +453,7 @@
       // Guards against servers that are slow but answer: an answer past its SLO time earns no weight.
       if (took <= slo) server.weight = std::min(1.0, server.weight + kWeightStep);
       server.run = server.useRuns[use].failures = 0;
+      if (near) nearRun_ = 0;
       server.ejected = server.onTrial = false;
     } else if (isFailure(outcome)) {
       if (!pending.overdue) countFailure(now, server, use);
@@ -495,6 +498,11 @@
   void countFailure(Span now, Server& server, std::size_t use) {
     server.weight = std::max(kWeightFloor, server.weight / 2);
     ++server.run;
+    server.failedAt = now;
+    if (server.zone == terms_.zone) {
+      ++nearRun_;
+      nearFailedAt_ = now;
+    }
     if (server.ejected || (server.run >= kFailuresToEject && mayPutOut(now, use))) eject(now, server);
   }
 
@@ -605,6 +613,12 @@
     return std::clamp(services_.mean(now, server.service) / server.service, 1 / kMostSpeed, kMostSpeed);
   }
 
+  // Guards against keys that cling to homes that fail: those keep none until they answer, or for the eject
+  // time.
+  [[nodiscard]] static bool failsNow(Span now, std::uint32_t run, Span failedAt, std::uint32_t most) {
+    return run >= most && now < failedAt + kEjectTime;
+  }
+
   std::optional<ServerSlot> pick(Span now, const Held& held) {
     if (poolWait(now) > Span{0}) return std::nullopt;
     measureWarmRate(now);
@@ -629,7 +643,9 @@
       ++pool;
     }
     const double crowded = kCrowded * (pool > 0 ? pool / inverse : usual);  // harmonic: no outlier moves it
-    const bool atHome = homes && draw() < kHome;
+    // Guards against a lost zone whose homes would each have to fail five times, one after the other.
+    const bool lost = failsNow(now, nearRun_, nearFailedAt_, kFailuresToEject);
+    const bool atHome = homes && draw() < kHome && !lost;
     std::optional<ServerSlot> home;
     std::optional<ServerSlot> least;
     double nearest = 0;
@@ -639,7 +655,7 @@
       Server& server = servers_[slot];
       if (expected_[slot] <= 0 || triedBefore(held, slot)) continue;
       const double share = server.weight * server.size * ramp(now, server) * speed(now, server);
-      if (atHome && server.zone == terms_.zone) {
+      if (atHome && server.zone == terms_.zone && !failsNow(now, server.run, server.failedAt, 1)) {
         const double distance = -std::log(fraction(held.query.key->value, server.id.value)) / share;
         if (!home || distance < nearest) {
           home = slot;
@@ -869,6 +885,8 @@
   std::uint32_t setPicks_ = 0;
   std::array<Ring, 2> answersFrom_;       // other zones, and the own
   std::array<double, 2> unloaded_{1, 1};  // seconds; the least mean answer time so far of each
+  std::uint32_t nearRun_ = 0;             // failures in a row in the own zone
+  Span nearFailedAt_{};
   double saved_ = 1;  // seconds of execution that the limits allow; at the start all that may be saved
   Span savedAt_{};
   Span askAt_ = Span::max();
--- a/tests/scale_test.cpp
+++ b/tests/scale_test.cpp
@@ -1,4 +1,5 @@
 // One balancer that is told it is one of a thousand shows its share.
+#include <functional>
 #include <set>
 
 #include "story.hpp"
@@ -220,3 +221,81 @@
   }
   CHECK(fleet.sent.size() > before + 3);
 }
+
+namespace {
+
+/// Ten balancers' one, with homes among nine servers in three zones; its own is zone 0.
+struct Homes : Fleet {
+  static Terms warm() {
+    Terms made = oneOf(10);
+    made.warmKeys = true;
+    return made;
+  }
+  Homes() : Fleet(warm()) { list(Listing::persisted, zones(1, 9)); }
+  /// Plays one query of each of so many keys; how many first went to the zone.
+  int toZone(std::uint64_t zone, std::uint64_t keys, const std::function<Outcome(ServerId)>& plays) {
+    int here = 0;
+    for (std::uint64_t key = 1; key <= keys; ++key) {
+      takeKey(*this, key);
+      now += 20ms;
+      if (last().server.value % 3 == zone) ++here;
+      for (int no = 0; no < 3 && endOf(last().query) == "open"; ++no) {
+        const Sent execution = last();
+        const Outcome outcome = plays(execution.server);
+        end(execution, outcome);
+        if (outcome == Outcome::completed) break;
+      }
+    }
+    return here;
+  }
+};
+
+Outcome completes(ServerId) { return Outcome::completed; }
+
+}  // namespace
+
+TEST_CASE("a lost zone keeps no keys after five failures in a row, and gets them back when it answers") {
+  Homes fleet;
+  CHECK(fleet.toZone(0, 60, completes) > 50);
+  const auto lost = [](ServerId id) {
+    return id.value % 3 == 0 ? Outcome::connectFailed : Outcome::completed;
+  };
+  fleet.toZone(0, 10, lost);
+  CHECK(fleet.toZone(0, 40, lost) < 10);
+  fleet.now += 15s;
+  CHECK(fleet.toZone(0, 60, completes) > 0);
+  fleet.now += 15s;
+  fleet.toZone(0, 30, completes);
+  CHECK(fleet.toZone(0, 60, completes) > 40);
+}
+
+TEST_CASE("a home that failed once keeps no keys, until it answers or the eject time is over") {
+  Homes fleet;
+  std::vector<std::uint64_t> keys;
+  const ServerId bad{3};
+  for (std::uint64_t key = 1; key <= 120; ++key) {
+    takeKey(fleet, key);
+    if (fleet.last().server == bad) keys.push_back(key);
+    fleet.end(fleet.last(), Outcome::completed);
+    fleet.now += 20ms;
+  }
+  REQUIRE(keys.size() > 20);
+  int met = 0;
+  const auto playAll = [&](Outcome outcome) {
+    for (const std::uint64_t key : keys) {
+      takeKey(fleet, key);
+      const bool here = fleet.last().server == bad;
+      met += here ? 1 : 0;
+      fleet.end(fleet.last(), here ? outcome : Outcome::completed);
+      fleet.end(fleet.last(), Outcome::completed);
+      fleet.now += 5ms;
+    }
+  };
+  playAll(Outcome::error);
+  CHECK(met >= 1);
+  CHECK(met <= 2);  // the one, and an ordinary pick
+  fleet.now += 20s;
+  met = 0;
+  playAll(Outcome::completed);
+  CHECK(met > 5);
+}
