Share the lab's troubles, clients and lists between its clocks; say when the lab itself is late

Need: virtual time and sockets each had the troubles, the clients' next step and what a list tells written out, so that a change to one could part them; and clients that outpace the machine were held against the program.

Change: stand_in holds what both share. On sockets the loop looks at its own lateness every 5 ms: with over a hundredth of sends or looks 10 ms late there is no verdict (exit 3). A node's client connections have a bound. Spoilt answers are a trouble of their own; the execution log has server and start, and what a cancel or a crash wasted.

--- a/src/lab/fleet.hpp
+++ b/src/lab/fleet.hpp
@@ -12,9 +12,6 @@
 
 namespace rackroute::lab {
 
-/// Of a query's work that one costs that fails at once.
-inline constexpr double kErrorWork = 0.05;
-
 struct FleetServer {
   std::string name;
   ServerId id;
--- a/src/lab/main.cpp
+++ b/src/lab/main.cpp
@@ -149,19 +149,19 @@
   const Result result =
       asked.clock == "sockets" ? playOnSockets(asked, scenario) : playInVirtualTime(asked, scenario);
   if (!asked.json.empty()) writeWhole(asked.json, result.json.dump(1) + '\n');
-  tellBreaches(result);
-  const Json& figures = result.json["figures"];
-  std::printf("%s  goodput %.4f (expected %.2f)  worst 10 s %.3f  executions %llu  broken %llu\n",
-              scenario.name.c_str(), result.goodput, scenario.expected.goodput,
-              figures["worst_10_s"].get<double>(),
-              static_cast<unsigned long long>(figures["executions"].get<std::uint64_t>()),
-              static_cast<unsigned long long>(result.breaches));
   // Guards against blaming the program for a machine that could not send in time.
   if (result.ranLate) {
     std::printf("the lab ran late, up to %.1f ms: no verdict\n",
                 result.json["lab_late"]["latest_ms"].get<double>());
     return kNoVerdict;
   }
+  tellBreaches(result);
+  const Json& figures = result.json["figures"];
+  std::printf("%s  goodput %.4f (expected %.3f)  worst 10 s %.3f  executions %llu  broken %llu\n",
+              scenario.name.c_str(), result.goodput, scenario.expected.goodput,
+              figures["worst_10_s"].get<double>(),
+              static_cast<unsigned long long>(figures["executions"].get<std::uint64_t>()),
+              static_cast<unsigned long long>(result.breaches));
   const bool kept = result.breaches == 0 || !scenario.expected.rulesKept;
   return kept && (asked.policy != "module" || result.goodput >= scenario.expected.goodput) ? kAsExpected
                                                                                            : kMissed;
--- a/src/lab/scenario.cpp
+++ b/src/lab/scenario.cpp
@@ -43,6 +43,7 @@
                                            {"zone_cut", TroubleKind::zoneCut},
                                            {"resets", TroubleKind::resets},
                                            {"cut_answers", TroubleKind::cutAnswers},
+                                           {"spoilt_answers", TroubleKind::spoiltAnswers},
                                            {"discovery_out", TroubleKind::discoveryOut},
                                            {"discovery_stale", TroubleKind::discoveryStale},
                                            {"empty_list", TroubleKind::emptyList},
--- a/src/lab/scenario.hpp
+++ b/src/lab/scenario.hpp
@@ -53,6 +53,7 @@
   zoneCut,
   resets,
   cutAnswers,
+  spoiltAnswers,
   discoveryOut,
   discoveryStale,
   emptyList,
--- a/src/lab/sockets.cpp
+++ b/src/lab/sockets.cpp
@@ -11,6 +11,7 @@
 #include <algorithm>
 #include <charconv>
 #include <csignal>
+#include <deque>
 #include <fstream>
 #include <map>
 #include <memory>
@@ -23,6 +24,7 @@
 #include "http/message.hpp"
 #include "lab/fleet.hpp"
 #include "lab/registry_model.hpp"
+#include "lab/stand_in.hpp"
 #include "lab/world.hpp"
 #include "sidecar/connection.hpp"
 #include "sidecar/log.hpp"
@@ -43,14 +45,16 @@
 using sidecar::Reason;
 
 constexpr std::uint32_t kMostProcesses = 32;  // a few for each core
-constexpr Span kLag = 50ms;          // more for each time limit; the platform's own figure on sockets
-constexpr Span kLateArrival = 10ms;  // a send that late was not this program's doing
-constexpr double kLateShare = 0.01;  // of all sends; more and the run tells nothing
-constexpr Span kComesUp = 10s;       // for all processes to answer /up
-constexpr Span kAskUp = 20ms;        // between two looks
-constexpr Span kBeat = 2s;           // a watch's empty line
-constexpr Span kAfter = 1s;          // beyond the longest time of a query
-constexpr Span kStops = 5s;          // after TERM; then it is killed
+constexpr Span kLag = 50ms;              // more for each time limit; the platform's own figure on sockets
+constexpr Span kLateArrival = 10ms;      // a send that late was not this program's doing
+constexpr double kLateShare = 0.01;      // of all sends, or of the beats; more and the run tells nothing
+constexpr Span kBeatLab = 5ms;           // between two looks at how late the loop is
+constexpr Span kComesUp = 10s;           // for all processes to answer /up
+constexpr Span kAskUp = 20ms;            // between two looks
+constexpr Span kBeat = 2s;               // a watch's empty line
+constexpr Span kAfter = 1s;              // beyond the longest time of a query
+constexpr Span kStops = 5s;              // after TERM; then it is killed
+constexpr std::size_t kMostLinks = 250;  // a node's client connections; queries beyond wait for one
 constexpr int kBacklog = 512;
 constexpr std::size_t kLongestAnswer = 1 << 20;
 
@@ -178,16 +182,11 @@
   std::vector<Execution> executions;
 };
 
-struct StandIn {
-  FleetServer drawn;
-  ServerModel model;
-  std::unique_ptr<Listener> listener{};
-  std::map<ServerLink*, std::shared_ptr<ServerLink>> links{};
-  Loop::TimerId turn{};
-  double errors = 0;
-  std::optional<std::uint32_t> errorsOf;
-  double resets = 0;
-  double cuts = 0;
+struct Machine : StandIn {
+  using StandIn::StandIn;
+  std::unique_ptr<Listener> listener;
+  std::map<ServerLink*, std::shared_ptr<ServerLink>> links;
+  Loop::TimerId turn;
 };
 
 struct Node {  // one rackroute process with its discovery
@@ -196,19 +195,17 @@
   std::map<DiscoveryLink*, std::shared_ptr<DiscoveryLink>> calls;
   std::map<ClientLink*, std::shared_ptr<ClientLink>> clients;
   std::vector<std::shared_ptr<ClientLink>> idle;
+  std::deque<std::uint32_t> waiting;  // queries without a connection yet
   std::unique_ptr<Poco::TemporaryFile> file;
   std::optional<Poco::ProcessHandle> process;
-  std::vector<bool> held;  // by server: told as serving
   std::uint64_t index = 1;
   bool up = false;
 };
 
-class Stage {
+class Stage : public Stricken {
  public:
   Stage(const Scenario& scenario, const SocketPlan& plan);
-  Stage(const Stage&) = delete;
-  Stage& operator=(const Stage&) = delete;
-  ~Stage();
+  ~Stage() override;
   Result run();
 
   // ---- What the connections tell
@@ -222,7 +219,6 @@
   [[nodiscard]] Span idleTime() const { return scenario_.connectionIdle; }
 
  private:
-  [[nodiscard]] Span now() const { return loop_.now() - zero_; }
   void in(Span wait, Loop::Task task) { loop_.in(wait, std::move(task)); }
   void launch(std::uint32_t balancer);
   void lookUp(std::uint32_t balancer);
@@ -231,8 +227,9 @@
   void arrive();
   void tryOnce(const Ask& ask, std::uint32_t tries);
   void write(std::uint32_t query);
+  void serveWaiting(std::uint32_t balancer);
   void timeUp(std::uint32_t query, bool leaves);
-  bool tryAgain(std::uint32_t query, Span wait);
+  void goOn(std::uint32_t query, const NextStep& next);
   void settle(std::uint32_t query, Fate fate);
 
   void offer(std::uint32_t query, std::uint32_t no);
@@ -241,12 +238,19 @@
   void reply(std::uint32_t query, std::uint32_t no, Outcome outcome);
   Span way(const Ask& ask, std::size_t server);
 
-  void die(std::size_t server);
-  void come(std::size_t server);
-  void trouble(std::size_t no, bool begins);
-  void changed(std::size_t server, Lifecycle lifecycle);
+  [[nodiscard]] Span now() const override { return loop_.now() - zero_; }
+  void later(Span wait, std::function<void()> deed) override { in(wait, std::move(deed)); }
+  StandIn& standIn(std::size_t server) override { return servers_[server]; }
+  void turn(std::size_t server) override { schedule(server); }
+  void die(std::size_t server, bool vanish) override;
+  void come(std::size_t server) override;
+  void changed(std::size_t server, Lifecycle lifecycle) override;
+  void cutOff(std::optional<std::uint32_t>) override {}  // refused before the run
+  void watchBroke(std::uint32_t balancer) override;
+  void tellWhole(std::uint32_t balancer) override;
   void tellChanges(std::uint32_t balancer);
   std::string list(std::uint32_t balancer, bool whole, const std::vector<RegistryEntry>& entries);
+  void beat(Span due);
   void sample();
 
   const Scenario& scenario_;
@@ -260,15 +264,18 @@
   Chance network_;
   Chance chance_;
   RegistryModel registry_;
-  std::vector<StandIn> servers_;
+  ToldLists told_;
+  std::vector<Machine> servers_;
   std::vector<Node> nodes_;
   std::unordered_map<std::uint32_t, Try> tries_;
-  std::map<std::pair<int, std::int64_t>, Marks> marks_;
+  MarkGroups marks_;
   std::vector<std::vector<std::size_t>> hit_;
   std::optional<Ask> next_;
   std::uint32_t lastQuery_ = 0;
   std::uint64_t sends_ = 0;
   std::uint64_t lateSends_ = 0;
+  std::uint64_t beats_ = 0;
+  std::uint64_t lateBeats_ = 0;
   Span latest_{};
   bool begun_ = false;
 };
@@ -361,14 +368,15 @@
       clients_(scenario, plan.seed),
       network_(chanceOf(plan.seed, Purpose::network)),
       chance_(chanceOf(plan.seed, Purpose::troubles, scenario.troubles.size())),
-      registry_(scenario) {
+      registry_(scenario),
+      told_(scenario, drawFleet(scenario, plan.seed), audit_) {
   const std::vector<FleetServer> fleet = drawFleet(scenario, plan.seed);
   for (const FleetServer& drawn : fleet) {
     const std::size_t place = servers_.size();
-    servers_.push_back({.drawn = drawn, .model = ServerModel(drawn.traits), .errorsOf = std::nullopt});
-    StandIn& server = servers_.back();
+    servers_.emplace_back(drawn);
+    Machine& server = servers_.back();
     server.listener = std::make_unique<Listener>(loop_, [this, place](const StreamSocket& socket) {
-      StandIn& here = servers_[place];
+      Machine& here = servers_[place];
       // Guards against more connections than it takes: it closes what comes on top.
       if (here.links.size() >= here.drawn.traits.connections) return;
       auto link = std::make_shared<ServerLink>(*this, loop_, place, socket);
@@ -416,7 +424,6 @@
     link->open();
   });
   node.discovery->open();
-  node.held.resize(scenario_.servers);
   const auto millis = [](Span span) { return static_cast<double>(span.count()) / 1000; };
   const Terms terms = scenario_.terms(plan_.seed, balancer);
   Json settings;
@@ -486,10 +493,15 @@
   result.goodput = tally_.goodput();
   result.breaches = audit_.count();
   result.told = audit_.breaches();
-  result.ranLate = static_cast<double>(lateSends_) > kLateShare * static_cast<double>(sends_);
+  const auto tooMany = [](std::uint64_t late, std::uint64_t all) {
+    return static_cast<double>(late) > kLateShare * static_cast<double>(all);
+  };
+  result.ranLate = tooMany(lateSends_, sends_) || tooMany(lateBeats_, beats_);
   result.json = resultJson(scenario_, "module", "sockets", plan_.seed, tally_, audit_);
   result.json["lab_late"] = {{"sends", sends_},
                              {"late", lateSends_},
+                             {"beats", beats_},
+                             {"late_beats", lateBeats_},
                              {"latest_ms", static_cast<double>(latest_.count()) / 1000},
                              {"verdict", result.ranLate ? "the lab ran late: no verdict" : "in time"}};
   return result;
@@ -501,14 +513,18 @@
   zeroTime_ = std::chrono::system_clock::now();
   for (std::size_t no = 0; no < scenario_.troubles.size(); ++no) {
     const Trouble& planned = scenario_.troubles[no];
-    in(planned.at, [this, no] { trouble(no, true); });
-    in(planned.at + planned.length, [this, no] { trouble(no, false); });
+    const auto plays = [this, no](bool begins) {
+      play(scenario_.troubles[no], begins, hit_[no], servers_.size(), registry_, *this);
+    };
+    in(planned.at, [plays] { plays(true); });
+    in(planned.at + planned.length, [plays] { plays(false); });
   }
   next_ = clients_.next();
   if (next_) in(next_->at, [this] { arrive(); });
   Span longest{};
   for (const UseCasePlan& plan : scenario_.useCases) longest = std::max(longest, plan.timeout);
   in(scenario_.length + longest + kAfter, [this] { loop_.stop(); });
+  beat(now());
   sample();
 }
 
@@ -559,6 +575,8 @@
     node.idle.pop_back();
     if (link->ended() || link->stale()) link.reset();
   }
+  // Guards against a lab that runs out of descriptors where the program is slow: clients have a bound too.
+  if (!link && node.clients.size() >= kMostLinks) return node.waiting.push_back(query);
   if (!link) {
     link = std::make_shared<ClientLink>(*this, loop_, asked.ask.balancer);
     node.clients.emplace(link.get(), link);
@@ -570,6 +588,15 @@
   link->ask(query, text.str());
 }
 
+void Stage::serveWaiting(std::uint32_t balancer) {
+  std::deque<std::uint32_t>& waiting = nodes_[balancer].waiting;
+  while (!waiting.empty()) {
+    const std::uint32_t query = waiting.front();
+    waiting.pop_front();
+    if (!tries_.at(query).gone) return write(query);
+  }
+}
+
 void Stage::timeUp(std::uint32_t query, bool leaves) {
   const auto at = tries_.find(query);
   if (at == tries_.end() || at->second.answered || at->second.gone) return;
@@ -580,12 +607,13 @@
     link->end(Reason::done);
   }
   if (leaves) return settle(query, Fate::left);
-  if (!tryAgain(query, scenario_.backoff)) settle(query, Fate::failed);
+  goOn(query, afterSilence(scenario_, at->second.ask, at->second.tries, now()));
 }
 
 void Stage::answerCame(std::uint32_t balancer, ClientLink& link, const Message& message) {
   Node& node = nodes_[balancer];
   const auto query = std::exchange(link.query_, std::nullopt);
+  in(Span{}, [this, balancer] { serveWaiting(balancer); });
   if (message.keepsOpen())
     node.idle.push_back(node.clients.at(&link));
   else
@@ -605,33 +633,21 @@
                                              : Answer::aborted;
   if (how != Answer::completed) audit_.gaveUp(now(), *query);
   audit_.answered(now(), *query, how);
-  const UseCasePlan& plan = scenario_.useCases[heard.ask.useCase];
-  const Span took = now() - heard.ask.at;
-  if (how == Answer::completed) {
-    const bool inTime = took <= plan.terms.sloTime;
-    return settle(*query, inTime ? Fate::inTime : took <= plan.timeout ? Fate::late : Fate::failed);
-  }
-  Span wait = scenario_.backoff;
-  if (const auto advice = message.field("Retry-After"); advice && heard.ask.obeys) {
+  Span advice{};
+  if (const auto field = message.field("Retry-After")) {
     double told = 0;
-    std::from_chars(advice->data(), advice->data() + advice->size(), told);
-    wait = std::max(wait, span(told));
+    std::from_chars(field->data(), field->data() + field->size(), told);
+    advice = span(told);
   }
-  const bool harmless = rejected || plan.terms.repeat == Repeat::idempotent;
-  if (!harmless || !tryAgain(*query, wait)) settle(*query, rejected ? Fate::rejected : Fate::failed);
+  goOn(*query, afterAnswer(scenario_, heard.ask, heard.tries, how, advice, now()));
 }
 
-bool Stage::tryAgain(std::uint32_t query, Span wait) {
-  const Try& ended = tries_.at(query);
-  const UseCasePlan& plan = scenario_.useCases[ended.ask.useCase];
-  if (!ended.answered && plan.terms.repeat != Repeat::idempotent) return false;
-  const Span spread = span(ended.ask.spread * seconds(wait));
-  if (ended.tries > scenario_.retries || now() + spread + 1ms >= ended.ask.at + plan.timeout) return false;
+void Stage::goOn(std::uint32_t query, const NextStep& next) {
+  if (!next.again) return settle(query, next.fate);
   tally_.retried();
-  const Ask ask = ended.ask;
-  const std::uint32_t tries = ended.tries + 1;
-  in(spread, [this, ask, tries] { tryOnce(ask, tries); });
-  return true;
+  const Ask ask = tries_.at(query).ask;
+  const std::uint32_t tries = tries_.at(query).tries + 1;
+  in(*next.again, [this, ask, tries] { tryOnce(ask, tries); });
 }
 
 void Stage::settle(std::uint32_t query, Fate fate) {
@@ -650,6 +666,7 @@
     loop_.bury(kept->second);
     node.clients.erase(kept);
   }
+  in(Span{}, [this, balancer] { serveWaiting(balancer); });
   if (!query) {
     if (!node.up) in(kAskUp, [this, balancer] { lookUp(balancer); });
     return;
@@ -675,7 +692,7 @@
   const auto at = tries_.find(query);
   if (at == tries_.end()) return link.reply(answerBytes("400 Bad Request\r\n", ""), true);
   Try& asked = at->second;
-  const StandIn& server = servers_[link.server()];
+  const Machine& server = servers_[link.server()];
   const auto no = static_cast<std::uint32_t>(asked.executions.size());
   asked.executions.push_back(
       {link.server(), std::static_pointer_cast<ServerLink>(link.shared_from_this()), false, false});
@@ -689,21 +706,9 @@
 void Stage::offer(std::uint32_t query, std::uint32_t no) {
   Try& asked = tries_.at(query);
   Execution& execution = asked.executions[no];
-  StandIn& server = servers_[execution.server];
+  Machine& server = servers_[execution.server];
   if (execution.over || !server.model.up()) return;
-  const UseCasePlan& plan = scenario_.useCases[asked.ask.useCase];
-  Job job;
-  job.id = std::uint64_t{query} << 8U | no;
-  job.work = asked.ask.work;
-  job.key = asked.ask.key;
-  if (plan.terms.repeat == Repeat::deduplicated) {
-    const DedupGroup group = plan.terms.group;
-    job.mark = asked.ask.number;
-    job.window = plan.terms.dedupWindow;
-    job.marks = &marks_[{static_cast<int>(group), group == DedupGroup::all    ? 0
-                                                  : group == DedupGroup::zone ? server.drawn.zone.value
-                                                                              : server.drawn.cell.value}];
-  }
+  Job job = marks_.jobOf(scenario_, asked.ask, server.drawn, std::uint64_t{query} << 8U | no);
   if (server.resets > 0 && fraction(chance_) < server.resets) return reply(query, no, Outcome::reset);
   const bool aimed = !server.errorsOf || *server.errorsOf == asked.ask.useCase;
   if (aimed && server.errors > 0 && fraction(chance_) < server.errors) {
@@ -714,13 +719,13 @@
   tally_.sent(now(), execution.server, job.work);
   audit_.pressed(now(), server.drawn.id, asked.ask.balancer, job.work);
   const bool room = server.model.offer(now(), job);
-  if (server.model.fell()) return die(execution.server);
+  if (server.model.fell()) return die(execution.server, false);
   if (!room) return reply(query, no, Outcome::full);
   schedule(execution.server);
 }
 
 void Stage::schedule(std::size_t server) {
-  StandIn& here = servers_[server];
+  Machine& here = servers_[server];
   loop_.cancel(here.turn);
   if (const std::optional<Span> next = here.model.next()) {
     here.turn = loop_.at(zero_ + *next, [this, server] {
@@ -743,8 +748,10 @@
   if (execution.over || execution.error || asked.answered || asked.gone) tally_.wasted(finished.worked);
   if (execution.over) return;
   if (execution.error) return reply(query, no, Outcome::error);
-  const double cuts = servers_[server].cuts;
-  reply(query, no, cuts > 0 && fraction(chance_) < cuts ? Outcome::reset : Outcome::completed);
+  const Machine& here = servers_[server];
+  if (here.cuts > 0 && fraction(chance_) < here.cuts) return reply(query, no, Outcome::reset);
+  const bool spoilt = here.spoils > 0 && fraction(chance_) < here.spoils;
+  reply(query, no, spoilt ? Outcome::cancelled : Outcome::completed);
 }
 
 void Stage::reply(std::uint32_t query, std::uint32_t no, Outcome outcome) {
@@ -768,6 +775,8 @@
         return link->reply(answerBytes("503 Service Unavailable\r\nX-Not-Run: 1\r\n" + report, ""), false);
       case Outcome::error:
         return link->reply(answerBytes("500 Internal Server Error\r\n" + report, ""), false);
+      case Outcome::cancelled:  // spoilt: nothing that can be read
+        return link->reply("HTTP/1.1 2x0 \\x01 OK\r\nContent-Length: -7\r\n\r\n", false);
       default:  // half an answer, and no more
         return link->reply("HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\nhalf", true);
     }
@@ -793,8 +802,8 @@
 
 // ---- Troubles
 
-void Stage::die(std::size_t server) {
-  StandIn& here = servers_[server];
+void Stage::die(std::size_t server, bool) {
+  Machine& here = servers_[server];
   if (!here.model.up()) return;
   audit_.stopped(now(), here.drawn.id);
   here.listener->close();
@@ -811,7 +820,7 @@
 }
 
 void Stage::come(std::size_t server) {
-  StandIn& here = servers_[server];
+  Machine& here = servers_[server];
   if (here.model.up()) return;
   here.model.start(now(), true);
   here.listener->open();
@@ -819,86 +828,18 @@
   changed(server, Lifecycle::serving);
 }
 
-void Stage::trouble(std::size_t no, bool begins) {
-  const Trouble& planned = scenario_.troubles[no];
-  for (const std::size_t server : hit_[no]) {
-    StandIn& here = servers_[server];
-    switch (planned.kind) {
-      case TroubleKind::slow:
-        here.model.slowDown(begins ? std::max(planned.size, 0.01) : 1);
-        break;
-      case TroubleKind::silent:
-        if (begins)
-          here.model.hang(now());
-        else
-          here.model.goOn(now());
-        schedule(server);
-        break;
-      case TroubleKind::errors:
-        here.errors = begins ? planned.size : 0;
-        here.errorsOf = planned.useCase;
-        break;
-      case TroubleKind::resets:
-        here.resets = begins ? planned.size : 0;
-        break;
-      case TroubleKind::cutAnswers:
-        here.cuts = begins ? planned.size : 0;
-        break;
-      case TroubleKind::crash:
-      case TroubleKind::zoneLost:
-        if (begins) {
-          die(server);
-          changed(server, Lifecycle::gone);
-        } else {
-          come(server);
-        }
-        break;
-      case TroubleKind::drain:
-        if (begins) {
-          changed(server, Lifecycle::draining);
-        } else {
-          die(server);
-          changed(server, Lifecycle::gone);
-          in(span(planned.size), [this, server] { come(server); });
-        }
-        break;
-      case TroubleKind::join:
-        if (begins) come(server);
-        break;
-      case TroubleKind::flapping: {
-        const Span step = span(std::max(planned.size, 0.05));
-        for (Span at{}; begins && at < planned.length; at += 2 * step) {
-          in(at, [this, server] { changed(server, Lifecycle::gone); });
-          in(at + step, [this, server] { changed(server, Lifecycle::serving); });
-        }
-        break;
-      }
-      default:
-        break;
-    }
-  }
-  if (planned.kind == TroubleKind::discoveryStale) registry_.late(begins ? span(planned.size) : Span{});
-  if (planned.kind == TroubleKind::discoveryOut) {
-    for (const std::uint32_t balancer : registry_.out(begins)) {
-      audit_.doubtful(now(), balancer, now() + scenario_.drainGrace);
-      std::vector<std::shared_ptr<DiscoveryLink>> calls;
-      for (const auto& [at, link] : nodes_[balancer].calls) calls.push_back(link);
-      for (const auto& link : calls) link->end(Reason::shutdown);
-    }
-  }
-  if (planned.kind != TroubleKind::emptyList && planned.kind != TroubleKind::halfList) return;
-  std::vector<ServerId> missing;
-  for (std::size_t i = 0; begins && i < servers_.size(); ++i) {
-    const bool hit = std::find(hit_[no].begin(), hit_[no].end(), i) != hit_[no].end();
-    if (hit || planned.kind == TroubleKind::emptyList) missing.push_back(servers_[i].drawn.id);
-  }
-  registry_.hide(missing);
-  for (const std::uint32_t balancer : registry_.watching()) {
-    static_cast<void>(registry_.changesFor(balancer));
-    const std::string whole = list(balancer, true, registry_.whole());
-    for (const auto& [at, link] : nodes_[balancer].calls) {
-      if (link->watches_) link->tell(whole);
-    }
+void Stage::watchBroke(std::uint32_t balancer) {
+  audit_.doubtful(now(), balancer, now() + scenario_.drainGrace);
+  std::vector<std::shared_ptr<DiscoveryLink>> calls;
+  for (const auto& [at, link] : nodes_[balancer].calls) calls.push_back(link);
+  for (const auto& link : calls) link->end(Reason::shutdown);
+}
+
+void Stage::tellWhole(std::uint32_t balancer) {
+  static_cast<void>(registry_.changesFor(balancer));
+  const std::string whole = list(balancer, true, registry_.whole());
+  for (const auto& [at, link] : nodes_[balancer].calls) {
+    if (link->watches_) link->tell(whole);
   }
 }
 
@@ -928,13 +869,10 @@
   all["index"] = ++node.index;
   all["snapshot"] = whole;
   Json& endpoints = all["endpoints"] = Json::array();
-  std::vector<bool> named(servers_.size());
-  std::size_t held = 0;
-  std::size_t lost = 0;
+  told_.tell(now(), balancer, whole, entries);
   for (const RegistryEntry& entry : entries) {
     static constexpr std::array<const char*, 3> states = {"up", "draining", "removed"};
-    const StandIn& server = servers_[entry.server.place];
-    named[entry.server.place] = true;
+    const Machine& server = servers_[entry.server.place];
     std::int64_t since = 0;
     if (entry.startedAt) {
       const auto at = zeroTime_ + *entry.startedAt;
@@ -948,20 +886,7 @@
                          {"status", states.at(static_cast<std::size_t>(entry.lifecycle))},
                          {"weight", server.drawn.size},
                          {"since_ms", since}});
-    audit_.told(now(), balancer, entry.server.id, entry.lifecycle, entry.startedAt);
-  }
-  for (std::size_t i = 0; i < servers_.size(); ++i) {
-    if (!node.held[i]) continue;
-    ++held;
-    if (!whole || named[i]) continue;
-    ++lost;
-    node.held[i] = false;
-    audit_.told(now(), balancer, servers_[i].drawn.id, Lifecycle::gone, std::nullopt);
   }
-  for (const RegistryEntry& entry : entries)
-    node.held[entry.server.place] = entry.lifecycle == Lifecycle::serving;
-  if (whole && 2 * lost > held)
-    audit_.doubtful(now(), balancer, now() + scenario_.drainGrace - 2 * scenario_.tick);
   return all.dump();
 }
 
@@ -1001,6 +926,16 @@
   node.calls.erase(kept);
 }
 
+// Guards against a loop that is so busy that answers wait to be read: the program would be blamed for it.
+void Stage::beat(Span due) {
+  const Span late = now() - due;
+  ++beats_;
+  lateBeats_ += late > kLateArrival ? 1 : 0;
+  latest_ = std::max(latest_, late);
+  const Span next = now() + kBeatLab;
+  in(kBeatLab, [this, next] { beat(next); });
+}
+
 void Stage::sample() {
   for (std::size_t i = 0; i < servers_.size(); ++i)
     tally_.serverLoad(now(), i, static_cast<double>(servers_[i].model.held()), servers_[i].model.up());
--- a/src/lab/world.cpp
+++ b/src/lab/world.cpp
@@ -12,6 +12,7 @@
 #include "lab/fleet.hpp"
 #include "lab/registry_model.hpp"
 #include "lab/server_model.hpp"
+#include "lab/stand_in.hpp"
 #include "lab/timeline.hpp"
 
 namespace rackroute::lab {
@@ -51,18 +52,13 @@
   }
 };
 
-struct Machine {  // one server with what surrounds its process
-  FleetServer drawn;
-  ServerModel model;
+struct Machine : StandIn {  // one server with what surrounds its process
+  using StandIn::StandIn;
   Span due = Span::max();       // when its turn is due
   std::size_t connections = 0;  // open
   std::uint32_t epoch = 0;      // grows when its connections are lost
   bool vanished = false;        // the machine says nothing; false while down: its process is dead
-  double errors = 0;            // share of queries that fail at once
-  std::optional<std::uint32_t> errorsOf;
-  double resets = 0;  // share of connections that break after the query
-  double cuts = 0;    // share of answers that break off
-  double onTheWay = 0;
+  double onTheWay = 0;          // seconds of work
 };
 
 class Sidecar : public Host {  // one balancer with its connections
@@ -85,11 +81,10 @@
   ZoneId zone_;
   std::unique_ptr<Contender> contender_;
   std::unordered_map<std::size_t, std::vector<Idle>> idle_;  // by server, the latest last
-  std::vector<bool> held_;                                   // by server: told as serving
   Standing standing_;
 };
 
-class World {
+class World : public Stricken {
  public:
   World(const Scenario& scenario, const RunPlan& plan);
   Result run();
@@ -109,7 +104,7 @@
   void clientsTimeUp(QueryKey query);
   void clientLeaves(QueryKey query);
   void clientHears(QueryKey query, Answer how, Span advice);
-  bool tryAgain(Try& ended, Span wait);
+  void goOn(Try& ended, const NextStep& next);
   void settle(Try& ended, Fate fate);
   void forget(QueryKey query);
 
@@ -120,7 +115,7 @@
   void schedule(std::size_t server);
   void finish(std::size_t server, const Finished& finished);
   void reply(QueryKey query, std::uint32_t no, Outcome outcome, Span service);
-  void log(QueryKey query, std::uint32_t no, const Finished& finished, bool used);
+  void log(std::size_t server, const Finished& finished, bool used);
 
   // ---- Connections and ways
   bool takeIdle(Sidecar& from, std::size_t server);
@@ -130,14 +125,19 @@
   [[nodiscard]] bool reachable(ZoneId a, ZoneId b) const;
 
   // ---- Servers, troubles, discovery
-  void die(std::size_t server, bool vanish);
-  void come(std::size_t server);
-  void fall(std::size_t server);
-  void trouble(std::size_t no, bool begins);
-  void changed(std::size_t server, Lifecycle lifecycle);
+  [[nodiscard]] Span now() const override { return time_.now(); }
+  void later(Span wait, std::function<void()> deed) override { time_.in(wait, std::move(deed)); }
+  StandIn& standIn(std::size_t server) override { return machines_[server]; }
+  void turn(std::size_t server) override;
+  void die(std::size_t server, bool vanish) override;
+  void come(std::size_t server) override;
+  void changed(std::size_t server, Lifecycle lifecycle) override;
+  void cutOff(std::optional<std::uint32_t> zone) override { cutZone_ = zone; }
+  void watchBroke(std::uint32_t balancer) override;
+  void tellWhole(std::uint32_t balancer) override;
   void push();
   void tellChanges(std::uint32_t balancer);
-  void tellWhole(std::uint32_t balancer);
+  void tellNow(std::uint32_t balancer);
   void tell(std::uint32_t balancer, Listing listing, const std::vector<RegistryEntry>& entries);
   void sample();
   double trueWait(std::uint32_t balancer, ServerId server);
@@ -157,7 +157,8 @@
   std::unordered_map<QueryKey, Try> tries_;
   std::optional<Ask> next_;
   RegistryModel registry_;
-  std::map<std::pair<int, std::int64_t>, Marks> marks_;  // by kind and number of the group
+  ToldLists told_;
+  MarkGroups marks_;
   std::optional<std::uint32_t> cutZone_;
   std::vector<std::vector<std::size_t>> hit_;  // by trouble
   QueryKey lastQuery_ = 0;
@@ -175,14 +176,6 @@
 void Sidecar::watchServers() { world_.callDiscovery(no_, true); }
 void Sidecar::listServers() { world_.callDiscovery(no_, false); }
 
-std::vector<Machine> machinesOf(const std::vector<FleetServer>& fleet) {
-  std::vector<Machine> machines;
-  for (const FleetServer& drawn : fleet) {
-    machines.push_back({.drawn = drawn, .model = ServerModel(drawn.traits), .errorsOf = std::nullopt});
-  }
-  return machines;
-}
-
 World::World(const Scenario& scenario, const RunPlan& plan)
     : scenario_(scenario),
       plan_(plan),
@@ -191,9 +184,10 @@
       clients_(scenario, plan.seed),
       network_(chanceOf(plan.seed, Purpose::network)),
       chance_(chanceOf(plan.seed, Purpose::troubles, scenario.troubles.size())),
-      registry_(scenario) {
+      registry_(scenario),
+      told_(scenario, drawFleet(scenario, plan.seed), audit_) {
   const std::vector<FleetServer> fleet = drawFleet(scenario, plan.seed);
-  machines_ = machinesOf(fleet);
+  for (const FleetServer& drawn : fleet) machines_.emplace_back(drawn);
   for (std::size_t i = 0; i < machines_.size(); ++i) {
     Machine& machine = machines_[i];
     machineOf_[machine.drawn.id.value] = i;
@@ -204,8 +198,11 @@
   for (std::size_t no = 0; no < scenario.troubles.size(); ++no) {
     hit_.push_back(hitBy(scenario, no, fleet, plan.seed));
     const Trouble& planned = scenario.troubles[no];
-    time_.at(planned.at, [this, no] { trouble(no, true); });
-    time_.at(planned.at + planned.length, [this, no] { trouble(no, false); });
+    const auto plays = [this, no](bool begins) {
+      play(scenario_.troubles[no], begins, hit_[no], machines_.size(), registry_, *this);
+    };
+    time_.at(planned.at, [plays] { plays(true); });
+    time_.at(planned.at + planned.length, [plays] { plays(false); });
   }
   const MakeContender make =
       plan.make ? plan.make
@@ -216,7 +213,6 @@
     const Terms terms = scenario.terms(plan.seed, i);
     sidecars_.push_back(std::make_unique<Sidecar>(*this, i, terms.zone));
     Sidecar& sidecar = *sidecars_.back();
-    sidecar.held_.resize(scenario.servers);
     sidecar.contender_ = make(terms, sidecar, [this](std::uint32_t balancer, ServerId server) {
       return trueWait(balancer, server);
     });
@@ -291,7 +287,7 @@
   at->second.gone = true;
   audit_.clientLeft(time_.now(), query);
   sidecars_[at->second.balancer]->contender_->clientLeft(time_.now(), {query});
-  if (!tryAgain(at->second, scenario_.backoff)) settle(at->second, Fate::failed);
+  goOn(at->second, afterSilence(scenario_, at->second.ask, at->second.tries, time_.now()));
   forget(query);
 }
 
@@ -307,33 +303,19 @@
 
 void World::clientHears(QueryKey query, Answer how, Span advice) {
   Try& heard = tries_.at(query);
-  const UseCasePlan& plan = scenario_.useCases[heard.ask.useCase];
-  const Span took = time_.now() - heard.ask.at;
-  if (how == Answer::completed) {
-    const bool inTime = took <= plan.terms.sloTime;
-    settle(heard, inTime ? Fate::inTime : took <= plan.timeout ? Fate::late : Fate::failed);
-  } else {
-    const Span wait = heard.ask.obeys ? std::max(advice, scenario_.backoff) : scenario_.backoff;
-    const bool harmless = how == Answer::rejected || plan.terms.repeat == Repeat::idempotent;
-    if (!harmless || !tryAgain(heard, wait))
-      settle(heard, how == Answer::rejected ? Fate::rejected : Fate::failed);
-  }
+  goOn(heard, afterAnswer(scenario_, heard.ask, heard.tries, how, advice, time_.now()));
   forget(query);
 }
 
 // A client's retry counts as part of its first try: same mark, the time since the first goes on.
-bool World::tryAgain(Try& ended, Span wait) {
-  const UseCasePlan& plan = scenario_.useCases[ended.ask.useCase];
-  const bool rejected = ended.answered;
-  if (!rejected && plan.terms.repeat != Repeat::idempotent) return false;
-  const Span at = time_.now() + span(ended.ask.spread * seconds(wait));
-  if (ended.tries > scenario_.retries || at + 1ms >= ended.ask.at + plan.timeout) return false;
+void World::goOn(Try& ended, const NextStep& next) {
+  if (!next.again) return settle(ended, next.fate);
   tally_.retried();
   const Ask ask = ended.ask;
   const std::uint32_t tries = ended.tries + 1;
+  const Span at = time_.now() + *next.again;
   time_.at(at, [this, ask, tries, at] { tryOnce(ask, tries, at); });
   ended.settled = true;
-  return true;
 }
 
 void World::settle(Try& ended, Fate fate) {
@@ -396,19 +378,8 @@
   if (machine.vanished || !reachable(from, machine.drawn.zone)) return;  // lost; nothing tells
   if (!machine.model.up() || execution.epoch != machine.epoch) return reply(query, no, Outcome::reset, {});
   if (execution.over && scenario_.traits.cancelStops != CancelStops::nothing) return;
-  const UseCasePlan& plan = scenario_.useCases[asked.ask.useCase];
-  Job job;
-  job.id = std::uint64_t{query} << 8U | no;
-  job.work = asked.ask.work + (execution.dialled ? scenario_.connectionWork : 0);
-  job.key = asked.ask.key;
-  if (plan.terms.repeat == Repeat::deduplicated) {
-    const DedupGroup group = plan.terms.group;
-    job.mark = asked.ask.number;
-    job.window = plan.terms.dedupWindow;
-    job.marks = &marks_[{static_cast<int>(group), group == DedupGroup::all    ? 0
-                                                  : group == DedupGroup::zone ? machine.drawn.zone.value
-                                                                              : machine.drawn.cell.value}];
-  }
+  Job job = marks_.jobOf(scenario_, asked.ask, machine.drawn, std::uint64_t{query} << 8U | no);
+  if (execution.dialled) job.work += scenario_.connectionWork;
   if (machine.resets > 0 && fraction(chance_) < machine.resets) return reply(query, no, Outcome::reset, {});
   const bool aimed = !machine.errorsOf || *machine.errorsOf == asked.ask.useCase;
   if (aimed && machine.errors > 0 && fraction(chance_) < machine.errors) {
@@ -420,7 +391,7 @@
   tally_.sent(now, execution.server, job.work);
   audit_.pressed(now, machine.drawn.id, asked.balancer, job.work);
   const bool room = machine.model.offer(now, job);
-  if (machine.model.fell()) return fall(execution.server);
+  if (machine.model.fell()) return die(execution.server, false);
   if (!room) return reply(query, no, Outcome::full, {});
   schedule(execution.server);
 }
@@ -453,11 +424,12 @@
     const UseCase& use = scenario_.useCases[at->second.ask.useCase].terms;
     audit_.effect(finished.at, query, at->second.ask.number, use.repeat, machine.drawn.id);
   }
-  log(query, no, finished, waits && !error);
+  log(server, finished, waits && !error);
   if (!waits || error || at->second.answered || at->second.gone) tally_.wasted(finished.worked);
   if (!waits) return;
   if (error) return reply(query, no, Outcome::error, {});
-  if (machine.cuts > 0 && fraction(chance_) < machine.cuts) return reply(query, no, Outcome::reset, {});
+  const double breaks = machine.cuts + machine.spoils;
+  if (breaks > 0 && fraction(chance_) < breaks) return reply(query, no, Outcome::reset, {});
   reply(query, no, Outcome::completed, machine.model.reported());
 }
 
@@ -494,6 +466,11 @@
       if (const auto worked = machines_[server].model.cancel(time_.now(), job)) {
         tally_.worked(*worked);
         tally_.wasted(*worked);
+        Finished stopped;
+        stopped.job.id = job;
+        stopped.at = time_.now();
+        stopped.worked = *worked;
+        log(server, stopped, false);
       }
       schedule(server);
     });
@@ -534,10 +511,12 @@
   sidecar.standing_ = now;
 }
 
-void World::log(QueryKey query, std::uint32_t no, const Finished& finished, bool used) {
+void World::log(std::size_t server, const Finished& finished, bool used) {
   if (plan_.executions == nullptr) return;
-  *plan_.executions << R"({"query":)" << query << R"(,"no":)" << no << R"(,"ended_us":)"
-                    << finished.at.count() << R"(,"worked_us":)" << finished.worked.count() << R"(,"effect":)"
+  *plan_.executions << R"({"query":)" << (finished.job.id >> 8U) << R"(,"no":)" << (finished.job.id & 0xffU)
+                    << R"(,"server":")" << machines_[server].drawn.name << R"(","from_us":)"
+                    << (finished.at - finished.worked).count() << R"(,"ended_us":)" << finished.at.count()
+                    << R"(,"worked_us":)" << finished.worked.count() << R"(,"effect":)"
                     << (finished.effect ? "true" : "false") << R"(,"wasted_us":)"
                     << (used ? 0 : finished.worked.count()) << "}\n";
 }
@@ -593,6 +572,7 @@
   for (const Finished& lost : machine.model.stop(time_.now())) {
     tally_.worked(lost.worked);
     tally_.wasted(lost.worked);
+    log(server, lost, false);
     const auto query = static_cast<QueryKey>(lost.job.id >> 8U);
     const auto no = static_cast<std::uint32_t>(lost.job.id & 0xffU);
     const auto at = tries_.find(query);
@@ -613,92 +593,20 @@
   changed(server, Lifecycle::serving);
 }
 
-void World::fall(std::size_t server) { die(server, false); }
-
-void World::trouble(std::size_t no, bool begins) {
-  const Trouble& planned = scenario_.troubles[no];
-  for (const std::size_t server : hit_[no]) {
-    Machine& machine = machines_[server];
-    switch (planned.kind) {
-      case TroubleKind::slow:
-        machine.model.slowDown(begins ? std::max(planned.size, 0.01) : 1);
-        break;
-      case TroubleKind::silent:
-        if (begins) {
-          machine.model.hang(time_.now());
-        } else {
-          machine.model.goOn(time_.now());
-          machine.due = Span::max();
-          schedule(server);
-        }
-        break;
-      case TroubleKind::errors:
-        machine.errors = begins ? planned.size : 0;
-        machine.errorsOf = planned.useCase;
-        break;
-      case TroubleKind::resets:
-        machine.resets = begins ? planned.size : 0;
-        break;
-      case TroubleKind::cutAnswers:
-        machine.cuts = begins ? planned.size : 0;
-        break;
-      case TroubleKind::crash:
-      case TroubleKind::zoneLost:
-        if (begins) {
-          die(server, planned.kind == TroubleKind::zoneLost && planned.size > 0.5);
-          changed(server, Lifecycle::gone);
-        } else {
-          come(server);
-        }
-        break;
-      case TroubleKind::drain:
-        if (begins) {
-          changed(server, Lifecycle::draining);
-        } else {
-          die(server, false);
-          changed(server, Lifecycle::gone);
-          time_.in(span(planned.size), [this, server] { come(server); });
-        }
-        break;
-      case TroubleKind::join:
-        if (begins) come(server);
-        break;
-      case TroubleKind::flapping:
-        if (begins) {
-          // Out and in again, each for so long, as the list has it; the server itself serves on.
-          for (Span at{}; at < planned.length; at += 2 * span(std::max(planned.size, 0.05))) {
-            time_.in(at, [this, server] { changed(server, Lifecycle::gone); });
-            time_.in(at + span(std::max(planned.size, 0.05)),
-                     [this, server] { changed(server, Lifecycle::serving); });
-          }
-        }
-        break;
-      default:
-        break;
-    }
-  }
-  if (planned.kind == TroubleKind::zoneCut) cutZone_ = begins ? std::optional(planned.zone) : std::nullopt;
-  if (planned.kind == TroubleKind::discoveryStale) registry_.late(begins ? span(planned.size) : Span{});
-  if (planned.kind == TroubleKind::discoveryOut) {
-    for (const std::uint32_t balancer : registry_.out(begins)) {
-      time_.in(way({0}, {0}), [this, balancer] {
-        audit_.doubtful(time_.now(), balancer, time_.now() + scenario_.drainGrace);
-        sidecars_[balancer]->contender_->discoveryFailed(time_.now());
-      });
-    }
-  }
-  if (planned.kind == TroubleKind::emptyList || planned.kind == TroubleKind::halfList) {
-    std::vector<ServerId> missing;
-    for (const Machine& machine : machines_) {
-      if (planned.kind == TroubleKind::emptyList) missing.push_back(machine.drawn.id);
-    }
-    if (planned.kind == TroubleKind::halfList) {
-      for (const std::size_t server : hit_[no]) missing.push_back(machines_[server].drawn.id);
-    }
-    registry_.hide(begins ? missing : std::vector<ServerId>{});
-    for (const std::uint32_t balancer : registry_.watching())
-      time_.in(way({0}, {1}), [this, balancer] { tellWhole(balancer); });
-  }
+void World::turn(std::size_t server) {
+  machines_[server].due = Span::max();
+  schedule(server);
+}
+
+void World::watchBroke(std::uint32_t balancer) {
+  time_.in(way({0}, {0}), [this, balancer] {
+    audit_.doubtful(time_.now(), balancer, time_.now() + scenario_.drainGrace);
+    sidecars_[balancer]->contender_->discoveryFailed(time_.now());
+  });
+}
+
+void World::tellWhole(std::uint32_t balancer) {
+  time_.in(way({0}, {1}), [this, balancer] { tellNow(balancer); });
 }
 
 // ---- Discovery
@@ -723,7 +631,7 @@
   tell(balancer, Listing::changes, registry_.changesFor(balancer));
 }
 
-void World::tellWhole(std::uint32_t balancer) {
+void World::tellNow(std::uint32_t balancer) {
   static_cast<void>(registry_.changesFor(balancer));
   tell(balancer, Listing::complete, registry_.whole());
 }
@@ -739,7 +647,7 @@
   time_.at(*done + oneWay, [this, balancer, watch] {
     // Guards against an answer that a call begun before an outage would bring within it.
     if (registry_.isOut()) return sidecars_[balancer]->contender_->discoveryFailed(time_.now());
-    if (!watch) return tellWhole(balancer);
+    if (!watch) return tellNow(balancer);
     registry_.joined(balancer, true);
     tell(balancer, Listing::changes, registry_.changesFor(balancer));
   });
@@ -749,27 +657,10 @@
   Sidecar& sidecar = *sidecars_[balancer];
   const Span now = time_.now();
   std::vector<ListedServer> listed;
-  std::vector<bool> named(machines_.size());
-  for (const RegistryEntry& entry : entries) {
+  for (const RegistryEntry& entry : entries)
     listed.push_back({entry.server.id, entry.lifecycle, entry.server.zone, entry.server.cell,
                       entry.server.size, entry.startedAt});
-    named[entry.server.place] = true;
-    audit_.told(now, balancer, entry.server.id, entry.lifecycle, entry.startedAt);
-  }
-  std::size_t held = 0;
-  std::size_t lost = 0;
-  for (std::size_t i = 0; i < machines_.size(); ++i) {
-    if (!sidecar.held_[i]) continue;
-    ++held;
-    if (listing == Listing::changes || named[i]) continue;
-    ++lost;
-    sidecar.held_[i] = false;
-    audit_.told(now, balancer, machines_[i].drawn.id, Lifecycle::gone, std::nullopt);
-  }
-  for (const RegistryEntry& entry : entries)
-    sidecar.held_[entry.server.place] = entry.lifecycle == Lifecycle::serving;
-  if (listing == Listing::complete && 2 * lost > held)
-    audit_.doubtful(now, balancer, now + scenario_.drainGrace - 2 * scenario_.tick);
+  told_.tell(now, balancer, listing != Listing::changes, entries);
   sidecar.contender_->serversListed(now, listing, listed);
   sampleStanding(sidecar, false);
 }
@@ -798,7 +689,7 @@
   const ZoneId from = sidecars_[balancer]->zone_;
   const Span now = time_.now();
   if (!machine.model.up() || machine.model.hangs() || !reachable(from, machine.drawn.zone)) return -1;
-  if (machine.errors > 0 || machine.resets > 0 || machine.cuts > 0) return -1;
+  if (machine.errors > 0 || machine.resets > 0 || machine.cuts + machine.spoils > 0) return -1;
   const double work = scenario_.meanWork();
   if (!machine.model.bears(now, machine.onTheWay + 2 * work)) return -1;
   const double speed = std::max(machine.model.capacity(now), 1e-6);
