Meet keys at one home for all sidecars, with a second home and fuller first limits

Cause, seen in traces of every execution across a hundred sidecars: a server does 56% to 74% less work for a key it met lately, yet a key was met at three servers (one a zone) on half of its queries only. Each sidecar weighted the hash by weights and speeds it had measured itself on two answers a second, so a hundred sidecars saw a key's home in different places (balancer.cpp, pick), and one query in ten left its home by chance. Also: a set of five of sixty servers started with one execution in all, so 30% to 45% of the first second's queries were rejected (firstLimit).

Change: homes by listed size and age alone; a second home before the ordinary draw; always the home; first limits give a set's members the part of those left out.

Tried and taken back: limits that grow only up to four executions of all balancers at a server.

--- a/src/decide/balancer.cpp
+++ b/src/decide/balancer.cpp
@@ -15,6 +15,7 @@
 #include <array>
 #include <cmath>
 #include <cstddef>
+#include <limits>
 #include <numbers>
 #include <random>
 #include <utility>
@@ -33,7 +34,7 @@
 constexpr double kWeightFloor = 0.05;          // of full weight 1; keeps a failing server in sight
 constexpr double kCrowded = 1.25;     // of the pool's mean expected answer time; "well above" begins here
 constexpr double kNearer = 6.0;       // draw weight of the own zone; crossing costs time and money
-constexpr double kHome = 0.9;         // chance of a key's home while uncrowded; the rest keep measured
+constexpr std::size_t kHomes = 2;     // servers a key may be met at; the second takes what the first can't
 constexpr double kHomeCrowded = 1.2;  // of the common bound; the met key takes under half as long
 constexpr double kMostSpeed = 2;      // of the mean speed, and its inverse; reports are noisy
 constexpr double kDropDoubted = 0.5;  // share of the held servers; losing more at once is doubted
@@ -413,9 +414,11 @@
     }
   }
 
-  // This balancer's part of what all may do at one server, but one execution in all for the whole set.
+  // This balancer's part of what all may do at one server, one execution in all for the whole set at least.
+  // Where it has a set it is in fewer balancers' way, and its members get the part of those left out.
   [[nodiscard]] double firstLimit() const {
-    return std::max(kFirstLimit / terms_.balancers, 1 / std::max(setSize_, 1.0));
+    const double members = std::max(setSize_, 1.0);
+    return std::max(kFirstLimit * std::max(listedCount_ / members, 1.0) / terms_.balancers, 1 / members);
   }
 
   [[nodiscard]] static bool inPool(Span now, const Server& s) { return s.used && open(now, s); }
@@ -645,10 +648,10 @@
     const double crowded = kCrowded * (pool > 0 ? pool / inverse : usual);  // harmonic: no outlier moves it
     // Guards against a lost zone whose homes would each have to fail five times, one after the other.
     const bool lost = failsNow(now, nearRun_, nearFailedAt_, kFailuresToEject);
-    const bool atHome = homes && draw() < kHome && !lost;
-    std::optional<ServerSlot> home;
+    const bool atHome = homes && !lost;
+    std::array<std::pair<double, ServerSlot>, kHomes> nearest;  // by distance
+    nearest.fill({std::numeric_limits<double>::infinity(), 0});
     std::optional<ServerSlot> least;
-    double nearest = 0;
     double sum = 0;
     odds_.assign(servers_.size(), 0.0);
     for (ServerSlot slot = 0; slot < servers_.size(); ++slot) {
@@ -656,11 +659,12 @@
       if (expected_[slot] <= 0 || triedBefore(held, slot)) continue;
       const double share = server.weight * server.size * ramp(now, server) * speed(now, server);
       if (atHome && server.zone == terms_.zone && !failsNow(now, server.run, server.failedAt, 1)) {
-        const double distance = -std::log(fraction(held.query.key->value, server.id.value)) / share;
-        if (!home || distance < nearest) {
-          home = slot;
-          nearest = distance;
-        }
+        // Guards against a hundred balancers that each see a key's home elsewhere, so that it is met nowhere:
+        // by what all are told alike, and nothing that this one measured.
+        const double part = server.size * ramp(now, server);
+        const double distance = -std::log(fraction(held.query.key->value, server.id.value)) / part;
+        if (distance < nearest.back().first) nearest.back() = {distance, slot};
+        std::sort(nearest.begin(), nearest.end());
       }
       if (!(server.used || repeat) || !room(now, server)) continue;
       if (!least || expected_[slot] < expected_[*least]) least = slot;
@@ -668,8 +672,11 @@
       odds_[slot] = server.zone == terms_.zone ? kNearer * share : share;
       sum += odds_[slot];
     }
-    // A chance, not a weight: among two hundred servers any fixed weight would be lost.
-    if (home && expected_[*home] <= kHomeCrowded * crowded && room(now, servers_[*home])) return home;
+    // A choice, not a weight: among two hundred servers any fixed weight would be lost.
+    for (const auto& [distance, home] : nearest) {
+      if (!std::isinf(distance) && expected_[home] <= kHomeCrowded * crowded && room(now, servers_[home]))
+        return home;
+    }
     if (sum <= 0) return least;
     double rest = draw() * sum;
     for (ServerSlot slot = 0; slot < servers_.size() && rest >= 0; ++slot) {
--- a/tests/scale_test.cpp
+++ b/tests/scale_test.cpp
@@ -299,3 +299,55 @@
   playAll(Outcome::completed);
   CHECK(met > 5);
 }
+
+TEST_CASE("balancers that measured servers differently meet a key at the same home") {
+  Terms warm = oneOf(10);
+  warm.warmKeys = true;
+  std::vector<std::vector<ServerId>> homes;
+  for (const std::uint64_t slow : {1U, 2U}) {
+    Fleet fleet(warm);
+    std::vector<ListedServer> servers;
+    for (std::uint64_t id = 1; id <= 9; ++id) servers.push_back(server(id));
+    fleet.list(Listing::persisted, servers);
+    std::vector<ServerId> met;
+    for (std::uint64_t i = 0; i < 400; ++i) {
+      const QueryId query = takeKey(fleet, i);
+      const auto execution = fleet.last();
+      fleet.now += 20ms;
+      const Span service = execution.server.value % 3 == slow ? 60ms : 15ms;
+      fleet.handles[query.value].executionEnded(fleet.now, execution.no, Outcome::completed, true, service);
+      if (i >= 300) met.push_back(execution.server);
+    }
+    homes.push_back(met);
+  }
+  CHECK(homes[0] == homes[1]);
+}
+
+TEST_CASE("a key whose home is full goes to one other server, not to any") {
+  Terms warm = oneOf(10);
+  warm.warmKeys = true;
+  std::set<ServerId> met;
+  for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+    warm.seed = seed;
+    Fleet fleet(warm);
+    std::vector<ListedServer> servers;
+    for (std::uint64_t id = 1; id <= 9; ++id) servers.push_back(server(id));
+    fleet.list(Listing::persisted, servers);
+    takeKey(fleet, 42);
+    takeKey(fleet, 42);
+    for (const auto& execution : fleet.sent) met.insert(execution.server);
+  }
+  CHECK(met.size() == 2);
+}
+
+TEST_CASE("one of a hundred that just started bears its ordinary traffic") {
+  Fleet fleet(oneOf(100, 9));
+  fleet.list(Listing::persisted, zones(1, 60));
+  std::size_t ended = 0;
+  for (int i = 0; i < 40; ++i) {
+    fleet.take(kIdempotent);
+    fleet.now += 50ms;
+    while (ended + 1 < fleet.sent.size()) fleet.end(fleet.sent[ended++], Outcome::completed);
+  }
+  CHECK(fleet.sent.size() >= 38);  // two at a time, which is its part of four at each of sixty servers
+}
