Add the operators' door: readiness, figures, and servers out and back by hand

Ruled out: a second thread for the door (the loop's longest turn is milliseconds), figures from sums or log lines, and striking servers from lists before the module sees them (docs/operations.md). Change: admin_side on the one loop; counters where events happen; Balancer::takeOut, putBack, avoids.

--- a/include/rackroute/balancer.hpp
+++ b/include/rackroute/balancer.hpp
@@ -87,6 +87,12 @@
   void serversListed(Span now, Listing listing, std::span<const ListedServer> servers);
   void discoveryFailed(Span now);
   void wake(Span now);
+  /// Maintenance by hand: it gets nothing new until it is put back, whatever the lists say; then it counts as
+  /// just started. Either call may be repeated.
+  void takeOut(Span now, ServerId server);
+  void putBack(Span now, ServerId server);
+  /// Whether a listed server gets nothing now, by hand or as it is ejected.
+  [[nodiscard]] bool avoids(Span now, ServerId server) const;
   [[nodiscard]] Standing standing(Span now) const;
 
  private:
--- a/src/decide/balancer.cpp
+++ b/src/decide/balancer.cpp
@@ -132,9 +132,12 @@
   CellId cell;
   double size = 1;
   std::optional<Span> startedAt;
-  Span closedFrom = Span::max();  // nothing new from then on
-  bool held = false;              // in the last good list
-  bool used = false;              // in this balancer's set, its pool
+  Span closedFrom = Span::max();    // nothing new from then on
+  bool held = false;                // in the last good list
+  bool joined = false;              // was in a list; not only named by hand
+  bool takenOut = false;            // by hand, until it is put back
+  std::optional<Span> listedStart;  // as last listed; startedAt may be what was assumed since
+  bool used = false;                // in this balancer's set, its pool
   double weight = 1;
   std::uint32_t run = 0;  // failures in a row
   Span failedAt{};        // the latest of them
@@ -216,6 +219,29 @@
     arm(now);
   }
 
+  // Maintenance: out by hand is a drain that no list ends. It is in no pool meanwhile, so that the cap on
+  // ejection is reckoned without it.
+  void takeOut(Span now, ServerId id) {
+    if (!std::exchange(named(id).takenOut, true)) placeWaiting(now);
+    arm(now);
+  }
+
+  // Guards against a restarted server that the list still calls old: it counts as started when it is put
+  // back, by all balancers at once. Its place in the set was kept, as a full set would not take it again.
+  void putBack(Span now, ServerId id) {
+    Server& server = named(id);
+    if (!server.takenOut) return;
+    refresh(now, server);
+    server.startedAt = now;
+    placeWaiting(now);
+    arm(now);
+  }
+
+  [[nodiscard]] bool avoids(Span now, ServerId id) const {
+    return std::any_of(servers_.begin(), servers_.end(),
+                       [&](const Server& s) { return s.id == id && s.held && (!open(now, s) || s.ejected); });
+  }
+
   // Guards against a registry that is out of reach: the held set stays, and the call is repeated later.
   void discoveryFailed(Span now) {
     askAt_ = now + scaled(askBackoff_, 0.75 + 0.5 * draw());
@@ -343,31 +369,55 @@
     }
     const bool known = at != servers_.end();
     if (!known) {
-      at = std::find_if(servers_.begin(), servers_.end(),
-                        [&](const Server& s) { return !s.held && s.closedFrom <= now && s.out.empty(); });
+      at = std::find_if(servers_.begin(), servers_.end(), [&](const Server& s) {
+        return !s.held && s.closedFrom <= now && s.out.empty() && !s.takenOut;
+      });
       if (at == servers_.end()) at = servers_.emplace(servers_.end());
     }
-    const bool restarted = known && at->startedAt != listed.startedAt && listed.startedAt;
-    if (!known || restarted) {
-      std::vector<Pending> out = std::move(at->out);
-      const bool used = at->used;
-      *at = Server{};
-      at->out = std::move(out);
+    const bool joins = !known || !at->joined;
+    const bool restarted = known && at->listedStart != listed.startedAt && listed.startedAt;
+    if (joins || restarted) {
       // Guards against a grown fleet whose new servers are in nobody's set: each joins its part of the sets.
-      at->used = known ? used : setSize_ > 0 && draw() * listedCount_ < setSize_;
-      at->weight = meanWeight_;
-      at->useRuns.assign(terms_.useCases.size(), {});
-      at->coldCredit = draw();  // Guards against a thousand balancers that spend their parts at one moment.
-      at->coldCreditAt = now;
-      at->limit = firstLimit();
+      if (joins) at->used = setSize_ > 0 && draw() * listedCount_ < setSize_;
+      const bool takenOut = known && at->takenOut;
+      refresh(now, *at);
+      at->takenOut = takenOut;
+      at->startedAt = listed.startedAt;
     }
     at->id = listed.id;
     at->zone = listed.zone;
     at->cell = listed.cell;
     at->size = std::max(listed.size, 1e-3);
-    at->startedAt = listed.startedAt;
+    at->listedStart = listed.startedAt;
     at->closedFrom = Span::max();
     at->held = true;
+    at->joined = true;
+  }
+
+  // Nothing that was learned of the process before holds for the new one.
+  void refresh(Span now, Server& server) {
+    server.ejected = server.onTrial = false;
+    server.run = 0;
+    server.passed = Span::min();
+    server.pace = {};
+    server.service = 0;
+    server.weight = meanWeight_;
+    server.useRuns.assign(terms_.useCases.size(), {});
+    server.coldCredit = draw();  // Guards against a thousand balancers that spend their parts at one moment.
+    server.coldCreditAt = now;
+    server.limit = firstLimit();
+  }
+
+  // One that no list has named yet, or that was forgotten, is kept for what was said of it by hand.
+  Server& named(ServerId id) {
+    const auto at =
+        std::find_if(servers_.begin(), servers_.end(), [&](const Server& s) { return s.id == id; });
+    if (at != servers_.end()) return *at;
+    Server& made = servers_.emplace_back();
+    made.id = id;
+    made.closedFrom = Span::min();
+    made.useRuns.assign(terms_.useCases.size(), {});
+    return made;
   }
 
   // ---- The set: a balancer that can't use all servers has a few of them as its pool, location by location.
@@ -425,7 +475,9 @@
 
   // ---- The pool: failure runs eject until a trial, and ejection halts at a capped share.
 
-  [[nodiscard]] static bool open(Span now, const Server& server) { return now < server.closedFrom; }
+  [[nodiscard]] static bool open(Span now, const Server& server) {
+    return now < server.closedFrom && !server.takenOut;
+  }
 
   void judge(Span now, QuerySlot slot, ExecutionNo no, const Execution& execution, Outcome outcome) {
     Server& server = servers_[execution.server];
@@ -919,6 +971,9 @@
 }
 void Balancer::discoveryFailed(Span now) { decider_->discoveryFailed(now); }
 void Balancer::wake(Span now) { decider_->wake(now); }
+void Balancer::takeOut(Span now, ServerId server) { decider_->takeOut(now, server); }
+void Balancer::putBack(Span now, ServerId server) { decider_->putBack(now, server); }
+bool Balancer::avoids(Span now, ServerId server) const { return decider_->avoids(now, server); }
 Standing Balancer::standing(Span now) const { return decider_->standing(now); }
 
 void QueryHandle::executionEnded(Span now, ExecutionNo execution, Outcome outcome, bool terminal,
--- a/src/sidecar/counters.cpp
+++ b/src/sidecar/counters.cpp
@@ -13,7 +13,7 @@
 void Counters::print(std::ostream& out) const {
   out << "counters queries=" << queries << " completed=" << completed << " rejected=" << rejected
       << " aborted=" << aborted << " clients_left=" << clientsLeft << " bad_queries=" << badQueries
-      << " executions=" << executions;
+      << " executions=" << executions << " relayed=" << relayed;
   for (std::size_t i = 0; i < outcomes.size(); ++i)
     out << " execution_" << nameOf(static_cast<Outcome>(i)) << '=' << outcomes.at(i);
   out << " late_answers=" << lateAnswers << " client_connections=" << clientConnections
--- a/src/sidecar/counters.hpp
+++ b/src/sidecar/counters.hpp
@@ -7,6 +7,7 @@
 #include <cstdint>
 #include <ostream>
 #include <string_view>
+#include <vector>
 
 #include "rackroute/balancer.hpp"
 
@@ -14,7 +15,16 @@
 
 std::string_view nameOf(Outcome outcome);
 
+/// A use case's final answers that were handed to a client.
+struct Finals {
+  std::uint64_t completed = 0;
+  std::uint64_t rejected = 0;
+  std::uint64_t failed = 0;
+};
+
 struct Counters {
+  std::vector<Finals> finals;  // by use case
+  std::uint64_t relayed = 0;   // executions written whole to their server
   std::uint64_t queries = 0;
   std::uint64_t completed = 0;
   std::uint64_t rejected = 0;
--- a/src/sidecar/exchange.cpp
+++ b/src/sidecar/exchange.cpp
@@ -1,23 +1,35 @@
 #include "sidecar/exchange.hpp"
 
+#include <algorithm>
+#include <utility>
+
 #include "sidecar/client_side.hpp"
 #include "sidecar/discovery.hpp"
 #include "sidecar/log.hpp"
 
 namespace rackroute::sidecar {
+namespace {
+
+constexpr std::size_t kMostKnown = 65536;  // servers ever listed; years of a fleet that renews itself daily
+
+}  // namespace
 
 void Exchange::start(const told::Told& told, ClientSide& clients, ServerSide& servers, Discovery& discovery,
                      const Listed& known) {
   clients_ = &clients;
   servers_ = &servers;
   discovery_ = &discovery;
+  loop_.counters.finals.resize(told.terms.useCases.size());
   balancer_.emplace(told.terms, *this);
   serversListed(known);
 }
 
 void Exchange::take(const std::shared_ptr<const http::Message>& message, const Query& query) {
   ++loop_.counters.queries;
-  inFlight_[query.id].message = message;
+  InFlight& taken = inFlight_[query.id];
+  taken.message = message;
+  taken.useCase = query.useCase;
+  ++open_;
   const QueryHandle handle = balancer_->take(loop_.now(), query);
   inFlight_.at(query.id).handle = handle;
   settle(query.id);
@@ -26,7 +38,7 @@
 void Exchange::clientLeft(QueryId query) {
   const auto at = inFlight_.find(query);
   if (at == inFlight_.end()) return;
-  at->second.answered = true;
+  if (!std::exchange(at->second.answered, true)) --open_;
   at->second.handle->clientLeft(loop_.now());
   settle(query);
 }
@@ -41,14 +53,14 @@
   InFlight& query = at->second;
   if (outcome == Outcome::completed && query.answered) ++loop_.counters.lateAnswers;
   if (outcome == Outcome::completed && !query.answered) {
-    query.answered = true;
+    ++answered(query).completed;
     ++loop_.counters.completed;
     clients_->complete(execution.query, answer);
   }
   // Guards against a bad query that would go from server to server and count against each: that a server
   // can't use it is told of the query, not of the server, and so is its final answer.
   if (outcome == Outcome::moot && !query.answered) {
-    query.answered = true;
+    ++answered(query).failed;
     clients_->turnAway(execution.query);
   }
   query.handle->executionEnded(loop_.now(), execution.no, outcome, query.answered, service);
@@ -59,6 +71,7 @@
   ++loop_.counters.lists;
   Line(Level::debug) << "listed servers=" << listed.servers.size()
                      << (listed.listing == Listing::changes ? " changes" : " whole");
+  remember(listed);
   servers_->listed(listed);
   balancer_->serversListed(loop_.now(), listed.listing, listed.servers);
   settle({});
@@ -69,6 +82,42 @@
   balancer_->discoveryFailed(loop_.now());
 }
 
+void Exchange::takeOut(ServerId server) {
+  servers_->takenOut(server, true);
+  balancer_->takeOut(loop_.now(), server);
+  settle({});
+}
+
+void Exchange::putBack(ServerId server) {
+  servers_->takenOut(server, false);
+  balancer_->putBack(loop_.now(), server);
+  settle({});
+}
+
+std::size_t Exchange::avoided() const {
+  return static_cast<std::size_t>(std::count_if(list_.begin(), list_.end(), [this](const auto& server) {
+    return server.second == Lifecycle::draining || balancer_->avoids(loop_.now(), server.first);
+  }));
+}
+
+void Exchange::remember(const Listed& listed) {
+  if (listed.listing != Listing::changes) list_.clear();
+  for (const ListedServer& server : listed.servers) {
+    if (everListed_.size() < kMostKnown) everListed_.insert(server.id);
+    if (server.lifecycle == Lifecycle::gone) {
+      list_.erase(server.id);
+    } else {
+      list_[server.id] = server.lifecycle;
+    }
+  }
+}
+
+Finals& Exchange::answered(InFlight& query) {
+  query.answered = true;
+  --open_;
+  return loop_.counters.finals.at(query.useCase.value);
+}
+
 bool Exchange::freeDescriptor() { return servers_->freeDescriptor() || clients_->freeDescriptor(); }
 
 void Exchange::execute(QueryId query, ServerId server, Span timeout) {
@@ -81,14 +130,14 @@
 
 void Exchange::reject(QueryId query, Span comeBackAfter) {
   ++loop_.counters.rejected;
-  inFlight_.at(query).answered = true;
+  ++answered(inFlight_.at(query)).rejected;
   answered_.push_back(query);
   clients_->reject(query, comeBackAfter);
 }
 
 void Exchange::abort(QueryId query) {
   ++loop_.counters.aborted;
-  inFlight_.at(query).answered = true;
+  ++answered(inFlight_.at(query)).failed;
   answered_.push_back(query);
   clients_->abort(query);
 }
--- a/src/sidecar/exchange.hpp
+++ b/src/sidecar/exchange.hpp
@@ -10,6 +10,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <utility>
 #include <vector>
 
@@ -48,6 +49,14 @@
                       const std::shared_ptr<const http::Message>& answer);
   void serversListed(const Listed& listed);
   void discoveryFailed();
+  /// Maintenance by hand, to be repeated at will; whether a list ever named it tells known().
+  void takeOut(ServerId server);
+  void putBack(ServerId server);
+  [[nodiscard]] bool known(ServerId server) const { return everListed_.contains(server); }
+  /// Taken and without a final answer; servers in discovery's list; those of them that get nothing now.
+  [[nodiscard]] std::size_t open() const { return open_; }
+  [[nodiscard]] std::size_t listed() const { return list_.size(); }
+  [[nodiscard]] std::size_t avoided() const;
   /// Closes an idle connection, of the servers' side first. False: there is none.
   bool freeDescriptor();
 
@@ -57,6 +66,7 @@
     std::optional<QueryHandle> handle;
     std::uint32_t executions = 0;
     bool answered = false;
+    UseCaseId useCase{};
   };
 
   void execute(QueryId query, ServerId server, Span timeout) override;
@@ -67,6 +77,8 @@
   void watchServers() override;
   void listServers() override;
   void settle(QueryId query);
+  Finals& answered(InFlight& query);
+  void remember(const Listed& listed);
 
   Loop& loop_;
   ClientSide* clients_ = nullptr;
@@ -74,6 +86,9 @@
   Discovery* discovery_ = nullptr;
   std::map<QueryId, InFlight> inFlight_;
   std::vector<QueryId> answered_;
+  std::size_t open_ = 0;
+  std::map<ServerId, Lifecycle> list_;  // as discovery last told it
+  std::set<ServerId> everListed_;
   std::optional<Balancer> balancer_;
 };
 
--- a/src/sidecar/main.cpp
+++ b/src/sidecar/main.cpp
@@ -25,6 +25,7 @@
 #include <stdexcept>
 #include <string>
 
+#include "sidecar/admin_side.hpp"
 #include "sidecar/client_side.hpp"
 #include "sidecar/discovery.hpp"
 #include "sidecar/exchange.hpp"
@@ -40,6 +41,8 @@
 using Poco::JSON::Array;
 using Poco::JSON::Object;
 
+constexpr std::size_t kForDoor = 56;  // descriptors; the door's 32 and the program's own dozen, and a margin
+
 int signalEnds[2] = {-1, -1};
 
 void onSignal(int number) {
@@ -111,6 +114,7 @@
   std::uint64_t seed = 0;
   told::Pairs pairs;
   std::optional<rlim_t> descriptors;
+  std::optional<Poco::Net::SocketAddress> admin;  // the operators' door, where there is one
   Var known;
 };
 
@@ -136,11 +140,15 @@
   if (const auto limits = document->getObject("limits"); limits && limits->has("sockets"))
     made.descriptors = limits->getValue<std::uint32_t>("sockets");
   made.known = needed(*document, "known");
+  // The variable goes first: a second process has a door of its own and all else the same.
+  auto door = document->optValue<std::string>("admin", "");
+  if (const char* const given = std::getenv("LB_ADMIN"); given != nullptr && *given != '\0') door = given;
+  if (!door.empty()) made.admin = numericAddress(door);
   return made;
 }
 
 // Guards against more descriptors than the machine is given: the system itself then says no.
-void limitDescriptors(const Assignment& told, ClientSide& clients) {
+void limitDescriptors(const Assignment& told, ClientSide& clients, ServerSide& servers) {
   static const rlim_t atStart = [] {
     rlimit limit{};
     ::getrlimit(RLIMIT_NOFILE, &limit);
@@ -150,19 +158,24 @@
   ::getrlimit(RLIMIT_NOFILE, &limit);
   limit.rlim_cur = std::min(atStart, told.descriptors.value_or(atStart));
   ::setrlimit(RLIMIT_NOFILE, &limit);
-  clients.limitDescriptors(limit.rlim_cur);
+  // Guards against an application or executions that leave none for the operators' door: some are kept back.
+  const std::size_t all = limit.rlim_cur;
+  const std::size_t kept = told.admin ? std::min(kForDoor, all / 4) : 0;
+  clients.limitDescriptors(all - kept);
+  if (told.admin) servers.limitConnections((all - kept) / 2);
 }
 
 // Guards against a reload that costs service: a file that can't be used changes nothing, and one that can
 // moves discovery and the descriptor limit; the rest is told to the balancer once, and waits for a restart.
-void tellAnew(Assignment& told, ClientSide& clients, Discovery& discovery) {
+void tellAnew(Assignment& told, ClientSide& clients, ServerSide& servers, Discovery& discovery) {
   try {
     Assignment anew = readAssignment();
     const told::Told checked(anew.seed, anew.pairs);
-    limitDescriptors(anew, clients);
+    limitDescriptors(anew, clients, servers);
     discovery.moveTo(anew.discovery);
     std::string waits;
     if (anew.listen != told.listen) waits += ",listen";
+    if (anew.admin != told.admin) waits += ",admin";
     if (anew.name != told.name) waits += ",name";
     if (anew.pairs != told.pairs) waits += ",settings";
     Line(Level::info) << "reloaded discovery=" << anew.discovery.toString()
@@ -188,27 +201,34 @@
 
   Exchange exchange(loop);
   ClientSide clients(loop, exchange, told);
-  limitDescriptors(assignment, clients);
   ServerSide servers(loop, exchange, told);
+  limitDescriptors(assignment, clients, servers);
   std::uint64_t index = 0;
   Listed known = readList(assignment.known, told.zones, loop, index);
   known.listing = Listing::persisted;
   assignment.known.clear();
   Discovery discovery(loop, exchange, told.zones, assignment.discovery, index);
+  AdminSide admin(loop, exchange, told, [&](ServerId server, bool out, const auto& said) {
+    out ? exchange.takeOut(server) : exchange.putBack(server);
+    said(true);
+  });
   const auto stop = [&] {
     Line(Level::info) << "stopping";
+    admin.ready(false);
     clients.stop([&] { loop.stop(); });
   };
   signals.on(SIGTERM, stop);
   signals.on(SIGINT, stop);
-  signals.on(SIGHUP, [&] { tellAnew(assignment, clients, discovery); });
+  signals.on(SIGHUP, [&] { tellAnew(assignment, clients, servers, discovery); });
   signals.on(SIGUSR1, [&] {
     std::ostringstream text;
     loop.counters.print(text);
     Line(Level::asked) << text.str();
   });
   clients.listen(numericAddress(assignment.listen));
+  if (assignment.admin) admin.listen(*assignment.admin);
   exchange.start(told, clients, servers, discovery, known);
+  admin.ready(true);
   Line(Level::info) << "listening name=" << assignment.name << " address=" << assignment.listen
                     << " servers=" << known.servers.size();
   loop.run();
--- a/src/sidecar/server_side.cpp
+++ b/src/sidecar/server_side.cpp
@@ -82,6 +82,9 @@
   [[nodiscard]] ServerId server() const { return server_; }
 
  protected:
+  void written() override {
+    if (execution_ && sent_) ++loop_.counters.relayed;
+  }
   void opened() override {
     loop_.cancel(dialTimer_);
     if (execution_) sendQuery();
@@ -154,7 +157,7 @@
     sent_ = false;
     const auto place = side_.places_.find(server_);
     if (place == side_.places_.end() || place->second.address != address_ ||
-        place->second.goneAt != Span::max())
+        place->second.goneAt != Span::max() || side_.out_.contains(server_))
       return end(Reason::moved);
     side_.idle_.push_back(this);
     if (side_.idleLimit_ > Span{0}) idleTimer_ = loop_.in(side_.idleLimit_, [this] { end(Reason::idle); });
@@ -205,6 +208,14 @@
                 [&](const auto& at) { return at.second.goneAt < now && now - at.second.goneAt > kForget; });
 }
 
+void ServerSide::takenOut(ServerId server, bool out) {
+  if (!out) {
+    out_.erase(server);
+  } else if (out_.insert(server).second) {
+    closeIdle(server);
+  }
+}
+
 void ServerSide::closeIdle(ServerId server) {
   const std::list<ServerConnection*> idle = idle_;
   for (ServerConnection* connection : idle) {
@@ -226,6 +237,8 @@
 
 std::shared_ptr<ServerConnection> ServerSide::dial(ServerId server) {
   const Poco::Net::SocketAddress address = places_.at(server).address;
+  // Guards against executions that leave no descriptor for the operators' door.
+  if (connections_.size() >= most_ && !freeDescriptor()) return nullptr;
   for (;;) {
     try {
       Poco::Net::StreamSocket socket(address.family());
--- a/src/sidecar/server_side.hpp
+++ b/src/sidecar/server_side.hpp
@@ -8,9 +8,11 @@
 #include <Poco/Net/SocketAddress.h>
 
 #include <cstddef>
+#include <limits>
 #include <list>
 #include <map>
 #include <memory>
+#include <set>
 
 #include "http/message.hpp"
 #include "rackroute/balancer.hpp"
@@ -40,6 +42,10 @@
   void execute(ExecutionKey execution, ServerId server, const std::shared_ptr<const http::Message>& query,
                Span timeout);
   void cancel(ExecutionKey execution);
+  /// Keeps no idle connection to one that is taken out.
+  void takenOut(ServerId server, bool out);
+  /// Executions get no more connections than this, so that some descriptors stay for others.
+  void limitConnections(std::size_t most) { most_ = most; }
   /// Closes the connection that has been idle for longest. False: none is idle.
   bool freeDescriptor();
 
@@ -61,6 +67,8 @@
   void closeIdle(ServerId server);
 
   std::map<ServerId, Place> places_;
+  std::set<ServerId> out_;  // by hand
+  std::size_t most_ = std::numeric_limits<std::size_t>::max();
   std::map<ServerConnection*, std::shared_ptr<ServerConnection>> connections_;
   std::list<ServerConnection*> idle_;  // the longest idle first
   std::map<ExecutionKey, ServerConnection*> executions_;
--- a/src/terms/told.hpp
+++ b/src/terms/told.hpp
@@ -5,6 +5,7 @@
 #include <stdexcept>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include "rackroute/terms.hpp"
 
@@ -27,7 +28,9 @@
 class Names {  // ids for names, in the order of their first mention
  public:
   std::uint32_t id(std::string_view name) {
-    return ids_.emplace(std::string(name), static_cast<std::uint32_t>(ids_.size())).first->second;
+    const auto [at, made] = ids_.emplace(std::string(name), static_cast<std::uint32_t>(ids_.size()));
+    if (made) names_.push_back(at->first);
+    return at->second;
   }
   [[nodiscard]] std::uint32_t known(std::string_view name, std::string_view what) const {
     const auto at = ids_.find(name);
@@ -35,9 +38,11 @@
     return at->second;
   }
   [[nodiscard]] bool empty() const { return ids_.empty(); }
+  [[nodiscard]] const std::vector<std::string>& all() const { return names_; }  // by id
 
  private:
   std::map<std::string, std::uint32_t, std::less<>> ids_;
+  std::vector<std::string> names_;
 };
 
 /// The pairs decoded, the one place for both protocols: the terms, the names behind their ids, and what
