--- a/src/decide/balancer.cpp
+++ b/src/decide/balancer.cpp
@@ -230,7 +230,7 @@
   // back, by all balancers at once. Its place in the set was kept, as a full set would not take it again.
   void putBack(Span now, ServerId id) {
     Server& server = named(id);
-    if (!server.takenOut) return;
+    if (!std::exchange(server.takenOut, false)) return;
     refresh(now, server);
     server.startedAt = now;
     placeWaiting(now);
@@ -495,6 +495,7 @@
     if (outcome == Outcome::completed) {
       server.passed = std::max(server.passed, execution.sentAt);
       server.pace.add(now, seconds(took) / (pending.others + 1));
+      paces_.add(now, seconds(took) / (pending.others + 1));
       answers_.add(now, seconds(took));
       if (held.query.account) accountAnswers_[held.query.account->value].add(now, 1);
       const bool near = server.zone == terms_.zone;
@@ -648,7 +649,9 @@
 
   // How long an answer would take: the server's recent pace times what would then be out there.
   [[nodiscard]] double expected(Span now, const Server& server, double usual) const {
-    double estimate = server.pace.mean(now, usual) * (load(now, server) + 1);
+    // Guards against a server that nothing is known of, as it was away or left alone: answer times hold the
+    // queues of the others, and by them it would look too slow to be tried ever.
+    double estimate = server.pace.mean(now, paces_.mean(now, usual)) * (load(now, server) + 1);
     // Guards against silence: nothing is quicker than the execution that is still unanswered.
     for (const Pending& pending : server.out) {
       if (!pending.started && !stuck(now, server, pending))
@@ -934,6 +937,7 @@
   std::vector<double> expected_;    // scratch of pick(), by server slot
   std::vector<double> odds_;        // scratch of pick(), by server slot
   Ring answers_;
+  Ring paces_;  // seconds, as each server's
   Ring services_;  // seconds, as reported
   std::vector<Ring> accountAnswers_;
   std::vector<Ring> served_;             // by use case: 1 for each query completed, 0 for each given up
--- a/src/sidecar/server_side.cpp
+++ b/src/sidecar/server_side.cpp
@@ -83,7 +83,7 @@
 
  protected:
   void written() override {
-    if (execution_ && sent_) ++loop_.counters.relayed;
+    if (execution_ && sent_ && !std::exchange(relayed_, true)) ++loop_.counters.relayed;
   }
   void opened() override {
     loop_.cancel(dialTimer_);
@@ -132,6 +132,7 @@
  private:
   void sendQuery() {
     sent_ = true;
+    relayed_ = false;
     http::Gather pieces;
     pieces.keep(query_);
     pieces.view(query_->start());
@@ -174,7 +175,8 @@
   Loop::TimerId timer_;
   Loop::TimerId dialTimer_;
   Loop::TimerId idleTimer_;
-  bool sent_ = false;  // its first byte, at least
+  bool sent_ = false;     // its first byte, at least
+  bool relayed_ = false;  // its last
 };
 
 ServerSide::ServerSide(Loop& loop, Exchange& exchange, const told::Told& told)
