Hand the clients' socket, the list and servers out by hand to a new process

Ruled out: two listeners by SO_REUSEPORT (closing one resets its queue; now the fall-back), connections passed on one by one (docs/operations.md).

--- a/src/sidecar/client_side.cpp
+++ b/src/sidecar/client_side.cpp
@@ -73,7 +73,7 @@
     // so many itself, and those fill its bound until the idle limit, so that its queries can't connect at
     // all.
     const bool crowded = queries_ < kSteady && side_.crowded();
-    const bool close = closes_ || crowded || side_.stopped_;
+    const bool close = closes_ || crowded || side_.stopped_ || side_.yields_;
     std::string rest = "Content-Length: " + std::to_string(body ? body->body().size() : 0) + "\r\n";
     rest += close ? "Connection: close\r\n\r\n" : "\r\n";
     head.text(std::move(rest));
@@ -83,7 +83,10 @@
     }
     send(std::move(head));
     if (close)
-      return finish(!why_.empty() ? Reason::badMessage : closes_ ? Reason::closeAsked : Reason::crowded);
+      return finish(!why_.empty() ? Reason::badMessage
+                    : closes_     ? Reason::closeAsked
+                    : crowded     ? Reason::crowded
+                                  : Reason::shutdown);
     awaitQuery();
     // In a turn of its own: the answer may come from within a call on the balancer.
     if (!in_.empty()) loop_.soon([self = shared_from_this(), this] { next(); });
@@ -242,13 +245,24 @@
 
 ClientSide::~ClientSide() = default;
 
-void ClientSide::listen(const Poco::Net::SocketAddress& address) {
-  listener_.bind(address, true, false);  // not shared: an address in use must fail
+void ClientSide::listen(const Poco::Net::SocketAddress& address, bool shared) {
+  listener_.bind(address, true, shared);  // not shared: an address in use must fail
   listener_.listen(kBacklog);
   listener_.setBlocking(false);
   listening(true);
 }
 
+void ClientSide::adopt(const Poco::Net::ServerSocket& listener) {
+  listener_ = listener;
+  listener_.setBlocking(false);
+  listening(true);
+}
+
+void ClientSide::yield(bool to) {
+  yields_ = to;
+  listening(!to);
+}
+
 void ClientSide::listening(bool on) {
   if (on == listening_ || closed_) return;
   listening_ = on;
@@ -287,7 +301,7 @@
   }
   // The listener rests, as it would stay readable and keep the loop spinning.
   listening(false);
-  loop_.in(kAcceptPause, [this] { listening(true); });
+  loop_.in(kAcceptPause, [this] { listening(!yields_); });
   return false;
 }
 
@@ -334,7 +348,11 @@
 void ClientSide::stop(std::function<void()> stopped) {
   if (stopped_) return;
   stopped_ = std::move(stopped);
-  for (const auto& connection : all()) connection->endIfIdle(Reason::shutdown);
+  // Guards against queries that cross the close of their connection: with another process to go to, those
+  // that are used end with their answers first.
+  if (!yields_) {
+    for (const auto& connection : all()) connection->endIfIdle(Reason::shutdown);
+  }
   loop_.in(kStillComing, [this] { closeListener(); });
 }
 
@@ -365,7 +383,7 @@
 
 // What the machine accepted is taken in before the listener goes.
 void ClientSide::closeListener() {
-  while (acceptOne()) continue;
+  while (!yields_ && acceptOne()) continue;
   listening(false);
   closed_ = true;
   listener_.close();
--- a/src/sidecar/client_side.hpp
+++ b/src/sidecar/client_side.hpp
@@ -34,7 +34,13 @@
   ClientSide& operator=(const ClientSide&) = delete;
   ~ClientSide();
 
-  void listen(const Poco::Net::SocketAddress& address);
+  /// Shared: another process may listen there as well.
+  void listen(const Poco::Net::SocketAddress& address, bool shared);
+  /// Goes on with a listening socket that another process made.
+  void adopt(const Poco::Net::ServerSocket& listener);
+  [[nodiscard]] const Poco::Net::ServerSocket& listener() const { return listener_; }
+  /// While another process accepts what comes: takes in no connections, and ends each with its next answer.
+  void yield(bool to);
   /// The final answers. A client that has left gets none.
   void complete(QueryId query, const std::shared_ptr<const http::Message>& answer);
   void reject(QueryId query, Span comeBackAfter);
@@ -71,6 +77,7 @@
   std::uint32_t lastQuery_ = 0;
   std::function<void()> stopped_;
   bool listening_ = false;
+  bool yields_ = false;
   bool closed_ = false;
 };
 
--- a/src/sidecar/connection.cpp
+++ b/src/sidecar/connection.cpp
@@ -43,7 +43,7 @@
 
 void Connection::open() {
   socket_.setBlocking(false);
-  socket_.setNoDelay(true);
+  if (!local_) socket_.setNoDelay(true);
   loop_.addEventHandler(socket_, Readable(*this, &Connection::onReadable));
   registered_ = true;
 }
--- a/src/sidecar/connection.hpp
+++ b/src/sidecar/connection.hpp
@@ -69,7 +69,10 @@
   virtual void written() {}
   virtual void gone(Reason reason) = 0;  // exactly once, in a turn of its own or as the caller's end()
 
+  [[nodiscard]] int descriptor() const { return socket_.impl()->sockfd(); }
+
   Loop& loop_;
+  bool local_ = false;  // within the machine, not TCP
   std::string in_;
   std::uint64_t messages_ = 0;  // for the log line
   std::string_view why_;        // for the log line, where the reason alone says too little
--- a/src/sidecar/discovery.cpp
+++ b/src/sidecar/discovery.cpp
@@ -8,6 +8,7 @@
 
 #include <charconv>
 #include <chrono>
+#include <sstream>
 #include <stdexcept>
 #include <utility>
 
@@ -68,6 +69,7 @@
     if (server.lifecycle == Lifecycle::serving || one->has("address"))
       listed.addresses.emplace_back(server.id, numericAddress(one->getValue<std::string>("address")));
     listed.servers.push_back(server);
+    listed.entries.push_back(one);
   }
   index = version;
   return listed;
@@ -186,6 +188,33 @@
   if (listing) list();
 }
 
+// An empty list is doubted, and so is no list to hand on.
+void Discovery::keep(const Listed& listed) {
+  if (listed.listing != Listing::changes && !listed.entries.empty()) entries_.clear();
+  for (const auto& entry : listed.entries) {
+    const auto name = entry->getValue<std::string>("name");
+    if (entry->getValue<std::string>("status") == "removed") {
+      entries_.erase(name);
+    } else if (entry->has("address") || !entries_.contains(name)) {
+      entries_[name] = entry;
+    } else {
+      entries_[name]->set("status", entry->get("status"));
+    }
+  }
+}
+
+std::string Discovery::state() const {
+  Object::Ptr list = new Object;
+  Array::Ptr endpoints = new Array;
+  for (const auto& [name, entry] : entries_) endpoints->add(entry);
+  list->set("index", index_);
+  list->set("snapshot", true);
+  list->set("endpoints", endpoints);
+  std::ostringstream text;
+  list->stringify(text);
+  return text.str();
+}
+
 std::shared_ptr<DiscoveryCall> Discovery::call(bool watch) {
   ++loop_.counters.discoveryCalls;
   try {
@@ -210,6 +239,7 @@
     // Guards against a list and a watch that overtake each other; a watch's first line may start anew.
     if (index < index_ && !(watch && first)) return true;
     index_ = index;
+    keep(listed);
     exchange_.serversListed(listed);
     return true;
   } catch (const std::exception& error) {
--- a/src/sidecar/discovery.hpp
+++ b/src/sidecar/discovery.hpp
@@ -37,6 +37,9 @@
 
   void watch();
   void list();
+  /// The list as it stands, in discovery's form: what a successor goes on with.
+  [[nodiscard]] std::string state() const;
+  void keep(const Listed& listed);
   /// Goes on at another address: a watch stands there at once, and leaving the old one is no failure.
   void moveTo(const Poco::Net::SocketAddress& address);
 
@@ -52,6 +55,7 @@
   told::Names& zones_;
   Poco::Net::SocketAddress address_;
   std::uint64_t index_;
+  std::map<std::string, Poco::JSON::Object::Ptr> entries_;  // by name
   std::map<DiscoveryCall*, std::shared_ptr<DiscoveryCall>> calls_;
   std::shared_ptr<DiscoveryCall> watch_;
 };
--- a/src/sidecar/exchange.cpp
+++ b/src/sidecar/exchange.cpp
@@ -88,9 +88,9 @@
   settle({});
 }
 
-void Exchange::putBack(ServerId server) {
+void Exchange::putBack(ServerId server, Span at) {
   servers_->takenOut(server, false);
-  balancer_->putBack(loop_.now(), server);
+  balancer_->putBack(at, server);
   settle({});
 }
 
@@ -103,7 +103,7 @@
 void Exchange::remember(const Listed& listed) {
   if (listed.listing != Listing::changes) list_.clear();
   for (const ListedServer& server : listed.servers) {
-    if (everListed_.size() < kMostKnown) everListed_.insert(server.id);
+    learn(server.id);
     if (server.lifecycle == Lifecycle::gone) {
       list_.erase(server.id);
     } else {
@@ -112,6 +112,10 @@
   }
 }
 
+void Exchange::learn(ServerId server) {
+  if (everListed_.size() < kMostKnown) everListed_.insert(server);
+}
+
 Finals& Exchange::answered(InFlight& query) {
   query.answered = true;
   --open_;
--- a/src/sidecar/exchange.hpp
+++ b/src/sidecar/exchange.hpp
@@ -4,6 +4,7 @@
 // is: what the sides tell becomes a call on it, what it asks for goes to a side or to discovery. It must
 // never decide anything, nor call the balancer from within a call of the balancer's.
 
+#include <Poco/JSON/Object.h>
 #include <Poco/Net/SocketAddress.h>
 
 #include <cstdint>
@@ -30,6 +31,7 @@
   Listing listing = Listing::persisted;
   std::vector<ListedServer> servers;
   std::vector<std::pair<ServerId, Poco::Net::SocketAddress>> addresses;
+  std::vector<Poco::JSON::Object::Ptr> entries;  // as they came
 };
 
 class Exchange : public Host {
@@ -51,8 +53,10 @@
   void discoveryFailed();
   /// Maintenance by hand, to be repeated at will; whether a list ever named it tells known().
   void takeOut(ServerId server);
-  void putBack(ServerId server);
+  void putBack(ServerId server, Span at);
   [[nodiscard]] bool known(ServerId server) const { return everListed_.contains(server); }
+  void learn(ServerId server);
+  [[nodiscard]] const std::set<ServerId>& everListed() const { return everListed_; }
   /// Taken and without a final answer; servers in discovery's list; those of them that get nothing now.
   [[nodiscard]] std::size_t open() const { return open_; }
   [[nodiscard]] std::size_t listed() const { return list_.size(); }
--- a/src/sidecar/main.cpp
+++ b/src/sidecar/main.cpp
@@ -29,6 +29,7 @@
 #include "sidecar/client_side.hpp"
 #include "sidecar/discovery.hpp"
 #include "sidecar/exchange.hpp"
+#include "sidecar/handover.hpp"
 #include "sidecar/log.hpp"
 #include "sidecar/loop.hpp"
 #include "sidecar/server_side.hpp"
@@ -148,7 +149,8 @@
 }
 
 // Guards against more descriptors than the machine is given: the system itself then says no.
-void limitDescriptors(const Assignment& told, ClientSide& clients, ServerSide& servers) {
+// Two processes that are one sidecar have half each.
+void limitDescriptors(const Assignment& told, ClientSide& clients, ServerSide& servers, bool shared) {
   static const rlim_t atStart = [] {
     rlimit limit{};
     ::getrlimit(RLIMIT_NOFILE, &limit);
@@ -156,22 +158,22 @@
   }();
   rlimit limit{};
   ::getrlimit(RLIMIT_NOFILE, &limit);
-  limit.rlim_cur = std::min(atStart, told.descriptors.value_or(atStart));
+  limit.rlim_cur = std::min(atStart, told.descriptors.value_or(atStart)) / (shared ? 2 : 1);
   ::setrlimit(RLIMIT_NOFILE, &limit);
-  // Guards against an application or executions that leave none for the operators' door: some are kept back.
+  // Guards against executions that leave none for the operators' door: beside the application's share some
+  // are kept back.
   const std::size_t all = limit.rlim_cur;
-  const std::size_t kept = told.admin ? std::min(kForDoor, all / 4) : 0;
-  clients.limitDescriptors(all - kept);
-  if (told.admin) servers.limitConnections((all - kept) / 2);
+  clients.limitDescriptors(all);
+  if (told.admin) servers.limitConnections(all / 2 - std::min(kForDoor, all / 4));
 }
 
 // Guards against a reload that costs service: a file that can't be used changes nothing, and one that can
 // moves discovery and the descriptor limit; the rest is told to the balancer once, and waits for a restart.
-void tellAnew(Assignment& told, ClientSide& clients, ServerSide& servers, Discovery& discovery) {
+void tellAnew(Assignment& told, ClientSide& clients, ServerSide& servers, Discovery& discovery, bool shared) {
   try {
     Assignment anew = readAssignment();
     const told::Told checked(anew.seed, anew.pairs);
-    limitDescriptors(anew, clients, servers);
+    limitDescriptors(anew, clients, servers, shared);
     discovery.moveTo(anew.discovery);
     std::string waits;
     if (anew.listen != told.listen) waits += ",listen";
@@ -188,6 +190,25 @@
   }
 }
 
+// Guards against a list in the configuration that is older than what the process before was told.
+void takeOver(const Object& state, Exchange& exchange, told::Names& zones, const Loop& loop, Listed& known,
+              std::uint64_t& index) {
+  try {
+    const auto ever = state.getArray("ever");
+    for (const auto& server : *ever) exchange.learn({std::stoull(server.convert<std::string>())});
+    std::uint64_t version = 0;
+    Listed listed =
+        readList(Poco::JSON::Parser().parse(state.getValue<std::string>("list")), zones, loop, version);
+    if (version < index || listed.servers.empty()) return;
+    known = std::move(listed);
+    index = version;
+  } catch (const Poco::Exception& error) {
+    Line(Level::warning) << "no_handover what=\"" << error.displayText() << '"';
+  } catch (const std::exception& error) {
+    Line(Level::warning) << "no_handover what=\"" << error.what() << '"';
+  }
+}
+
 int run() {
   if (const char* level = std::getenv("RACKROUTE_LOG"); level != nullptr && !setLevel(level))
     throw std::runtime_error("RACKROUTE_LOG is not a level: " + std::string(level));
@@ -199,36 +220,46 @@
   told::Told told(assignment.seed, assignment.pairs);
   told.terms.discoveryOnRequest = true;  // here discovery only ever answers
 
+  // Another process comes only where operators call this one by a door of its own.
+  const char* const folder = std::getenv("TMPDIR");
+  Handover handover(loop, assignment.admin && folder != nullptr ? folder : "", assignment.listen);
+  const std::optional<Inherited> inherited = handover.ask();
+
   Exchange exchange(loop);
   ClientSide clients(loop, exchange, told);
   ServerSide servers(loop, exchange, told);
-  limitDescriptors(assignment, clients, servers);
+  limitDescriptors(assignment, clients, servers, inherited.has_value());
   std::uint64_t index = 0;
   Listed known = readList(assignment.known, told.zones, loop, index);
+  if (inherited) takeOver(*inherited->state, exchange, told.zones, loop, known, index);
   known.listing = Listing::persisted;
   assignment.known.clear();
   Discovery discovery(loop, exchange, told.zones, assignment.discovery, index);
-  AdminSide admin(loop, exchange, told, [&](ServerId server, bool out, const auto& said) {
-    out ? exchange.takeOut(server) : exchange.putBack(server);
-    said(true);
+  discovery.keep(known);
+  AdminSide admin(loop, exchange, told, [&](ServerId server, bool out, std::function<void(bool)> said) {
+    handover.say(server, out, std::move(said));
   });
   const auto stop = [&] {
     Line(Level::info) << "stopping";
     admin.ready(false);
+    handover.stop();
     clients.stop([&] { loop.stop(); });
   };
   signals.on(SIGTERM, stop);
   signals.on(SIGINT, stop);
-  signals.on(SIGHUP, [&] { tellAnew(assignment, clients, servers, discovery); });
+  signals.on(SIGHUP, [&] { tellAnew(assignment, clients, servers, discovery, handover.isShared()); });
   signals.on(SIGUSR1, [&] {
     std::ostringstream text;
     loop.counters.print(text);
     Line(Level::asked) << text.str();
   });
-  clients.listen(numericAddress(assignment.listen));
   if (assignment.admin) admin.listen(*assignment.admin);
+  inherited ? clients.adopt(inherited->listener)
+            : clients.listen(numericAddress(assignment.listen), assignment.admin.has_value());
   exchange.start(told, clients, servers, discovery, known);
-  admin.ready(true);
+  handover.start(
+      exchange, clients, discovery, [&] { admin.ready(true); },
+      [&] { limitDescriptors(assignment, clients, servers, handover.isShared()); });
   Line(Level::info) << "listening name=" << assignment.name << " address=" << assignment.listen
                     << " servers=" << known.servers.size();
   loop.run();
--- /dev/null
+++ b/tests/handover_test.cpp
@@ -0,0 +1,155 @@
+// A new version under load: two processes are one sidecar, whatever becomes of either.
+
+#include <sys/stat.h>
+
+#include "handover/said.hpp"
+#include "program.hpp"
+
+using namespace rackroute;
+using namespace rackroute::program;
+
+namespace {
+
+/// A process beside the first, with the same addresses but for its door.
+class Version {
+ public:
+  SocketAddress door = ServerSocket(SocketAddress("127.0.0.1", 0)).address();
+
+  explicit Version(Sidecar& sidecar, const std::string& folder) {
+    process_.also = {{"LB_ADMIN", door.toString()}, {"TMPDIR", folder}};
+    process_.launch(sidecar.form());
+    for (int tries = 0; tries < 1000 && !ready(); ++tries) std::this_thread::sleep_for(10ms);
+    REQUIRE(ready());
+  }
+  bool ready() { return has(call("GET /ops/readiness"), " 200 "); }
+  std::string call(const std::string& line) {
+    try {
+      Peer peer{StreamSocket(door)};
+      peer.say(line + " HTTP/1.1\r\nHost: door\r\n\r\n");
+      return peer.message();
+    } catch (const Poco::Net::NetException&) {
+      return {};
+    }
+  }
+  int end(int number) {
+    process_.signal(number);
+    return process_.ended();
+  }
+  void stop(int number) { process_.signal(number); }
+  std::string log() { return process_.log(); }
+
+ private:
+  Sidecar process_{0};
+};
+
+/// Sends one query and has it answered; what the client was told.
+std::string serve(Sidecar& sidecar, Peer& client, std::size_t* which = nullptr) {
+  client.say(query("read"));
+  Peer server = sidecar.server(which);
+  server.message();
+  server.say(served("done", "Connection: close\r\n"));
+  return client.message();
+}
+
+struct Folder {
+  Poco::TemporaryFile file;
+  Folder() { file.createDirectory(); }
+  [[nodiscard]] std::string path() const { return file.path(); }
+};
+
+}  // namespace
+
+TEST_CASE(
+    "a new process takes over: connections move with their answers, servers stay out, none is refused") {
+  Folder folder;
+  Sidecar sidecar;
+  Version before(sidecar, folder.path());
+  Peer client = sidecar.connect();
+  CHECK_FALSE(has(serve(sidecar, client), "Connection: close"));
+  CHECK(has(before.call("POST /ops/servers/down/s-0"), " 200 "));
+
+  Version after(sidecar, folder.path());
+  CHECK(has(serve(sidecar, client), "Connection: close"));  // the old process had this one
+  CHECK(client.ends());
+  CHECK(before.ready());
+  CHECK(has(after.call("GET /ops/stats"), "edge_lb_out_of_rotation 1\n"));
+  CHECK(has(before.call("POST /ops/servers/up/s-0"), " 200 "));  // at either door, for both
+  CHECK(has(after.call("GET /ops/stats"), "edge_lb_out_of_rotation 0\n"));
+  CHECK(has(after.call("POST /ops/servers/down/s-1"), " 200 "));
+  CHECK(has(before.call("GET /ops/stats"), "edge_lb_out_of_rotation 1\n"));
+
+  Peer waiting = sidecar.connect();  // the new process has this one
+  CHECK(before.end(SIGTERM) == 0);
+  std::size_t which = 9;
+  CHECK_FALSE(has(serve(sidecar, waiting, &which), "Connection: close"));
+  CHECK(which == 0);
+
+  Version third(sidecar, folder.path());  // and once more, right after
+  CHECK(after.end(SIGTERM) == 0);
+  CHECK(has(third.call("GET /ops/stats"), "edge_lb_out_of_rotation 1\n"));
+  Peer last = sidecar.connect();
+  CHECK(has(serve(sidecar, last), "done"));
+}
+
+TEST_CASE("a new process that dies leaves the old one serving, and a later one takes over from it") {
+  Folder folder;
+  Sidecar sidecar;
+  Version before(sidecar, folder.path());
+  {
+    Version dies(sidecar, folder.path());
+    dies.end(SIGKILL);
+  }
+  Peer client = sidecar.connect();
+  CHECK_FALSE(has(serve(sidecar, client), "Connection: close"));
+  Version after(sidecar, folder.path());
+  CHECK(has(serve(sidecar, client), "Connection: close"));
+  CHECK(before.end(SIGTERM) == 0);
+}
+
+TEST_CASE("an old process that was killed or hangs keeps no new one away, and servers stay out") {
+  const bool hangs = GENERATE(false, true);
+  CAPTURE(hangs);
+  Folder folder;
+  Sidecar sidecar;
+  Version before(sidecar, folder.path());
+  CHECK(has(before.call("POST /ops/servers/down/s-1"), " 200 "));
+  hangs ? before.stop(SIGSTOP) : static_cast<void>(before.end(SIGKILL));
+  Version after(sidecar, folder.path());
+  CHECK(has(after.call("GET /ops/stats"), "edge_lb_out_of_rotation 1\n"));
+  if (hangs) before.end(SIGKILL);
+  Peer client = sidecar.connect();
+  std::size_t which = 9;
+  serve(sidecar, client, &which);
+  CHECK(which == 0);
+}
+
+TEST_CASE("what stands in the folder and can't be used is no obstacle") {
+  Folder folder;
+  Sidecar sidecar;
+  const std::string name = folder.path() + "/rackroute-" + sidecar.address.toString();
+  std::ofstream(name) << "no socket";
+  std::ofstream(name + ".said") << "rackroute-said 1\nout 12";
+  Version process(sidecar, folder.path());
+  Peer client = sidecar.connect();
+  CHECK(has(serve(sidecar, client), "done"));
+  CHECK(process.end(SIGTERM) == 0);
+  CHECK(has(process.log(), "servers out by hand can't be read"));
+}
+
+TEST_CASE("the record of what was said comes back as it was, or not at all") {
+  handover::Said said;
+  const auto at = [](int millis) { return handover::Moment(std::chrono::milliseconds(millis)); };
+  said.note({7}, {true, at(1000)});
+  said.note({9}, {true, at(1000)});
+  said.note({9}, {false, at(2000)});
+  said.note({9}, {true, at(1500)});  // an older word that comes late
+  const auto read = handover::Said::read(said.text());
+  REQUIRE(read);
+  CHECK(read->all().at({7}).out);
+  CHECK_FALSE(read->all().at({9}).out);
+  said.forgetBack(at(3000));
+  CHECK(said.all().size() == 1);
+  const std::string text = read->text();
+  for (std::size_t size = 0; size < text.size(); ++size)
+    CHECK_FALSE(handover::Said::read(text.substr(0, size)));
+}
