Hand what the balancer learned to its successor: limits, weights, warm rates, cold credit

Cause: a new process knew no warm rate, so that servers that had just come back cold got nothing, and its only warm ones bore all: a trace showed limits' sum 10 of 29, credits below one at six of nine servers, 34% of queries rejected for seven seconds. Ruled out: descriptors (none ran out), the door (no call late), refused connections (none). Stories for cold and ejected servers and for torn text.

--- a/include/rackroute/balancer.hpp
+++ b/include/rackroute/balancer.hpp
@@ -1,8 +1,11 @@
 #pragma once
 
+#include <array>
+#include <cstdint>
 #include <memory>
 #include <optional>
 #include <span>
+#include <vector>
 
 #include "rackroute/terms.hpp"
 
@@ -54,6 +57,31 @@
   std::uint32_t ejected = 0;
 };
 
+/// What a balancer learned of one listed server.
+struct LearnedServer {
+  ServerId id;
+  bool used = false;
+  bool ejected = false;
+  std::uint32_t run = 0;
+  Span trialIn{};  // from now
+  double weight = 1;
+  double limit = 1;
+  double coldCredit = 0;
+  double pace = 0;  // seconds; 0: not known
+  double service = 0;
+};
+
+/// What it learned, for one that takes its place: measures, nothing of any query.
+struct Learned {
+  double answerTime = 0;  // seconds
+  double answersPerSecond = 0;
+  std::array<double, 2> warmAnswers{};
+  std::array<double, 2> warmTime{};
+  std::array<double, 2> unloaded{1, 1};
+  double setSize = 0;
+  std::vector<LearnedServer> servers{};
+};
+
 class Decider;
 
 /// A query that a balancer has taken. It must not outlive the balancer; calls on one that is over do nothing.
@@ -93,6 +121,9 @@
   void putBack(Span now, ServerId server);
   /// Whether a listed server gets nothing now, by hand or as it is ejected.
   [[nodiscard]] bool avoids(Span now, ServerId server) const;
+  /// To be learned right after the list that it belongs to.
+  [[nodiscard]] Learned learned(Span now) const;
+  void learn(Span now, const Learned& learned);
   [[nodiscard]] Standing standing(Span now) const;
 
  private:
--- a/src/decide/balancer.cpp
+++ b/src/decide/balancer.cpp
@@ -20,6 +20,8 @@
 #include <random>
 #include <utility>
 
+#include "decide/buckets.hpp"
+
 namespace rackroute {
 namespace {
 
@@ -70,43 +72,7 @@
   return Span{static_cast<Span::rep>(static_cast<double>(span.count()) * by)};
 }
 
-/// Sums over the last buckets of time; buckets are reused in a ring.
-class Ring {
- public:
-  void add(Span now, double value) {
-    Bucket& bucket = buckets_[static_cast<std::size_t>(turn(now)) % kBuckets];
-    if (bucket.turn != turn(now)) bucket = Bucket{turn(now), 0, 0};
-    bucket.sum += value;
-    ++bucket.count;
-    total_.turn = -1;
-  }
-  [[nodiscard]] double count(Span now) const { return total(now).count; }
-  [[nodiscard]] double mean(Span now, double otherwise) const {
-    const Bucket& all = total(now);
-    return all.count > 0 ? all.sum / all.count : otherwise;
-  }
-
- private:
-  struct Bucket {
-    std::int64_t turn = -1;
-    double sum = 0;
-    double count = 0;
-  };
-  [[nodiscard]] static std::int64_t turn(Span now) { return now / kBucket; }
-  [[nodiscard]] const Bucket& total(Span now) const {
-    if (total_.turn == turn(now)) return total_;
-    total_ = Bucket{turn(now), 0, 0};
-    for (const Bucket& bucket : buckets_) {
-      if (bucket.turn < 0 || bucket.turn + static_cast<std::int64_t>(kBuckets) <= turn(now)) continue;
-      total_.sum += bucket.sum;
-      total_.count += bucket.count;
-    }
-    return total_;
-  }
-
-  std::array<Bucket, kBuckets> buckets_{};
-  mutable Bucket total_;  // of the turn it names; large fleets read far more often than they add
-};
+using Ring = Buckets<kBucket.count(), kBuckets>;
 
 using ServerSlot = std::size_t;
 using QuerySlot = std::uint32_t;
@@ -326,6 +292,48 @@
     return all;
   }
 
+  // ---- What a successor in the same place goes on with
+
+  // Guards against a change of process that forgets: without it cold servers get nothing and no query may
+  // wait, as nothing tells yet what warm servers do.
+  [[nodiscard]] Learned learned(Span now) const {
+    Learned all{.answerTime = answers_.mean(now, 0),
+                .answersPerSecond = answers_.count(now) / measuredSpan(now)};
+    all.warmAnswers = warmAnswers_;
+    all.warmTime = warmTime_;
+    all.unloaded = unloaded_;
+    all.setSize = setSize_;
+    for (const Server& s : servers_) {
+      if (!s.held) continue;
+      all.servers.push_back({s.id, s.used, s.ejected, s.run, s.trialAt - now, s.weight, s.limit, s.coldCredit,
+                             s.pace.mean(now, 0), s.service});
+    }
+    return all;
+  }
+
+  void learn(Span now, const Learned& all) {
+    for (double left = all.answersPerSecond; left >= 1; --left) answers_.add(now, all.answerTime);
+    warmAnswers_ = all.warmAnswers;
+    warmTime_ = all.warmTime;
+    unloaded_ = all.unloaded;
+    setSize_ = all.setSize;
+    for (Server& server : servers_) {
+      const auto at = std::find_if(all.servers.begin(), all.servers.end(),
+                                   [&](const LearnedServer& s) { return s.id == server.id; });
+      if (at == all.servers.end()) continue;
+      server.used = at->used;
+      server.ejected = at->ejected;
+      server.run = at->run;
+      server.trialAt = now + at->trialIn;
+      server.weight = at->weight;
+      server.limit = at->limit;
+      server.coldCredit = at->coldCredit;
+      server.service = at->service;
+      if (at->pace > 0) server.pace.add(now, at->pace);
+      if (at->pace > 0) paces_.add(now, at->pace);
+    }
+  }
+
   [[nodiscard]] bool current(QuerySlot slot, std::uint32_t turn) const {
     return queries_[slot].inUse && queries_[slot].turn == turn;
   }
@@ -937,7 +945,7 @@
   std::vector<double> expected_;    // scratch of pick(), by server slot
   std::vector<double> odds_;        // scratch of pick(), by server slot
   Ring answers_;
-  Ring paces_;  // seconds, as each server's
+  Ring paces_;     // seconds, as each server's
   Ring services_;  // seconds, as reported
   std::vector<Ring> accountAnswers_;
   std::vector<Ring> served_;             // by use case: 1 for each query completed, 0 for each given up
@@ -978,6 +986,8 @@
 void Balancer::takeOut(Span now, ServerId server) { decider_->takeOut(now, server); }
 void Balancer::putBack(Span now, ServerId server) { decider_->putBack(now, server); }
 bool Balancer::avoids(Span now, ServerId server) const { return decider_->avoids(now, server); }
+Learned Balancer::learned(Span now) const { return decider_->learned(now); }
+void Balancer::learn(Span now, const Learned& learned) { decider_->learn(now, learned); }
 Standing Balancer::standing(Span now) const { return decider_->standing(now); }
 
 void QueryHandle::executionEnded(Span now, ExecutionNo execution, Outcome outcome, bool terminal,
--- a/src/sidecar/exchange.hpp
+++ b/src/sidecar/exchange.hpp
@@ -56,6 +56,8 @@
   void putBack(ServerId server, Span at);
   [[nodiscard]] bool known(ServerId server) const { return everListed_.contains(server); }
   void learn(ServerId server);
+  [[nodiscard]] Learned learned() const { return balancer_->learned(loop_.now()); }
+  void learn(const Learned& learned) { balancer_->learn(loop_.now(), learned); }
   [[nodiscard]] const std::set<ServerId>& everListed() const { return everListed_; }
   /// Taken and without a final answer; servers in discovery's list; those of them that get nothing now.
   [[nodiscard]] std::size_t open() const { return open_; }
--- a/src/sidecar/handover.cpp
+++ b/src/sidecar/handover.cpp
@@ -23,6 +23,7 @@
 #include <stdexcept>
 #include <utility>
 
+#include "handover/learned.hpp"
 #include "sidecar/client_side.hpp"
 #include "sidecar/connection.hpp"
 #include "sidecar/discovery.hpp"
@@ -402,6 +403,7 @@
   Poco::JSON::Array::Ptr ever = new Poco::JSON::Array;
   for (const ServerId server : exchange_->everListed()) ever->add(std::to_string(server.value));
   state->set("ever", ever);
+  state->set("learned", handover::text(exchange_->learned()));
   std::ostringstream text;
   state->stringify(text);
   return text.str();
--- a/src/sidecar/main.cpp
+++ b/src/sidecar/main.cpp
@@ -25,6 +25,7 @@
 #include <stdexcept>
 #include <string>
 
+#include "handover/learned.hpp"
 #include "sidecar/admin_side.hpp"
 #include "sidecar/client_side.hpp"
 #include "sidecar/discovery.hpp"
@@ -195,7 +196,7 @@
               std::uint64_t& index) {
   try {
     const auto ever = state.getArray("ever");
-    for (const auto& server : *ever) exchange.learn({std::stoull(server.convert<std::string>())});
+    for (const auto& server : *ever) exchange.learn(ServerId{std::stoull(server.convert<std::string>())});
     std::uint64_t version = 0;
     Listed listed =
         readList(Poco::JSON::Parser().parse(state.getValue<std::string>("list")), zones, loop, version);
@@ -222,8 +223,8 @@
 
   // Another process comes only where operators call this one by a door of its own.
   const char* const folder = std::getenv("TMPDIR");
-  Handover handover(loop, assignment.admin && folder != nullptr ? folder : "", assignment.listen);
-  const std::optional<Inherited> inherited = handover.ask();
+  Handover change(loop, assignment.admin && folder != nullptr ? folder : "", assignment.listen);
+  const std::optional<Inherited> inherited = change.ask();
 
   Exchange exchange(loop);
   ClientSide clients(loop, exchange, told);
@@ -237,17 +238,17 @@
   Discovery discovery(loop, exchange, told.zones, assignment.discovery, index);
   discovery.keep(known);
   AdminSide admin(loop, exchange, told, [&](ServerId server, bool out, std::function<void(bool)> said) {
-    handover.say(server, out, std::move(said));
+    change.say(server, out, std::move(said));
   });
   const auto stop = [&] {
     Line(Level::info) << "stopping";
     admin.ready(false);
-    handover.stop();
+    change.stop();
     clients.stop([&] { loop.stop(); });
   };
   signals.on(SIGTERM, stop);
   signals.on(SIGINT, stop);
-  signals.on(SIGHUP, [&] { tellAnew(assignment, clients, servers, discovery, handover.isShared()); });
+  signals.on(SIGHUP, [&] { tellAnew(assignment, clients, servers, discovery, change.isShared()); });
   signals.on(SIGUSR1, [&] {
     std::ostringstream text;
     loop.counters.print(text);
@@ -257,9 +258,13 @@
   inherited ? clients.adopt(inherited->listener)
             : clients.listen(numericAddress(assignment.listen), assignment.admin.has_value());
   exchange.start(told, clients, servers, discovery, known);
-  handover.start(
+  if (inherited) {
+    if (const auto learned = handover::readLearned(inherited->state->optValue<std::string>("learned", "")))
+      exchange.learn(*learned);
+  }
+  change.start(
       exchange, clients, discovery, [&] { admin.ready(true); },
-      [&] { limitDescriptors(assignment, clients, servers, handover.isShared()); });
+      [&] { limitDescriptors(assignment, clients, servers, change.isShared()); });
   Line(Level::info) << "listening name=" << assignment.name << " address=" << assignment.listen
                     << " servers=" << known.servers.size();
   loop.run();
--- a/tests/handover_test.cpp
+++ b/tests/handover_test.cpp
@@ -2,8 +2,10 @@
 
 #include <sys/stat.h>
 
+#include "handover/learned.hpp"
 #include "handover/said.hpp"
 #include "program.hpp"
+#include "story.hpp"
 
 using namespace rackroute;
 using namespace rackroute::program;
@@ -153,3 +155,44 @@
   for (std::size_t size = 0; size < text.size(); ++size)
     CHECK_FALSE(handover::Said::read(text.substr(0, size)));
 }
+
+TEST_CASE(
+    "a successor goes on with what was learned: a cold server gets its part at once, an ejected one none") {
+  story::Fleet before(story::terms());
+  before.hold(4);
+  before.share({1}, 100);
+  before.spoil({4}, Outcome::error, 5);
+  auto cold = story::server(3);
+  cold.startedAt = before.now;
+  before.list(Listing::changes, {cold});
+  const Learned learned = before.balancer.learned(before.now);
+  const auto read = handover::readLearned(handover::text(learned));
+  REQUIRE(read);
+  const bool told = GENERATE(true, false);
+  story::Fleet after(story::terms());
+  cold.startedAt = after.now;
+  after.list(Listing::persisted, {cold, story::server(4)});
+  if (told) after.balancer.learn(after.now, *read);
+  after.now += 2s;
+  for (int i = 0; i < 4; ++i) after.take(story::kNonIdempotent);
+  const auto at = [&](std::uint64_t id) {
+    return std::any_of(after.sent.begin(), after.sent.end(),
+                       [&](const auto& sent) { return sent.server == ServerId{id}; });
+  };
+  CHECK(at(3) == told);
+  CHECK(at(4) != told);
+}
+
+TEST_CASE("what was learned is read whole and plausible, or not at all") {
+  Learned learned;
+  learned.servers.resize(2);
+  const std::string text = handover::text(learned);
+  CHECK(handover::readLearned(text));
+  for (std::size_t size = 0; size < text.size(); ++size)
+    CHECK_FALSE(handover::readLearned(text.substr(0, size)));
+  learned.servers[1].weight = -1;
+  CHECK_FALSE(handover::readLearned(handover::text(learned)));
+  learned.servers[1].weight = 1;
+  learned.answersPerSecond = 1e12;
+  CHECK_FALSE(handover::readLearned(handover::text(learned)));
+}
