--- a/include/rackroute/balancer.hpp
+++ b/include/rackroute/balancer.hpp
@@ -2,6 +2,7 @@
 
 #include <array>
 #include <cstdint>
+#include <limits>
 #include <memory>
 #include <optional>
 #include <span>
@@ -30,6 +31,8 @@
   Span timeLeft{};  // until its client gives up
   std::optional<KeyId> key;
   std::optional<AccountId> account;
+  std::uint32_t mostExecutions = std::numeric_limits<std::uint32_t>::max();  // one if its body is not kept
+  bool coming = false;  // its body is still on its way and is passed on as it comes
 };
 
 enum class Outcome { completed, error, full, timeout, connectFailed, reset, cancelled, moot };
@@ -89,7 +92,9 @@
  public:
   /// The service time is what the server reported with the answer for one query's work; 0 if it reports none.
   void executionEnded(Span now, ExecutionNo execution, Outcome outcome, bool terminal, Span serviceTime = {});
-  void answerStarted(ExecutionNo execution);
+  void answerStarted(Span now, ExecutionNo execution);
+  /// The last byte of a query that was still coming: its time counts from now.
+  void bodyWhole(Span now);
   void clientLeft(Span now);
   [[nodiscard]] bool over() const;
 
--- a/src/decide/balancer.cpp
+++ b/src/decide/balancer.cpp
@@ -21,6 +21,7 @@
 #include <utility>
 
 #include "decide/buckets.hpp"
+#include "decide/held.hpp"
 
 namespace rackroute {
 namespace {
@@ -74,24 +75,6 @@
 
 using Ring = Buckets<kBucket.count(), kBuckets>;
 
-using ServerSlot = std::size_t;
-using QuerySlot = std::uint32_t;
-
-struct Pending {  // an execution that is out at a server
-  QuerySlot query;
-  ExecutionNo no;
-  Span sentAt;
-  double others;         // executions that were out there when it was sent
-  bool started = false;  // its answer streams to the client
-  bool overdue = false;  // counted as a time-out before its end
-};
-
-struct UseRun {                // of one use case at one server
-  std::uint32_t failures = 0;  // in a row
-  Span since{};                // the first of them
-  Span shutUntil = Span::min();
-};
-
 struct Server {
   ServerId id;
   ZoneId zone;
@@ -120,29 +103,6 @@
   Span coldCreditAt{};
 };
 
-enum class Fate { out, neverRan, mayHaveRun };
-
-struct Execution {
-  ServerSlot server;
-  Span sentAt;
-  ZoneId zone;
-  CellId cell;
-  Fate fate = Fate::out;
-};
-
-struct Held {  // a query that is owed its final answer, or still has executions out
-  Query query{};
-  Span arrived{};
-  Span deadline{};
-  std::uint32_t turn = 0;
-  std::uint32_t out = 0;
-  bool inUse = false;
-  bool answered = false;
-  bool waiting = false;
-  double rank = 0;  // among those waiting
-  std::vector<Execution> executions{};
-};
-
 double fraction(std::uint64_t key, std::uint64_t server) {  // of 1, never 0; by splitmix64's finish
   std::uint64_t value = key ^ (server * 0x9e3779b97f4a7c15U);
   value = (value ^ (value >> 30U)) * 0xbf58476d1ce4e5b9U;
@@ -267,12 +227,28 @@
     arm(now);
   }
 
-  void answerStarted(QuerySlot slot, ExecutionNo no) {
+  void answerStarted(Span now, QuerySlot slot, ExecutionNo no) {
     const Held& held = queries_[slot];
     if (no.value >= held.executions.size()) return;
     for (Pending& pending : servers_[held.executions[no.value].server].out) {
-      if (pending.query == slot && pending.no == no) pending.started = true;
+      if (pending.query == slot && pending.no == no) pending.started = now;
+    }
+    placeWaiting(now);
+  }
+
+  // Guards against a slow client that makes its server look slow: all times count from the body's last byte.
+  void bodyWhole(Span now, QuerySlot slot) {
+    Held& held = queries_[slot];
+    held.arrived = now;
+    held.deadline = now + held.query.timeLeft;
+    held.query.coming = false;
+    for (Execution& execution : held.executions) {
+      execution.sentAt = now;
+      for (Pending& pending : servers_[execution.server].out)
+        if (pending.query == slot)
+          pending = {.query = slot, .no = pending.no, .sentAt = now, .others = pending.others};
     }
+    arm(now);
   }
 
   void clientLeft(Span now, QuerySlot slot) {
@@ -496,7 +472,7 @@
     const bool tight = poolWait(now) > Span{0} || load(now, server) + 1 > server.limit;
     server.out.erase(at);
     if (server.startedAt && execution.sentAt < *server.startedAt) return;  // says nothing of the new process
-    const Span took = now - execution.sentAt;
+    const Span took = pending.started.value_or(now) - execution.sentAt;
     const Held& held = queries_[slot];
     const std::size_t use = held.query.useCase.value;
     const Span slo = useCase(held).sloTime;
@@ -580,7 +556,7 @@
   void countOverdue(Span now) {
     for (Server& server : servers_) {
       for (Pending& pending : server.out) {
-        if (pending.overdue || pending.started || now < overdueAt(now, pending)) continue;
+        if (pending.overdue || idle(pending) || now < overdueAt(now, pending)) continue;
         pending.overdue = true;
         if (stuck(now, server, pending)) continue;
         moveLimit(now, server, kLimitCut);
@@ -650,9 +626,12 @@
     return server.passed > pending.sentAt &&
            now > pending.sentAt + scaled(1s, kOverdue * answers_.mean(now, kUnmeasured));
   }
+  // No work at its server: the body is still coming, or the answer is on its way to a slow reader.
+  [[nodiscard]] static bool idle(const Pending& pending) { return pending.coming || pending.started; }
   [[nodiscard]] double load(Span now, const Server& server) const {
-    return static_cast<double>(std::count_if(server.out.begin(), server.out.end(),
-                                             [&](const Pending& p) { return !stuck(now, server, p); }));
+    return static_cast<double>(std::count_if(server.out.begin(), server.out.end(), [&](const Pending& p) {
+      return !idle(p) && !stuck(now, server, p);
+    }));
   }
 
   // How long an answer would take: the server's recent pace times what would then be out there.
@@ -662,7 +641,7 @@
     double estimate = server.pace.mean(now, paces_.mean(now, usual)) * (load(now, server) + 1);
     // Guards against silence: nothing is quicker than the execution that is still unanswered.
     for (const Pending& pending : server.out) {
-      if (!pending.started && !stuck(now, server, pending))
+      if (!idle(pending) && !stuck(now, server, pending))
         estimate = std::max(estimate, seconds(now - pending.sentAt));
     }
     return estimate;
@@ -805,7 +784,7 @@
 
   [[nodiscard]] bool mayExecute(Span now, const Held& held) const {
     if (held.answered || held.out > 0 || now + terms_.tick >= held.deadline) return false;
-    if (held.executions.size() >= terms_.mostExecutions) return false;
+    if (held.executions.size() >= std::min(terms_.mostExecutions, held.query.mostExecutions)) return false;
     return std::any_of(servers_.begin(), servers_.end(),
                        [&](const Server& s) { return open(now, s) && groupAllows(now, held, s); });
   }
@@ -823,7 +802,8 @@
     Server& server = servers_[*picked];
     const ExecutionNo no{static_cast<std::uint32_t>(held.executions.size())};
     server.onTrial = server.ejected;
-    server.out.push_back({slot, no, now, load(now, server)});
+    server.out.push_back(
+        {.query = slot, .no = no, .sentAt = now, .others = load(now, server), .coming = held.query.coming});
     server.coldCredit -= 1;
     held.executions.push_back({*picked, now, server.zone, server.cell});
     ++held.out;
@@ -927,7 +907,7 @@
     if (!waiting_.empty()) due = std::min(due, now + std::max(poolWait(now), kLeastWait));
     for (const Server& server : servers_) {
       for (const Pending& pending : server.out)
-        if (!pending.overdue && !pending.started) due = std::min(due, overdueAt(now, pending));
+        if (!pending.overdue && !idle(pending)) due = std::min(due, overdueAt(now, pending));
     }
     due = std::max(due, now + terms_.tick);
     if (due >= wakeAt_ || due == Span::max()) return;
@@ -994,8 +974,11 @@
                                  Span service) {
   if (!over()) decider_->executionEnded(now, slot_, execution, outcome, terminal, service);
 }
-void QueryHandle::answerStarted(ExecutionNo execution) {
-  if (!over()) decider_->answerStarted(slot_, execution);
+void QueryHandle::answerStarted(Span now, ExecutionNo execution) {
+  if (!over()) decider_->answerStarted(now, slot_, execution);
+}
+void QueryHandle::bodyWhole(Span now) {
+  if (!over()) decider_->bodyWhole(now, slot_);
 }
 void QueryHandle::clientLeft(Span now) {
   if (!over()) decider_->clientLeft(now, slot_);
--- a/src/http/gather.hpp
+++ b/src/http/gather.hpp
@@ -32,12 +32,20 @@
 
   [[nodiscard]] const std::deque<std::string_view>& pieces() const { return pieces_; }
   [[nodiscard]] bool empty() const { return pieces_.empty(); }
+  [[nodiscard]] std::size_t size() const {
+    std::size_t all = 0;
+    for (const std::string_view piece : pieces_) all += piece.size();
+    return all;
+  }
   void written(std::size_t bytes) {
     while (bytes > 0 && !pieces_.empty()) {
       const std::size_t here = std::min(bytes, pieces_.front().size());
       pieces_.front().remove_prefix(here);
       bytes -= here;
-      if (pieces_.front().empty()) pieces_.pop_front();
+      if (!pieces_.front().empty()) continue;
+      // Its bytes go with it: a long answer to a slow reader never has all of them at once.
+      if (!texts_.empty() && ends(pieces_.front(), *texts_.front())) texts_.pop_front();
+      pieces_.pop_front();
     }
     if (!pieces_.empty()) return;
     texts_.clear();
@@ -45,6 +53,10 @@
   }
 
  private:
+  static bool ends(std::string_view piece, const std::string& text) {
+    return piece.data() == text.data() + text.size();
+  }
+
   std::deque<std::string_view> pieces_;
   std::deque<std::unique_ptr<const std::string>> texts_;
   std::deque<std::shared_ptr<const void>> owners_;
--- a/src/http/message.cpp
+++ b/src/http/message.cpp
@@ -58,12 +58,12 @@
       fields_.begin(), fields_.end(), [&](const Field& field) { return sameName(text(field.name), name); }));
 }
 
-bool Message::keepsOpen() const {
-  bool open = word(status_ == 0 ? 2 : 0) != "HTTP/1.0";
+bool Message::endsOpen(std::string_view head) const {
+  const auto at = [&](Part part) { return head.substr(part.from, part.size); };
+  bool open = at(words_[status_ == 0 ? 2 : 0]) != "HTTP/1.0";
   for (const Field& field : fields_) {
-    if (!sameName(text(field.name), "Connection")) continue;
-    eachListed(text(field.value),
-               [&](std::string_view option) { open = open && !sameName(option, "close"); });
+    if (!sameName(at(field.name), "Connection")) continue;
+    eachListed(at(field.value), [&](std::string_view option) { open = open && !sameName(option, "close"); });
   }
   return open;
 }
@@ -93,6 +93,12 @@
   return lines;
 }
 
+std::string chunkHead(std::size_t size) {
+  std::array<char, 20> digits{};
+  const auto end = std::to_chars(digits.data(), digits.data() + digits.size(), size, 16).ptr;
+  return std::string(digits.data(), end) + "\r\n";
+}
+
 Progress Chunks::read(std::string_view raw, std::size_t& used, std::string& out, std::size_t longest) {
   used = 0;
   for (;;) {
@@ -138,6 +144,12 @@
   if (end + 4 > kLongestHead) return Progress::headTooLong;
 
   Message& made = message_;
+  // A folded field is one line that was broken: the break becomes spaces, as the standard has it. Never in
+  // the first line; a length broken so is no number any more.
+  for (std::size_t fold = in.find("\r\n"); fold < end; fold = in.find("\r\n", fold + 2)) {
+    if ((in[fold + 2] == ' ' || in[fold + 2] == '\t') && fold > in.find("\r\n"))
+      in[fold] = in[fold + 1] = ' ';
+  }
   const std::string_view head = std::string_view(in).substr(0, end + 2);
   const auto part = [](std::size_t from, std::size_t size) {
     return Part{static_cast<std::uint32_t>(from), static_cast<std::uint32_t>(size)};
@@ -159,7 +171,13 @@
   if (version != "HTTP/1.1" && version != "HTTP/1.0") return Progress::malformed;
   const std::string_view middle = text(made.words_[1]);
   if (kind_ == Kind::query) {
-    if (!token(text(made.words_[0])) || middle.empty() || middle[0] != '/') return Progress::malformed;
+    if (!token(text(made.words_[0])) || middle.empty()) return Progress::malformed;
+    // The absolute form: servers get the path alone, and the authority told nothing that Host does not.
+    if (middle[0] != '/') {
+      const std::size_t path = sameName(middle.substr(0, 7), "http://") ? middle.find('/', 7) : middle.npos;
+      if (path == middle.npos || path == 7) return Progress::malformed;
+      made.words_[1] = part(one + 1 + path, middle.size() - path);
+    }
   } else {
     const auto [last, error] = std::from_chars(middle.data(), middle.data() + middle.size(), made.status_);
     if (error != std::errc{} || last != middle.data() + middle.size() || middle.size() != 3 ||
@@ -197,19 +215,51 @@
     }
   }
   if (length && message_.chunked_) return Progress::malformed;
+  // The older version knows no chunks: who passes it on could read the body otherwise.
+  if (message_.chunked_ && text(message_.words_[kind_ == Kind::query ? 2 : 0]) == "HTTP/1.0")
+    return Progress::malformed;
   if (length) {
     const auto [last, error] = std::from_chars(length->data(), length->data() + length->size(), length_);
     const bool digits = !length->empty() && (*length)[0] >= '0' && (*length)[0] <= '9';
     if (!digits || last != length->data() + length->size()) return Progress::malformed;
     if (error != std::errc{} || length_ > longestBody_) return Progress::bodyTooLong;
+    message_.length_ = length_;
   }
-  // Guards against an answer that ends only with its connection: nobody could tell a whole one from a torn
-  // one.
-  if (kind_ == Kind::answer && !length && !message_.chunked_ && message_.status_ == 200)
+  // Guards against an answer that ends with its connection though its sender did not say so: nobody could
+  // tell a whole one from a torn one.
+  if (kind_ == Kind::answer && !length && !message_.chunked_ && message_.status_ == 200 &&
+      message_.endsOpen(head))
     return Progress::malformed;
   return Progress::done;
 }
 
+Body::Body(const Message& head, Reader::Kind kind, std::size_t longest) : longest_(longest) {
+  if (head.chunked()) {
+    how_ = How::chunked;
+  } else if (head.length()) {
+    left_ = *head.length();
+  } else if (kind == Reader::Kind::answer && head.status() == 200) {
+    how_ = How::untilClose;
+  }
+}
+
+Progress Body::read(std::string& in, std::string& out) {
+  const std::size_t before = out.size();
+  Progress progress = Progress::more;
+  if (how_ == How::chunked) {
+    std::size_t used = 0;
+    progress = chunks_.read(in, used, out, before + longest_);
+    in.erase(0, used);
+  } else {
+    const std::size_t size = how_ == How::length ? std::min(left_, in.size()) : in.size();
+    out.append(in, 0, size);
+    in.erase(0, size);
+    if (how_ == How::length && (left_ -= size) == 0) progress = Progress::done;
+  }
+  total_ += out.size() - before;
+  return total_ > longest_ ? Progress::bodyTooLong : progress;
+}
+
 Progress Reader::read(std::string& in) {
   if (headEnd_ == 0) {
     const Progress head = readHead(in);
@@ -233,6 +283,7 @@
   Message made = std::move(message_);
   const std::size_t end = end_;
   made.body_ = {static_cast<std::uint32_t>(headEnd_), static_cast<std::uint32_t>(length_)};
+  made.apart_ = made.chunked_;
   *this = Reader(kind_, longestBody_);
   std::string rest = in.substr(end);
   made.bytes_ = std::move(in);
--- a/src/http/message.hpp
+++ b/src/http/message.hpp
@@ -9,14 +9,16 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 namespace rackroute::http {
 
 enum class Progress { more, done, malformed, headTooLong, bodyTooLong };
 
-constexpr std::size_t kLongestHead = 16 * 1024;  // bytes; far above what any head here needs
-constexpr std::size_t kLongestBody = 64 * 1024;  // bytes; the protocol's bound
+constexpr std::size_t kLongestHead = 16 * 1024;     // bytes; far above what any head here needs
+constexpr std::size_t kLongestBody = 64 * 1024;     // bytes; of a message that is read whole
+constexpr std::size_t kLongestStreamed = 48 << 20;  // bytes; half again what operators let bodies reach
 
 struct Part {  // a place in the message's bytes, which may move while they grow
   std::uint32_t from = 0;
@@ -36,15 +38,20 @@
   }
   /// The first line's words: method, target, version; or version, status, reason.
   [[nodiscard]] std::string_view word(std::size_t at) const { return text(words_[at]); }
-  /// A query's method and target, as they stand.
-  [[nodiscard]] std::string_view start() const { return text({0, words_[1].from + words_[1].size}); }
   [[nodiscard]] const std::vector<Field>& fields() const { return fields_; }
   [[nodiscard]] std::optional<std::string_view> field(std::string_view name) const;
   [[nodiscard]] std::size_t count(std::string_view name) const;
-  [[nodiscard]] std::string_view body() const { return chunked_ ? unchunked_ : text(body_); }
+  [[nodiscard]] std::string_view body() const { return apart_ ? unchunked_ : text(body_); }
+  /// Gives a head the body that was read apart from it.
+  void giveBody(std::string body) {
+    unchunked_ = std::move(body);
+    apart_ = true;
+  }
+  /// The body's length as the head tells it.
+  [[nodiscard]] std::optional<std::size_t> length() const { return length_; }
   [[nodiscard]] std::uint32_t status() const { return status_; }
   /// Whether the sender keeps the connection open after this message.
-  [[nodiscard]] bool keepsOpen() const;
+  [[nodiscard]] bool keepsOpen() const { return endsOpen(bytes_); }
   [[nodiscard]] bool chunked() const { return chunked_; }
   /// The fields to pass on: all but those of this one connection, of the framing, and of this name. Whole
   /// lines, neighbours joined.
@@ -52,17 +59,24 @@
 
  private:
   friend class Reader;
+  [[nodiscard]] bool endsOpen(std::string_view head) const;
+
   std::string bytes_;
   Part words_[3];
   std::vector<Field> fields_;
   Part body_;
   std::string unchunked_;
+  std::optional<std::size_t> length_;
   std::uint32_t status_ = 0;
   bool chunked_ = false;
+  bool apart_ = false;  // the body does not stand in the bytes
 };
 
 bool sameName(std::string_view a, std::string_view b);  // names of fields know no case
 
+/// The line ahead of a chunk of so many bytes.
+std::string chunkHead(std::size_t size);
+
 /// Takes chunks apart, however the bytes are split.
 class Chunks {
  public:
@@ -103,4 +117,23 @@
   std::size_t end_ = 0;
 };
 
+/// A body that is read apart from its head, as it comes: by length, by chunks, or until the connection ends.
+class Body {
+ public:
+  Body() = default;
+  Body(const Message& head, Reader::Kind kind, std::size_t longest);
+
+  /// Moves what has come out of the buffer, and appends its data.
+  Progress read(std::string& in, std::string& out);
+  /// Whether the peer's orderly end is this body's.
+  [[nodiscard]] bool untilClose() const { return how_ == How::untilClose; }
+
+ private:
+  enum class How { length, chunked, untilClose } how_ = How::length;
+  Chunks chunks_;
+  std::size_t left_ = 0;
+  std::size_t total_ = 0;
+  std::size_t longest_ = 0;
+};
+
 }  // namespace rackroute::http
--- a/src/sidecar/client_side.cpp
+++ b/src/sidecar/client_side.cpp
@@ -21,11 +21,17 @@
 using http::Progress;
 
 constexpr Span kIdle = 2100ms;      // without a query; what clients are promised and a margin
-constexpr Span kLongestRead = 10s;  // more, for a client that is slow to read a long answer
-constexpr Span kRest = 500ms;       // more, for the rest of a query begun just then; ends within 3 s
-constexpr Span kFresh = 100ms;      // a connection's first query may still be on its way; some hundred trips
-constexpr int kAccepted = 32;       // connections a turn; a storm of them must not hold up queries
-constexpr std::size_t kShare = 2;   // of the descriptors, one in so many is the application's; they ask for 3
+constexpr Span kLongestRead = 10s;  // without a byte read of an answer; a slow reader takes some all the time
+constexpr Span kWholeHead =
+    2500ms;  // from its first byte; slow clients take 2 s, and bad ones end within 3 s
+constexpr Span kBodySilence = 1500ms;  // within a body; slow ones bring pieces far more often
+constexpr double kSlowestBody = 16e3;  // bytes a second in the mean; a quarter of what slow clients bring
+constexpr Span kBodyGrace = 3s;        // before the mean tells
+constexpr Span kReadOn = 10s;          // for the rest of a body whose answer was given before it was whole
+constexpr std::size_t kHeldWhole = 64 * 1024;  // bytes; a longer body is passed on as it comes, and only once
+constexpr Span kFresh = 100ms;     // a connection's first query may still be on its way; some hundred trips
+constexpr int kAccepted = 32;      // connections a turn; a storm of them must not hold up queries
+constexpr std::size_t kShare = 2;  // of the descriptors, one in so many is the application's; they ask for 3
 constexpr std::size_t kCrowded = 4;   // one part in so many of that share in use: single askers are not kept
 constexpr int kSteady = 2;            // queries on one connection; it came back, so it is worth keeping
 constexpr Span kLongestTime = 60s;    // of a query; keeps its descriptor no longer, whatever it says
@@ -67,29 +73,53 @@
     readNow();  // most often the query is there already
   }
   void answer(http::Gather head, const std::shared_ptr<const Message>& body = nullptr) {
-    forgetQuery();
-    idleFrom_ = loop_.now();
-    // Guards against connections that ask once, or only /up, and then stay open: an application may hold only
-    // so many itself, and those fill its bound until the idle limit, so that its queries can't connect at
-    // all.
-    const bool crowded = queries_ < kSteady && side_.crowded();
-    const bool close = closes_ || crowded || side_.stopped_ || side_.yields_;
     std::string rest = "Content-Length: " + std::to_string(body ? body->body().size() : 0) + "\r\n";
-    rest += close ? "Connection: close\r\n\r\n" : "\r\n";
+    const Reason reason = why();
+    rest += reason != Reason::done ? "Connection: close\r\n\r\n" : "\r\n";
     head.text(std::move(rest));
     if (body) {
       head.keep(body);
       head.view(body->body());
     }
     send(std::move(head));
-    if (close)
-      return finish(!why_.empty() ? Reason::badMessage
-                    : closes_     ? Reason::closeAsked
-                    : crowded     ? Reason::crowded
-                                  : Reason::shutdown);
-    awaitQuery();
-    // In a turn of its own: the answer may come from within a call on the balancer.
-    if (!in_.empty()) loop_.soon([self = shared_from_this(), this] { next(); });
+    answered(reason);
+  }
+  /// The parts of an answer that is passed on as it comes.
+  void begin(const Message& answer) {
+    std::string rest;
+    chunks_ = !answer.length() && !old_;
+    // Guards against a client that knows no chunks: its answer ends with its connection.
+    closes_ = closes_ || (!answer.length() && old_);
+    if (answer.length()) rest = "Content-Length: " + std::to_string(*answer.length()) + "\r\n";
+    if (chunks_) rest = "Transfer-Encoding: chunked\r\n";
+    ends_ = why();
+    streams_ = true;
+    http::Gather head;
+    head.text("HTTP/1.1 200 OK\r\n");
+    for (const std::string_view lines : answer.endToEnd("X-Load")) head.text(std::string(lines));
+    head.text(rest + (ends_ != Reason::done ? "Connection: close\r\n\r\n" : "\r\n"));
+    send(std::move(head));
+    awaitRead();
+  }
+  bool part(std::string data) {
+    http::Gather pieces;
+    if (chunks_) pieces.text(http::chunkHead(data.size()));
+    pieces.text(std::move(data));
+    if (chunks_) pieces.text("\r\n");
+    send(std::move(pieces));
+    return backlog() > side_.mostBacklog_;
+  }
+  void last() {
+    http::Gather pieces;
+    if (chunks_) pieces.text("0\r\n\r\n");
+    streams_ = false;
+    send(std::move(pieces));
+    answered(ends_);
+  }
+  // Guards against a torn answer that looks whole: the connection ends short of what its head told.
+  void cut() {
+    forgetQuery();
+    endCut(Reason::cut);
   }
   void answer(int status, const std::string& fields = {}) {
     http::Gather head;
@@ -100,19 +130,21 @@
     ++loop_.counters.badQueries;
     why_ = why;
     closes_ = true;
+    coming_ = false;
+    head_.reset();
     in_.clear();
     answer(status);
   }
   /// Closes it if it is between queries, with nothing of the next in sight.
   bool endIfIdle(Reason reason) {
-    if (query_ || messages_ == 0 || reader_.begun(in_) || !allWritten() || stale()) return false;
+    if (query_ || head_ || messages_ == 0 || reader_.begun(in_) || !allWritten() || stale()) return false;
     end(reason);
     return true;
   }
   /// Which connection goes first when descriptors run out, the least of these: one that only waits for its
   /// last answer to be seen, one that never sent a whole query, one between queries; the oldest of its kind.
   [[nodiscard]] std::optional<std::pair<int, Span>> priority() const {
-    if (query_ || ended()) return std::nullopt;
+    if (query_ || head_ || ended()) return std::nullopt;
     if (finishing()) return std::pair(0, idleFrom_);
     if (!allWritten()) return std::nullopt;
     if (messages_ == 0) return std::pair(loop_.now() - idleFrom_ > kFresh ? 1 : 3, idleFrom_);
@@ -125,6 +157,9 @@
 
  protected:
   void received() override { next(); }
+  void written() override {
+    if (streams_ && query_) side_.exchange_.answerWanted(*query_);
+  }
   void gone(Reason) override {
     loop_.cancel(timer_);
     const auto query = query_;
@@ -138,23 +173,72 @@
 
  private:
   void next() {
-    if (ended() || closes_) return;
-    // Guards against a client that sends on without waiting for its answer, which no client is allowed to:
-    // how its messages are to be told apart is not to be relied on.
-    if (query_) return leave("not_one_at_a_time");
-    const Progress progress = reader_.read(in_);
-    if (progress == Progress::more) return;
-    if (progress == Progress::headTooLong) return refuse(431, "head_too_long");
+    if (ended() || finishing()) return;
+    if (!head_) {
+      if (closes_) return;
+      // Guards against a client that sends on without waiting for its answer, which no client is allowed to:
+      // how its messages are to be told apart is not to be relied on.
+      if (query_) return leave("not_one_at_a_time");
+      const Progress progress = reader_.readHead(in_);
+      if (progress == Progress::more) return begun();
+      if (progress == Progress::headTooLong) return refuse(431, "head_too_long");
+      if (progress == Progress::bodyTooLong) return refuse(413, "body_too_long");
+      if (progress == Progress::malformed) return refuse(400, "malformed");
+      takeHead();
+      // Guards against a long body that is read in vain.
+      Query query;
+      if (const std::string_view lack = read(*head_, query); !lack.empty() && !isUp(*head_))
+        return refuse(400, lack);
+    }
+    const Progress progress = body_.read(in_, held_);
     if (progress == Progress::bodyTooLong) return refuse(413, "body_too_long");
     if (progress == Progress::malformed) return refuse(400, "malformed");
+    const bool whole = progress == Progress::done;
+    if (whole && !in_.empty()) return refuse(400, "not_one_at_a_time");
+    if (!coming_ && !whole && held_.size() <= kHeldWhole) return;
+    if (!coming_) take(whole);
+    if (!coming_) return;
+    // Passed on as it comes. Its query may be over by now; answered() then reads the rest away.
+    if (whole) bodyEnded();
+    if (query_ && (whole || !held_.empty()))
+      side_.exchange_.bodyPart(*query_, std::exchange(held_, {}), whole);
+  }
+
+  void takeHead() {
     ++messages_;
-    const auto message = std::make_shared<const Message>(reader_.take(in_));
-    if (!in_.empty()) return refuse(400, "not_one_at_a_time");
-    closes_ = !message->keepsOpen();
-    if (message->word(0) == "GET" && message->word(1) == "/up") return answer(200);
-    Query query;
-    if (const std::string_view lack = read(*message, query); !lack.empty()) return refuse(400, lack);
+    head_ = std::make_shared<Message>(reader_.takeHead(in_));
+    body_ = http::Body(*head_, http::Reader::Kind::query, http::kLongestStreamed);
+    begins_ = false;
+    old_ = head_->word(2) == "HTTP/1.0";
+    closes_ = !head_->keepsOpen();
+    bodyFrom_ = loop_.now();
+    bodyAt_ = moved();
+    watchBody();
+    if (in_.empty() && !old_ && http::sameName(head_->field("Expect").value_or(""), "100-continue")) {
+      http::Gather go;
+      go.text("HTTP/1.1 100 Continue\r\n\r\n");
+      send(std::move(go));
+    }
+  }
+  void bodyEnded() {
+    coming_ = false;
+    head_.reset();
     loop_.cancel(timer_);
+  }
+  static bool isUp(const Message& message) { return message.word(0) == "GET" && message.word(1) == "/up"; }
+  /// Hands the query on, whole or with its body still coming.
+  void take(bool whole) {
+    const auto message = head_;
+    if (whole) {
+      message->giveBody(std::exchange(held_, {}));
+      bodyEnded();
+    }
+    if (isUp(*message) && whole) return answer(200);
+    Query query;
+    if (std::string_view lack = read(*message, query); !lack.empty()) return refuse(400, lack);
+    if (!whole && message->word(0) == "GET") return refuse(400, "body");
+    query.coming = coming_ = !whole;
+    if (coming_) query.mostExecutions = 1;  // what was passed on is not kept
     query_ = query.id;
     ++queries_;
     openId_ = *message->field("X-Request-Id");
@@ -163,15 +247,65 @@
     side_.exchange_.take(message, query);
   }
 
-  // Guards against connections that hold a descriptor and ask nothing, or never all of it: the time counts
-  // from the last answer, not from the last byte.
-  void awaitQuery(Span wait = kIdle) {
+  /// Why the connection ends with this answer; done: it stays.
+  Reason why() {
+    // Guards against connections that ask once, or only /up, and then stay open: an application may hold only
+    // so many itself, and those fill its bound until the idle limit, so that its queries can't connect at
+    // all.
+    const bool crowded = queries_ < kSteady && side_.crowded();
+    if (!why_.empty()) return Reason::badMessage;
+    if (closes_ || coming_) return Reason::closeAsked;
+    return crowded ? Reason::crowded : side_.stopped_ || side_.yields_ ? Reason::shutdown : Reason::done;
+  }
+  void answered(Reason reason) {
+    forgetQuery();
+    idleFrom_ = loop_.now();
+    if (reason != Reason::done) {
+      // Guards against an answer that a reset overtakes while its query's body is still coming.
+      if (coming_) lingerFor(http::kLongestStreamed, kReadOn);
+      loop_.cancel(timer_);
+      if (!allWritten()) awaitRead();
+      return finish(reason);
+    }
+    awaitQuery();
+    // In a turn of its own: the answer may come from within a call on the balancer.
+    if (!in_.empty()) loop_.soon([self = shared_from_this(), this] { next(); });
+  }
+
+  // Guards against connections that hold a descriptor and ask nothing, or never all of it. The time for a
+  // query to begin counts from the last answer; its head has a time, its body must move.
+  void awaitQuery() {
+    loop_.cancel(timer_);
+    timer_ = loop_.in(kIdle, [this] { allWritten() ? end(Reason::idle) : awaitRead(); });
+  }
+  void begun() {
+    if (in_.empty() || std::exchange(begins_, true)) return;
+    loop_.cancel(timer_);
+    timer_ = loop_.in(kWholeHead, [this] { refuse(408, "stalled"); });
+  }
+  void watchBody() {
     loop_.cancel(timer_);
-    timer_ = loop_.in(wait, [this, wait] {
-      if (!allWritten() && wait != kLongestRead) return awaitQuery(kLongestRead);
-      if (!reader_.begun(in_)) return end(Reason::idle);
-      if (wait == kIdle) return awaitQuery(kRest);
-      refuse(408, "stalled");
+    timer_ = loop_.in(kBodySilence, [this, before = moved(), paused = pausedReading()] {
+      if (paused || pausedReading()) bodyFrom_ = std::max(bodyFrom_, loop_.now() - kBodyGrace);
+      const double mean = static_cast<double>(moved() - bodyAt_);
+      const Span slowest{static_cast<Span::rep>(mean / kSlowestBody * 1e6)};
+      const bool silent = before == moved() && !paused && !pausedReading();
+      if (silent || loop_.now() > bodyFrom_ + kBodyGrace + slowest) return stalled();
+      watchBody();
+    });
+  }
+  void stalled() {
+    if (!query_) return refuse(408, "stalled");
+    why_ = "stalled";
+    end(Reason::stalled);
+  }
+  // Guards against a reader that has stopped; a slow one is served to the end.
+  void awaitRead() {
+    loop_.cancel(timer_);
+    timer_ = loop_.in(kLongestRead, [this, before = moved()] {
+      if (streams_ || !allWritten())
+        return before == moved() && !allWritten() ? end(Reason::stalled) : awaitRead();
+      if (!finishing()) awaitQuery();
     });
   }
 
@@ -231,10 +365,21 @@
   }
 
   ClientSide& side_;
-  http::Reader reader_{http::Reader::Kind::query};
-  std::optional<QueryId> query_;  // read, and not yet answered
-  std::string openId_;            // the id it came with
-  Loop::TimerId timer_;           // until the next query must be there
+  http::Reader reader_{http::Reader::Kind::query, http::kLongestStreamed};
+  std::optional<QueryId> query_;   // read, and not yet answered
+  std::string openId_;             // the id it came with
+  std::shared_ptr<Message> head_;  // of a query whose body is still coming
+  http::Body body_;
+  std::string held_;  // of that body
+  Span bodyFrom_{};   // when it began, and the bytes moved until then
+  std::uint64_t bodyAt_ = 0;
+  Reason ends_ = Reason::done;  // with a streamed answer
+  bool coming_ = false;         // the query was taken before its body was whole
+  bool begins_ = false;         // a head has begun and is not whole
+  bool old_ = false;            // HTTP/1.0
+  bool streams_ = false;        // its answer is passed on as it comes
+  bool chunks_ = false;         // in chunks
+  Loop::TimerId timer_;         // until the next query must be there
   Span idleFrom_{};
   int queries_ = 0;
   bool closes_ = false;
@@ -328,6 +473,37 @@
   connection.answer(std::move(head), answer);
 }
 
+void ClientSide::begin(QueryId query, const std::shared_ptr<const Message>& head) {
+  const auto at = waiting_.find(query);
+  if (at != waiting_.end()) at->second->begin(*head);
+}
+
+bool ClientSide::part(QueryId query, std::string data) {
+  const auto at = waiting_.find(query);
+  return at != waiting_.end() && at->second->part(std::move(data));
+}
+
+void ClientSide::last(QueryId query) {
+  const auto at = waiting_.find(query);
+  if (at == waiting_.end()) return;
+  ClientConnection& connection = *at->second;
+  waiting_.erase(at);
+  connection.last();
+}
+
+void ClientSide::cut(QueryId query) {
+  const auto at = waiting_.find(query);
+  if (at == waiting_.end()) return;
+  ClientConnection& connection = *at->second;
+  waiting_.erase(at);
+  connection.cut();
+}
+
+void ClientSide::pauseBody(QueryId query, bool pause) {
+  const auto at = waiting_.find(query);
+  if (at != waiting_.end()) at->second->pauseReading(pause);
+}
+
 void ClientSide::reject(QueryId query, Span comeBackAfter) {
   http::Gather head;
   head.text("HTTP/1.1 503 Service Unavailable\r\n");
--- a/src/sidecar/client_side.hpp
+++ b/src/sidecar/client_side.hpp
@@ -43,6 +43,14 @@
   void yield(bool to);
   /// The final answers. A client that has left gets none.
   void complete(QueryId query, const std::shared_ptr<const http::Message>& answer);
+  /// An answer that is passed on as it comes: its head, its parts (true: enough waits, see answerWanted()),
+  /// and its end or that there is none.
+  void begin(QueryId query, const std::shared_ptr<const http::Message>& head);
+  bool part(QueryId query, std::string data);
+  void last(QueryId query);
+  void cut(QueryId query);
+  /// Whether the rest of a query's body is to wait.
+  void pauseBody(QueryId query, bool pause);
   void reject(QueryId query, Span comeBackAfter);
   void abort(QueryId query);
   /// The final answer to one that servers refuse as none that a client may send.
@@ -51,6 +59,8 @@
   void stop(std::function<void()> stopped);
   /// Of so many descriptors in all the application's connections get their share.
   void limitDescriptors(std::size_t all);
+  /// Bytes that may wait to be written on one connection.
+  void limitBacklog(std::size_t most) { mostBacklog_ = most; }
   /// Closes the connection that is least needed. False: all are.
   bool freeDescriptor();
 
@@ -74,6 +84,7 @@
   std::map<QueryId, ClientConnection*> waiting_;
   std::set<std::string, std::less<>> openIds_;  // of queries in flight, as they came
   std::size_t most_ = 1;                        // connections
+  std::size_t mostBacklog_ = 64 * 1024;
   std::uint32_t lastQuery_ = 0;
   std::function<void()> stopped_;
   bool listening_ = false;
--- a/src/sidecar/connection.cpp
+++ b/src/sidecar/connection.cpp
@@ -20,14 +20,13 @@
 using Poco::Net::WritableNotification;
 using Readable = Poco::Observer<Connection, ReadableNotification>;
 
-constexpr Span kLinger = 1s;                // for the peer to see a last answer; far above any round trip
-constexpr std::size_t kUnread = 64 * 1024;  // bytes after a last answer; the rest of a query that is too long
-constexpr std::size_t kMostPieces = 64;     // pieces a write; a head and a body need about five
+constexpr std::size_t kMostPieces = 64;  // pieces a write; a head and a body need about five
 
-constexpr std::array<std::string_view, 18> kReasons = {
-    "peer_closed", "peer_reset",    "refused",     "dial_timeout", "execution_timeout", "cancelled",
-    "bad_message", "unread_answer", "close_asked", "idle",         "stalled",           "silent",
-    "done",        "moved",         "descriptors", "crowded",      "shutdown",          "fault"};
+constexpr std::array<std::string_view, 19> kReasons = {
+    "peer_closed", "peer_reset",  "refused",       "dial_timeout", "execution_timeout",
+    "cancelled",   "bad_message", "unread_answer", "close_asked",  "idle",
+    "stalled",     "silent",      "done",          "moved",        "descriptors",
+    "crowded",     "shutdown",    "cut",           "fault"};
 
 bool wouldBlock(const Poco::Exception& error) {
   return error.code() == EAGAIN || error.code() == EWOULDBLOCK ||
@@ -44,6 +43,7 @@
 void Connection::open() {
   socket_.setBlocking(false);
   if (!local_) socket_.setNoDelay(true);
+  if (paused_) return;
   loop_.addEventHandler(socket_, Readable(*this, &Connection::onReadable));
   registered_ = true;
 }
@@ -64,11 +64,33 @@
   if (!dialing_ && !ended_ && !wantsWrite_) write();
 }
 
+void Connection::pauseReading(bool pause) {
+  if (pause == paused_ || ended_) return;
+  paused_ = pause;
+  if (dialing_) return;  // open() comes later and looks
+  if (pause) {
+    loop_.removeEventHandler(socket_, Readable(*this, &Connection::onReadable));
+  } else {
+    loop_.addEventHandler(socket_, Readable(*this, &Connection::onReadable));
+  }
+  registered_ = !pause;
+}
+
+void Connection::endCut(Reason reason) {
+  try {
+    socket_.setLinger(true, 0);
+  } catch (const Poco::Exception&) {
+    // It is gone already, and the peer knows.
+  }
+  end(reason);
+}
+
 void Connection::finish(Reason reason) {
   if (finishing_ || ended_) return;
+  pauseReading(false);
   finishing_ = true;
   finishReason_ = reason;
-  lingering_ = loop_.in(kLinger, [this] { end(finishReason_); });
+  lingering_ = loop_.in(linger_, [this] { end(finishReason_); });
   if (out_.empty()) write();
 }
 
@@ -126,7 +148,7 @@
 }
 
 void Connection::read() {
-  if (ended_) return;
+  if (ended_ || paused_) return;
   static std::array<char, 64 * 1024> buffer;
   int size = 0;
   try {
@@ -141,7 +163,7 @@
   if (finishing_) {
     // Guards against a peer that sends on at full speed: the last answer has been there for that long.
     unread_ += static_cast<std::size_t>(size);
-    if (unread_ > kUnread) end(finishReason_);
+    if (unread_ > mostUnread_) end(finishReason_);
     return;
   }
   in_.append(buffer.data(), static_cast<std::size_t>(size));
--- a/src/sidecar/connection.hpp
+++ b/src/sidecar/connection.hpp
@@ -36,6 +36,7 @@
   descriptors,
   crowded,
   shutdown,
+  cut,
   fault
 };
 
@@ -57,6 +58,10 @@
   [[nodiscard]] bool ended() const { return ended_; }
   [[nodiscard]] bool finishing() const { return finishing_; }
   [[nodiscard]] bool allWritten() const { return out_.empty(); }
+  /// Bytes that wait to be written.
+  [[nodiscard]] std::size_t backlog() const { return out_.size(); }
+  /// Reads nothing more until it is to again: the peer then waits, and nobody else.
+  void pauseReading(bool pause);
   [[nodiscard]] bool dialing() const { return dialing_; }
   /// Whether the peer has closed it or sent bytes that nobody asked for.
   [[nodiscard]] bool stale();
@@ -69,6 +74,16 @@
   virtual void written() {}
   virtual void gone(Reason reason) = 0;  // exactly once, in a turn of its own or as the caller's end()
 
+  /// Bytes moved so far, either way: what tells a slow peer from a stalled one.
+  [[nodiscard]] std::uint64_t moved() const { return bytesIn_ + bytesOut_; }
+  [[nodiscard]] bool pausedReading() const { return paused_; }
+  /// While it finishes: how much is still read and thrown away, and for how long.
+  void lingerFor(std::size_t unread, Span time) {
+    mostUnread_ = unread;
+    linger_ = time;
+  }
+  /// Ends with a reset, so that the peer knows that something is missing.
+  void endCut(Reason reason);
   [[nodiscard]] int descriptor() const { return socket_.impl()->sockfd(); }
 
   Loop& loop_;
@@ -94,7 +109,10 @@
   std::uint64_t bytesIn_ = 0;
   std::uint64_t bytesOut_ = 0;
   Reason finishReason_ = Reason::done;
+  std::size_t mostUnread_ = 64 * 1024;     // bytes after a last answer; the rest of a query that is too long
+  Span linger_ = std::chrono::seconds(1);  // for the peer to see a last answer; far above any round trip
   bool registered_ = false;
+  bool paused_ = false;
   bool dialing_ = false;
   bool wantsWrite_ = false;
   bool broken_ = false;
--- a/src/sidecar/exchange.cpp
+++ b/src/sidecar/exchange.cpp
@@ -29,15 +29,59 @@
   InFlight& taken = inFlight_[query.id];
   taken.message = message;
   taken.useCase = query.useCase;
+  taken.coming = query.coming;
   ++open_;
   const QueryHandle handle = balancer_->take(loop_.now(), query);
   inFlight_.at(query.id).handle = handle;
   settle(query.id);
 }
 
+void Exchange::bodyPart(QueryId query, std::string data, bool last) {
+  const auto at = inFlight_.find(query);
+  if (at == inFlight_.end()) return;  // answered before it was whole: the rest is of no use
+  InFlight& coming = at->second;
+  if (!coming.takes) {
+    coming.begun += data;
+    coming.begunLast = coming.begunLast || last;
+    // What has come stays; the client waits with the rest until there is a server for it.
+    if (!coming.answered) clients_->pauseBody(query, true);
+  } else if (servers_->bodyPart({query, *coming.takes}, std::move(data), last)) {
+    clients_->pauseBody(query, true);
+  }
+  if (!last) return;
+  coming.handle->bodyWhole(loop_.now());
+  settle(query);
+}
+
+void Exchange::bodyWanted(ExecutionKey execution) { clients_->pauseBody(execution.query, false); }
+
+bool Exchange::answerBegins(ExecutionKey execution, const std::shared_ptr<const http::Message>& head) {
+  const auto at = inFlight_.find(execution.query);
+  if (at == inFlight_.end() || at->second.answered) return false;
+  at->second.streams = execution.no;
+  at->second.answered = true;  // it belongs to this execution, for better or worse
+  clients_->begin(execution.query, head);
+  at->second.handle->answerStarted(loop_.now(), execution.no);
+  settle({});
+  return true;
+}
+
+void Exchange::answerPart(ExecutionKey execution, std::string data) {
+  if (clients_->part(execution.query, std::move(data))) servers_->pauseAnswer(execution, true);
+}
+
+void Exchange::answerWanted(QueryId query) {
+  const auto at = inFlight_.find(query);
+  if (at != inFlight_.end() && at->second.streams) servers_->pauseAnswer({query, *at->second.streams}, false);
+}
+
 void Exchange::clientLeft(QueryId query) {
   const auto at = inFlight_.find(query);
   if (at == inFlight_.end()) return;
+  // Guards against servers that go on sending, or waiting for a body, for nobody.
+  if (at->second.streams) servers_->cancel({query, *at->second.streams});
+  if (at->second.takes) servers_->cancelComing({query, *at->second.takes});
+  if (std::exchange(at->second.streams, std::nullopt)) --open_;
   if (!std::exchange(at->second.answered, true)) --open_;
   at->second.handle->clientLeft(loop_.now());
   settle(query);
@@ -51,7 +95,16 @@
   const auto at = inFlight_.find(execution.query);
   if (at == inFlight_.end()) return;
   InFlight& query = at->second;
-  if (outcome == Outcome::completed && query.answered) ++loop_.counters.lateAnswers;
+  if (query.streams == execution.no) {
+    query.streams.reset();
+    Finals& finals = answered(query);
+    const bool whole = outcome == Outcome::completed;
+    ++(whole ? finals.completed : finals.failed);
+    ++(whole ? loop_.counters.completed : loop_.counters.aborted);
+    whole ? clients_->last(execution.query) : clients_->cut(execution.query);
+  } else if (outcome == Outcome::completed && query.answered) {
+    ++loop_.counters.lateAnswers;
+  }
   if (outcome == Outcome::completed && !query.answered) {
     ++answered(query).completed;
     ++loop_.counters.completed;
@@ -127,7 +180,13 @@
 void Exchange::execute(QueryId query, ServerId server, Span timeout) {
   ++loop_.counters.executions;
   InFlight& sent = inFlight_.at(query);
-  servers_->execute({query, {sent.executions++}}, server, sent.message, timeout);
+  const ExecutionNo no{sent.executions++};
+  const bool coming = sent.coming;
+  servers_->execute({query, no}, server, sent.message, timeout, coming);
+  if (!coming) return;
+  sent.takes = no;
+  servers_->bodyPart({query, no}, std::exchange(sent.begun, {}), sent.begunLast);
+  loop_.soon([this, query] { clients_->pauseBody(query, false); });
 }
 
 void Exchange::cancel(QueryId query, ExecutionNo execution) { servers_->cancel({query, execution}); }
--- a/src/sidecar/exchange.hpp
+++ b/src/sidecar/exchange.hpp
@@ -12,6 +12,7 @@
 #include <memory>
 #include <optional>
 #include <set>
+#include <string>
 #include <utility>
 #include <vector>
 
@@ -46,7 +47,16 @@
              const Listed& known);
 
   void take(const std::shared_ptr<const http::Message>& message, const Query& query);
+  /// A query's body as it comes, for one that was taken while it was coming.
+  void bodyPart(QueryId query, std::string data, bool last);
+  /// The body's way to the server is free again.
+  void bodyWanted(ExecutionKey execution);
   void clientLeft(QueryId query);
+  /// An answer that is passed on as it comes; executionEnded() tells its end. False: nobody waits for it.
+  bool answerBegins(ExecutionKey execution, const std::shared_ptr<const http::Message>& head);
+  void answerPart(ExecutionKey execution, std::string data);
+  /// The answer's way to the client is free again.
+  void answerWanted(QueryId query);
   void executionEnded(ExecutionKey execution, Outcome outcome, Span service,
                       const std::shared_ptr<const http::Message>& answer);
   void serversListed(const Listed& listed);
@@ -73,6 +83,11 @@
     std::uint32_t executions = 0;
     bool answered = false;
     UseCaseId useCase{};
+    std::optional<ExecutionNo> streams;  // the execution whose answer is passed on as it comes
+    std::optional<ExecutionNo> takes;    // the execution that gets the body as it comes
+    bool coming = false;                 // its body is passed on as it comes
+    std::string begun;                   // of a body, before there was an execution
+    bool begunLast = false;
   };
 
   void execute(QueryId query, ServerId server, Span timeout) override;
--- a/src/sidecar/main.cpp
+++ b/src/sidecar/main.cpp
@@ -43,6 +43,9 @@
 using Poco::JSON::Array;
 using Poco::JSON::Object;
 
+constexpr std::size_t kForBodies = 4;             // one part in so many of the memory waits to be written
+constexpr std::size_t kLeastBacklog = 16 * 1024;  // bytes a connection; a few round trips at 64 kB a second
+constexpr std::size_t kMostBacklog = 256 * 1024;  // bytes a connection; more makes nothing quicker
 constexpr std::size_t kForDoor = 56;  // descriptors; the door's 32 and the program's own dozen, and a margin
 
 int signalEnds[2] = {-1, -1};
@@ -116,6 +119,7 @@
   std::uint64_t seed = 0;
   told::Pairs pairs;
   std::optional<rlim_t> descriptors;
+  std::optional<std::uint64_t> megabytes;         // of memory
   std::optional<Poco::Net::SocketAddress> admin;  // the operators' door, where there is one
   Var known;
 };
@@ -141,6 +145,8 @@
   flatten("", needed(*document, "settings"), made.pairs);
   if (const auto limits = document->getObject("limits"); limits && limits->has("sockets"))
     made.descriptors = limits->getValue<std::uint32_t>("sockets");
+  if (const auto limits = document->getObject("limits"); limits && limits->has("memory_mb"))
+    made.megabytes = limits->getValue<std::uint32_t>("memory_mb");
   made.known = needed(*document, "known");
   // The variable goes first: a second process has a door of its own and all else the same.
   auto door = document->optValue<std::string>("admin", "");
@@ -165,6 +171,12 @@
   // are kept back.
   const std::size_t all = limit.rlim_cur;
   clients.limitDescriptors(all);
+  // Guards against long messages by the dozen that eat the memory: a part of it, over all connections.
+  if (told.megabytes) {
+    const std::size_t each = (*told.megabytes << 20) / kForBodies / std::max<std::size_t>(all, 1);
+    clients.limitBacklog(std::clamp(each, kLeastBacklog, kMostBacklog));
+    servers.limitBacklog(std::clamp(each, kLeastBacklog, kMostBacklog));
+  }
   if (told.admin) servers.limitConnections(all / 2 - std::min(kForDoor, all / 4));
 }
 
--- a/src/sidecar/server_side.cpp
+++ b/src/sidecar/server_side.cpp
@@ -20,9 +20,9 @@
 using http::Message;
 using http::Progress;
 
-constexpr std::size_t kLongestAnswer = 1
-                                       << 20;  // bytes; four times the longest that servers were seen to give
-constexpr Span kForget = 60s;  // an address after its server has gone; above any grace for sending there
+constexpr std::size_t kHeldWhole = 64 * 1024;  // bytes; longer answers are passed on as they come
+constexpr Span kStalled = 10s;  // without a byte of an answer that has begun; five times what is owed
+constexpr Span kForget = 60s;   // an address after its server has gone; above any grace for sending there
 constexpr double kIdleShare =
     0.75;  // of the servers' idle limit; a query on its way must not cross their end
 
@@ -69,21 +69,54 @@
     address_ = address;
     dial(address);
   }
-  void execute(ExecutionKey execution, std::shared_ptr<const Message> query, Span timeout) {
+  void execute(ExecutionKey execution, std::shared_ptr<const Message> query, Span timeout, bool coming) {
     loop_.cancel(idleTimer_);
     execution_ = execution;
     query_ = std::move(query);
-    deadline_ = loop_.now() + timeout;
-    timer_ = loop_.at(deadline_, [this] { end(Reason::executionTimeout); });
+    timeout_ = timeout;
+    coming_ = coming;
+    sent_ = false;
+    if (coming) {
+      watchProgress();
+    } else {
+      limitTime();
+    }
     side_.executions_[execution] = this;
     ++messages_;
     if (!dialing()) sendQuery();
   }
+  /// True: enough waits to be written.
+  bool bodyPart(std::string data, bool last) {
+    if (!execution_ || !coming_) return false;
+    http::Gather pieces;
+    if (query_->chunked() && !data.empty()) {
+      pieces.text(http::chunkHead(data.size()));
+      pieces.text(std::move(data));
+      pieces.text("\r\n");
+    } else {
+      pieces.text(std::move(data));
+    }
+    if (last) {
+      coming_ = false;
+      if (query_->chunked()) pieces.text("0\r\n\r\n");
+      limitTime();  // the time counts from the last byte
+    }
+    // Before its head it waits here; sendQuery() appends it.
+    if (!sent_) {
+      first_.append(std::move(pieces));
+    } else {
+      send(std::move(pieces));
+    }
+    return !last && (!sent_ || backlog() > side_.mostBacklog_);
+  }
+  [[nodiscard]] bool coming() const { return coming_; }
   [[nodiscard]] ServerId server() const { return server_; }
 
  protected:
   void written() override {
-    if (execution_ && sent_ && !std::exchange(relayed_, true)) ++loop_.counters.relayed;
+    if (!execution_ || !sent_) return;
+    if (coming_) return side_.exchange_.bodyWanted(*execution_);
+    if (!std::exchange(relayed_, true)) ++loop_.counters.relayed;
   }
   void opened() override {
     loop_.cancel(dialTimer_);
@@ -92,33 +125,40 @@
 
   void received() override {
     while (execution_ && !ended()) {
-      const Progress progress = reader_.read(in_);
-      if (progress == Progress::more) return;
-      if (progress != Progress::done) return end(Reason::badMessage);
-      const auto answer = std::make_shared<const Message>(reader_.take(in_));
-      if (answer->status() < 200) continue;  // the answer proper follows
-      const bool known = knownStatus(answer->status());
-      const bool reusable = known && answer->keepsOpen() && in_.empty() && allWritten();
-      const ExecutionKey execution = take();
-      if (reusable) {
-        rest();
-      } else {
-        end(!known ? Reason::badMessage : !in_.empty() ? Reason::unreadAnswer : Reason::closeAsked);
+      if (!answer_) {
+        const Progress progress = reader_.readHead(in_);
+        if (progress == Progress::more) return;
+        if (progress != Progress::done) return end(Reason::badMessage);
+        auto head = std::make_shared<Message>(reader_.takeHead(in_));
+        if (head->status() < 200) continue;  // the answer proper follows
+        body_ = http::Body(*head, http::Reader::Kind::answer, http::kLongestStreamed);
+        answer_ = std::move(head);
+      }
+      const Progress progress = body_.read(in_, held_);
+      if (progress != Progress::more && progress != Progress::done) return end(Reason::badMessage);
+      if (progress == Progress::done) return whole(false);
+      if (!streams_) {
+        // Over the bound, or sure to be: passed on from the first byte.
+        if (std::max(held_.size(), answer_->length().value_or(0)) <= kHeldWhole || held_.empty()) return;
+        if (answer_->status() != 200) return end(Reason::badMessage);
+        streams_ = true;
+        watchProgress();
+        if (!side_.exchange_.answerBegins(*execution_, answer_)) return end(Reason::cancelled);
       }
-      side_.exchange_.executionEnded(execution, outcomeOf(*answer), reportedService(*answer), answer);
-      return;
+      return side_.exchange_.answerPart(*execution_, std::exchange(held_, {}));
     }
     if (!ended()) end(Reason::unreadAnswer);
   }
 
   void gone(Reason reason) override {
+    if (execution_ && answer_ && body_.untilClose() && reason == Reason::peerClosed) whole(true);
     loop_.cancel(dialTimer_);
     loop_.cancel(idleTimer_);
     side_.idle_.remove(this);
     if (!sent_ && (reason == Reason::refused || reason == Reason::dialTimeout)) ++loop_.counters.dialsFailed;
     if (execution_) {
       // "Never ran" only while its last byte is not written.
-      const bool never = !sent_ || !allWritten();
+      const bool never = !sent_ || coming_ || !allWritten();
       Outcome outcome = never ? Outcome::connectFailed : Outcome::reset;
       if (reason == Reason::cancelled) outcome = Outcome::cancelled;
       if (reason == Reason::executionTimeout && !never) outcome = Outcome::timeout;
@@ -130,25 +170,68 @@
   }
 
  private:
+  void limitTime() {
+    loop_.cancel(timer_);
+    deadline_ = loop_.now() + timeout_;
+    timer_ = loop_.at(deadline_, [this] { end(Reason::executionTimeout); });
+  }
+  // Guards against a peer that stalls within a body: its time is not limited, but something must move. What
+  // waits for a slow client does not count.
+  void watchProgress() {
+    loop_.cancel(timer_);
+    timer_ = loop_.in(kStalled, [this, before = moved()] {
+      if (before == moved() && !pausedReading()) return end(Reason::stalled);
+      watchProgress();
+    });
+  }
+  /// The answer has come to its end; until it closed: the connection with it.
+  void whole(bool closed) {
+    auto answer = std::exchange(answer_, nullptr);
+    const bool streams = std::exchange(streams_, false);
+    const bool known = knownStatus(answer->status());
+    const bool reusable = !closed && known && answer->keepsOpen() && in_.empty() && allWritten() && !coming_;
+    const ExecutionKey execution = take();
+    if (streams) {
+      if (!held_.empty()) side_.exchange_.answerPart(execution, std::exchange(held_, {}));
+    } else {
+      answer->giveBody(std::exchange(held_, {}));
+    }
+    if (reusable) {
+      rest();
+    } else if (!closed) {
+      end(!known ? Reason::badMessage : !in_.empty() ? Reason::unreadAnswer : Reason::closeAsked);
+    }
+    side_.exchange_.executionEnded(execution, outcomeOf(*answer), reportedService(*answer), answer);
+  }
   void sendQuery() {
     sent_ = true;
     relayed_ = false;
     http::Gather pieces;
     pieces.keep(query_);
-    pieces.view(query_->start());
+    pieces.view(query_->word(0));
+    pieces.text(" ");
+    pieces.view(query_->word(1));
     pieces.text(" HTTP/1.1\r\n");
     for (const std::string_view lines : query_->endToEnd("X-Deadline-Ms")) pieces.view(lines);
-    const auto millis = std::max<Span::rep>((deadline_ - loop_.now()) / 1ms, 1);
-    std::string rest = "X-Deadline-Ms: " + std::to_string(millis) + "\r\n";
+    const Span left = deadline_ > Span{0} ? deadline_ - loop_.now() : timeout_;
+    std::string rest = "X-Deadline-Ms: " + std::to_string(std::max<Span::rep>(left / 1ms, 1)) + "\r\n";
     const std::string_view body = query_->body();
-    if (!body.empty() || query_->word(0) != "GET")
+    const bool apart = coming_ || !first_.empty();
+    if (apart) {
+      rest += query_->chunked() ? "Transfer-Encoding: chunked\r\n"
+                                : "Content-Length: " + std::to_string(query_->length().value_or(0)) + "\r\n";
+    } else if (!body.empty() || query_->word(0) != "GET") {
       rest += "Content-Length: " + std::to_string(body.size()) + "\r\n";
+    }
     pieces.text(rest + "\r\n");
-    pieces.view(body);
+    if (!apart) pieces.view(body);
+    pieces.append(std::exchange(first_, {}));
     send(std::move(pieces));
   }
   ExecutionKey take() {
     loop_.cancel(timer_);
+    deadline_ = {};
+    first_ = {};
     const ExecutionKey execution = *std::exchange(execution_, std::nullopt);
     side_.executions_.erase(execution);
     query_.reset();
@@ -168,7 +251,14 @@
   ServerId server_;
   Poco::Net::SocketAddress address_;
   // Guards against losing good answers to a bound: they may be longer than queries.
-  http::Reader reader_{http::Reader::Kind::answer, kLongestAnswer};
+  http::Reader reader_{http::Reader::Kind::answer, http::kLongestStreamed};
+  std::shared_ptr<Message> answer_;  // its head; the body is still coming
+  http::Body body_;
+  std::string held_;      // of the body
+  http::Gather first_;    // of the query's body, before its head was written
+  bool streams_ = false;  // the answer is passed on as it comes
+  bool coming_ = false;   // the query's body is
+  Span timeout_{};
   std::optional<ExecutionKey> execution_;
   std::shared_ptr<const Message> query_;
   Span deadline_{};
@@ -259,14 +349,14 @@
 }
 
 void ServerSide::execute(ExecutionKey execution, ServerId server, const std::shared_ptr<const Message>& query,
-                         Span timeout) {
+                         Span timeout, bool coming) {
   std::shared_ptr<ServerConnection> connection = idleTo(server);
   if (connection) {
     ++loop_.counters.reused;
   } else {
     connection = dial(server);
   }
-  if (connection) return connection->execute(execution, query, timeout);
+  if (connection) return connection->execute(execution, query, timeout, coming);
   loop_.soon(
       [this, execution] { exchange_.executionEnded(execution, Outcome::connectFailed, Span{0}, nullptr); });
 }
@@ -279,6 +369,21 @@
   });
 }
 
+bool ServerSide::bodyPart(ExecutionKey execution, std::string data, bool last) {
+  const auto at = executions_.find(execution);
+  return at != executions_.end() && at->second->bodyPart(std::move(data), last);
+}
+
+void ServerSide::pauseAnswer(ExecutionKey execution, bool pause) {
+  const auto at = executions_.find(execution);
+  if (at != executions_.end()) at->second->pauseReading(pause);
+}
+
+void ServerSide::cancelComing(ExecutionKey execution) {
+  const auto at = executions_.find(execution);
+  if (at != executions_.end() && at->second->coming()) cancel(execution);
+}
+
 bool ServerSide::freeDescriptor() {
   if (idle_.empty()) return false;
   idle_.front()->end(Reason::descriptors);
--- a/src/sidecar/server_side.hpp
+++ b/src/sidecar/server_side.hpp
@@ -13,6 +13,7 @@
 #include <map>
 #include <memory>
 #include <set>
+#include <string>
 
 #include "http/message.hpp"
 #include "rackroute/balancer.hpp"
@@ -40,12 +41,20 @@
 
   void listed(const Listed& listed);
   void execute(ExecutionKey execution, ServerId server, const std::shared_ptr<const http::Message>& query,
-               Span timeout);
+               Span timeout, bool coming = false);
+  /// More of the body of an execution that was sent while it was coming. True: it is to wait, see
+  /// bodyWanted().
+  bool bodyPart(ExecutionKey execution, std::string data, bool last);
+  void pauseAnswer(ExecutionKey execution, bool pause);
   void cancel(ExecutionKey execution);
+  /// Only if its body is not whole.
+  void cancelComing(ExecutionKey execution);
   /// Keeps no idle connection to one that is taken out.
   void takenOut(ServerId server, bool out);
   /// Executions get no more connections than this, so that some descriptors stay for others.
   void limitConnections(std::size_t most) { most_ = most; }
+  /// Bytes that may wait to be written on one connection.
+  void limitBacklog(std::size_t most) { mostBacklog_ = most; }
   /// Closes the connection that has been idle for longest. False: none is idle.
   bool freeDescriptor();
 
@@ -68,6 +77,7 @@
 
   std::map<ServerId, Place> places_;
   std::set<ServerId> out_;  // by hand
+  std::size_t mostBacklog_ = 64 * 1024;
   std::size_t most_ = std::numeric_limits<std::size_t>::max();
   std::map<ServerConnection*, std::shared_ptr<ServerConnection>> connections_;
   std::list<ServerConnection*> idle_;  // the longest idle first
--- a/src/simwire/session.cpp
+++ b/src/simwire/session.cpp
@@ -172,9 +172,9 @@
     const Span service = reported(parts[8], told::kServiceTime);
     with(parts[2], [&](QueryHandle& query) { query.executionEnded(at, no, how, terminal, service); });
   }
-  void begun(const std::vector<std::string_view>& parts) {
+  void begun(const std::vector<std::string_view>& parts, Span at) {
     const ExecutionNo no{number<std::uint32_t>(parts[4], "send_no")};
-    with(parts[2], [&](QueryHandle& query) { query.answerStarted(no); });
+    with(parts[2], [&](QueryHandle& query) { query.answerStarted(at, no); });
   }
   void left(const std::vector<std::string_view>& parts, Span at) {
     with(parts[2], [&](QueryHandle& query) { query.clientLeft(at); });
@@ -276,7 +276,7 @@
   } else if (name == "RESULT") {
     self.ended(parts, now);
   } else if (name == "BEGUN") {
-    self.begun(parts);
+    self.begun(parts, now);
   } else if (name == "CANCELLED_BY_CLIENT") {
     self.left(parts, now);
   } else if (name == "TIMEOUT_FIRED") {
--- a/tests/program.hpp
+++ b/tests/program.hpp
@@ -51,6 +51,24 @@
     while (in_.size() < size) REQUIRE(more());
     return head + cut(size);
   }
+  /// Takes so many bytes and forgets them; how many came before the end.
+  std::size_t swallow(std::size_t size) {
+    std::size_t all = in_.size();
+    in_.clear();
+    try {
+      while (all < size && more()) all += std::exchange(in_, {}).size();
+    } catch (const Poco::Net::NetException&) {
+    }
+    return all;
+  }
+  /// Sends until no more is taken for a while; how much was.
+  std::size_t push(const std::string& text, std::size_t most) {
+    std::size_t all = 0;
+    while (all < most && socket_.poll(Poco::Timespan(0, 700000), StreamSocket::SELECT_WRITE))
+      all += static_cast<std::size_t>(
+          socket_.sendBytes(text.data(), static_cast<int>(text.size()), MSG_DONTWAIT));
+    return all;
+  }
   /// Whether the sidecar ends it, saying nothing more.
   bool ends() {
     try {
