Spread a fleet's calls to discovery over the time that all of them take

Cause, counted over 48 sidecars: all asked discovery in one moment after a release, those that gave up after 2 s stayed ahead of the next, and repeats came together after 250 ms. 32 of 34 restarted sidecars had no list 13 s later, 358 calls failed, and 500 executions went to servers that drained. Change: the first call at a drawn moment of 100 ms for each balancer, 4 s at most, repeats over the same span; alone, or taking over, at once.

--- a/src/decide/balancer.cpp
+++ b/src/decide/balancer.cpp
@@ -55,6 +55,8 @@
 constexpr double kCover = 8;          // balancers in each server's sets, at least; fewer would be uneven
 constexpr double kSetAnswers = 32;    // answers for each member in a ring's time; fewer tell nothing
 constexpr double kSaved = 3;          // usual executions saved up below a limit; a short run of queries
+constexpr Span kOneCall = 100ms;      // of discovery's time; a call for a whole list of some dozen servers
+constexpr Span kAllCalls = 4s;        // at most for all calls; leaves time to be served while the list holds
 constexpr Span kFirstAsk = 250ms;     // first repeat of a failed discovery call; a tick or two is too soon
 constexpr Span kLastAsk = 4s;         // longest backoff; well inside the time a held list may go unasked
 constexpr Span kBucket = 500ms;       // measuring bucket; some ten answers of a busy server
@@ -131,13 +133,18 @@
         chance_(static_cast<std::uint_fast32_t>(terms_.seed)),
         accountAnswers_(terms_.accounts.size()),
         served_(terms_.useCases.size()) {
-    if (terms_.discoveryOnRequest) host_.watchServers();
+    // Guards against a fleet that starts together and asks at once: discovery, which works through calls in
+    // turn, would serve hardly any in time. Each asks at its own moment of what all of them take.
+    askAt_ = scaled(all_, draw());
+    if (!terms_.discoveryOnRequest) askAt_ = Span::max();
+    if (askAt_ <= Span{0}) wake(Span{0});
+    arm(Span{0});
   }
 
   // ---- The list: the last good set is held through errors and doubtful lists.
 
   void serversListed(Span now, Listing listing, std::span<const ListedServer> servers) {
-    if (listing != Listing::persisted) askBackoff_ = kFirstAsk;
+    if (listing != Listing::persisted) askBackoff_ = std::max(kFirstAsk, all_);
     if (listing != Listing::changes) dropAbsent(now, listing, servers);
     for (const ListedServer& listed : servers) update(now, listed);
     fillSet(now);
@@ -170,8 +177,8 @@
 
   // Guards against a registry that is out of reach: the held set stays, and the call is repeated later.
   void discoveryFailed(Span now) {
-    askAt_ = now + scaled(askBackoff_, 0.75 + 0.5 * draw());
-    askBackoff_ = std::min(2 * askBackoff_, kLastAsk);
+    askAt_ = now + scaled(askBackoff_, 0.25 + draw());
+    askBackoff_ = std::min(2 * askBackoff_, std::max(kLastAsk, all_));
     arm(now);
   }
 
@@ -293,6 +300,8 @@
     warmTime_ = all.warmTime;
     unloaded_ = all.unloaded;
     setSize_ = all.setSize;
+    if (askAt_ != Span::max()) askAt_ = now;  // its list is current: a watch costs discovery little
+    arm(now);
     for (Server& server : servers_) {
       const auto at = std::find_if(all.servers.begin(), all.servers.end(),
                                    [&](const LearnedServer& s) { return s.id == server.id; });
@@ -943,7 +952,8 @@
   double saved_ = 1;  // seconds of execution that the limits allow; at the start all that may be saved
   Span savedAt_{};
   Span askAt_ = Span::max();
-  Span askBackoff_ = kFirstAsk;
+  Span all_ = std::min(kAllCalls, kOneCall*(terms_.balancers - 1));  // in which all balancers ask once
+  Span askBackoff_ = std::max(kFirstAsk, all_);
   Span wakeAt_ = Span::max();
   bool doubting_ = false;
   bool listAgain_ = false;
--- a/tests/operations_test.cpp
+++ b/tests/operations_test.cpp
@@ -1,5 +1,7 @@
 // Daily operation: servers out and back by hand, the operators' door, its figures.
 
+#include <set>
+
 #include "program.hpp"
 #include "story.hpp"
 
@@ -131,3 +133,30 @@
   CHECK(has(call(door, "GET /ops/readiness"), "HTTP/1.1 200 "));
   CHECK(silent.front().ends());
 }
+
+TEST_CASE("a fleet that starts together asks discovery one after the other; alone, or taking over, at once") {
+  Terms many = story::terms();
+  many.discoveryOnRequest = true;
+  many.balancers = 48;
+  std::set<Span> moments;
+  for (many.seed = 1; many.seed <= 20; ++many.seed) {
+    Fleet fleet(many);
+    CHECK(fleet.watches == 0);
+    REQUIRE(fleet.wakes.size() == 1);
+    CHECK(fleet.wakes.front() <= 5s);
+    moments.insert(fleet.wakes.front());
+    fleet.now = fleet.wakes.front();
+    fleet.balancer.wake(fleet.now);
+    CHECK(fleet.watches == 1);
+    fleet.balancer.discoveryFailed(fleet.now);  // and its repeats don't fall together either
+    CHECK(fleet.wakes.back() - fleet.now < 10s);
+    moments.insert(fleet.wakes.back() - fleet.now);
+  }
+  CHECK(moments.size() > 36);
+  Fleet successor(many);
+  successor.hold(3);
+  successor.balancer.learn(successor.now, {});
+  CHECK(successor.wakes.back() <= successor.now + many.tick);
+  many.balancers = 1;
+  CHECK(Fleet(many).watches == 1);
+}
