End a query whose body goes bad after it was taken, so that nobody answers it later

Cause, found by reading: a malformed chunk after 64 KiB refused the connection but left its entry among those that wait, and the execution ran on; a later answer went to a connection that had ended. Ruled out: bodies read whole (their query is not taken yet). Change: the client counts as having left, its execution is cancelled unrun; a story; one way out of the waiting map in place of five.

--- a/src/sidecar/client_side.cpp
+++ b/src/sidecar/client_side.cpp
@@ -191,10 +191,10 @@
         return refuse(400, lack);
     }
     const Progress progress = body_.read(in_, held_);
-    if (progress == Progress::bodyTooLong) return refuse(413, "body_too_long");
-    if (progress == Progress::malformed) return refuse(400, "malformed");
+    if (progress == Progress::bodyTooLong) return spoilt(413, "body_too_long");
+    if (progress == Progress::malformed) return spoilt(400, "malformed");
     const bool whole = progress == Progress::done;
-    if (whole && !in_.empty()) return refuse(400, "not_one_at_a_time");
+    if (whole && !in_.empty()) return spoilt(400, "not_one_at_a_time");
     if (!coming_ && !whole && held_.size() <= kHeldWhole) return;
     if (!coming_) take(whole);
     if (!coming_) return;
@@ -204,6 +204,16 @@
       side_.exchange_.bodyPart(*query_, std::exchange(held_, {}), whole);
   }
 
+  // Guards against a body that goes bad after its query was taken: nobody may answer that one any more.
+  void spoilt(int status, std::string_view why) {
+    const auto query = query_;
+    forgetQuery();
+    if (query) {
+      side_.waiting_.erase(*query);
+      side_.exchange_.clientLeft(*query);
+    }
+    refuse(status, why);
+  }
   void takeHead() {
     ++messages_;
     head_ = std::make_shared<Message>(reader_.takeHead(in_));
@@ -454,23 +464,25 @@
 
 bool ClientSide::crowded() const { return connections_.size() * kCrowded > most_; }
 
-void ClientSide::answer(QueryId query, http::Gather pieces) {
+ClientConnection* ClientSide::release(QueryId query) {
   const auto at = waiting_.find(query);
-  if (at == waiting_.end()) return;
-  ClientConnection& connection = *at->second;
+  if (at == waiting_.end()) return nullptr;
+  ClientConnection* const connection = at->second;
   waiting_.erase(at);
-  connection.answer(std::move(pieces));
+  return connection;
+}
+
+void ClientSide::answer(QueryId query, http::Gather pieces) {
+  if (ClientConnection* const connection = release(query)) connection->answer(std::move(pieces));
 }
 
 void ClientSide::complete(QueryId query, const std::shared_ptr<const Message>& answer) {
-  const auto at = waiting_.find(query);
-  if (at == waiting_.end()) return;
-  ClientConnection& connection = *at->second;
-  waiting_.erase(at);
+  ClientConnection* const connection = release(query);
+  if (connection == nullptr) return;
   http::Gather head;
   head.text("HTTP/1.1 200 OK\r\n");
   for (const std::string_view lines : answer->endToEnd("X-Load")) head.view(lines);
-  connection.answer(std::move(head), answer);
+  connection->answer(std::move(head), answer);
 }
 
 void ClientSide::begin(QueryId query, const std::shared_ptr<const Message>& head) {
@@ -484,19 +496,11 @@
 }
 
 void ClientSide::last(QueryId query) {
-  const auto at = waiting_.find(query);
-  if (at == waiting_.end()) return;
-  ClientConnection& connection = *at->second;
-  waiting_.erase(at);
-  connection.last();
+  if (ClientConnection* const connection = release(query)) connection->last();
 }
 
 void ClientSide::cut(QueryId query) {
-  const auto at = waiting_.find(query);
-  if (at == waiting_.end()) return;
-  ClientConnection& connection = *at->second;
-  waiting_.erase(at);
-  connection.cut();
+  if (ClientConnection* const connection = release(query)) connection->cut();
 }
 
 void ClientSide::pauseBody(QueryId query, bool pause) {
@@ -533,11 +537,7 @@
 }
 
 void ClientSide::turnAway(QueryId query) {
-  const auto at = waiting_.find(query);
-  if (at == waiting_.end()) return;
-  ClientConnection& connection = *at->second;
-  waiting_.erase(at);
-  connection.refuse(400, "refused_by_server");
+  if (ClientConnection* const connection = release(query)) connection->refuse(400, "refused_by_server");
 }
 
 std::vector<std::shared_ptr<ClientConnection>> ClientSide::all() const {
--- a/src/sidecar/client_side.hpp
+++ b/src/sidecar/client_side.hpp
@@ -70,6 +70,8 @@
   void accept(Poco::Net::ReadableNotification* event);
   bool acceptOne();  // false: not now
   void listening(bool on);
+  /// Who waits for the query's final answer, and now gets it; null: nobody.
+  ClientConnection* release(QueryId query);
   void answer(QueryId query, http::Gather pieces);
   [[nodiscard]] bool crowded() const;
   void closeListener();
--- a/tests/bodies_test.cpp
+++ b/tests/bodies_test.cpp
@@ -131,6 +131,21 @@
   CHECK(sidecar.nobodyDialled());
 }
 
+TEST_CASE("a body that goes bad on its way is refused, and its execution ended unrun") {
+  Sidecar sidecar(1);
+  sidecar.start();
+  Peer client = sidecar.connect();
+  client.say(post("Transfer-Encoding: chunked\r\n") + chunk(kPiece) + chunk(kPiece));
+  Peer server = sidecar.server();
+  server.until("\r\n\r\n");
+  client.say("no size\r\n");
+  CHECK(has(client.message(), "HTTP/1.1 400 "));
+  CHECK(server.swallow(1000000) < 1000000);  // it ends
+  sidecar.signal(SIGTERM);
+  CHECK(sidecar.ended() == 0);
+  CHECK_FALSE(has(sidecar.log(), "error fault"));
+}
+
 TEST_CASE("all forms are served: asked to go on, the older version, ends by the connection's end") {
   Sidecar sidecar(1);
   sidecar.start();
