--- a/src/decide/balancer.cpp
+++ b/src/decide/balancer.cpp
@@ -39,7 +39,9 @@
 constexpr double kNearer = 6.0;       // draw weight of the own zone; crossing costs time and money
 constexpr std::size_t kHomes = 2;     // servers a key may be met at; the second takes what the first can't
 constexpr double kHomeCrowded = 1.2;  // of the common bound; the met key takes under half as long
-constexpr double kMostSpeed = 2;      // of the mean speed, and its inverse; reports are noisy
+constexpr double kHeld = 6;       // queries for each core; a server that holds more in the mean slows down
+constexpr double kYield = 0.5;    // power of listed load in the draw; a late list needs a gentle answer
+constexpr double kMostSpeed = 2;  // of the mean speed, and its inverse; reports are noisy
 constexpr double kDropDoubted = 0.5;  // share of the held servers; losing more at once is doubted
 constexpr double kColdMargin = 0.65;  // share of the tipping budget; queries' work varies about twofold
 constexpr double kFirstLimit = 4.0;   // executions of all balancers; a queue answered within an SLO time
@@ -81,7 +83,8 @@
   ServerId id;
   ZoneId zone;
   CellId cell;
-  double size = 1;
+  double size = 1;   // nominal
+  double holds = 0;  // queries for each core, where the list tells it
   std::optional<Span> startedAt;
   Span closedFrom = Span::max();    // nothing new from then on
   bool held = false;                // in the last good list
@@ -105,6 +108,11 @@
   Span coldCreditAt{};
 };
 
+struct Location {
+  std::uint32_t run = 0;  // failures in a row
+  Span failedAt{};        // the latest of them
+};
+
 double fraction(std::uint64_t key, std::uint64_t server) {  // of 1, never 0; by splitmix64's finish
   std::uint64_t value = key ^ (server * 0x9e3779b97f4a7c15U);
   value = (value ^ (value >> 30U)) * 0xbf58476d1ce4e5b9U;
@@ -148,6 +156,7 @@
     if (listing != Listing::changes) dropAbsent(now, listing, servers);
     for (const ListedServer& listed : servers) update(now, listed);
     fillSet(now);
+    cutCrowded(now);
     placeWaiting(now);
     arm(now);
   }
@@ -380,7 +389,10 @@
     at->id = listed.id;
     at->zone = listed.zone;
     at->cell = listed.cell;
-    at->size = std::max(listed.size, 1e-3);
+    // Guards against load that is counted twice, where the listed weight falls by it: the largest is nominal.
+    const double weight = std::max(listed.size, 1e-3);
+    at->size = terms_.weightsFollowLoad && known ? std::max(at->size, weight) : weight;
+    at->holds = at->size / weight - 1;
     at->listedStart = listed.startedAt;
     at->closedFrom = Span::max();
     at->held = true;
@@ -502,7 +514,7 @@
       // Guards against servers that are slow but answer: an answer past its SLO time earns no weight.
       if (took <= slo) server.weight = std::min(1.0, server.weight + kWeightStep);
       server.run = server.useRuns[use].failures = 0;
-      if (near) nearRun_ = 0;
+      location(server.zone).run = 0;
       server.ejected = server.onTrial = false;
     } else if (isFailure(outcome)) {
       if (!pending.overdue) countFailure(now, server, use);
@@ -525,6 +537,7 @@
   // An answer moves its server's limit; one from outside the set moves the whole set's by a member's part, as
   // their sum binds all. Guards against cutting below what was lately finished, near or far, without a queue.
   void moveLimit(Span now, Server& answered, double by) {
+    if (by > 1 && held_ > kHeld) return;
     double sizes = 0;
     double members = 0;
     for (const Server& server : servers_) {
@@ -544,14 +557,28 @@
     }
   }
 
+  // Guards against a crowd that no balancer sees by its own few answers: the list tells what all hold.
+  void cutCrowded(Span now) {
+    double holds = 0;
+    double members = 0;
+    for (Server& server : servers_) {
+      if (!inPool(now, server) || server.ejected || lost(now, server.zone)) continue;
+      holds += server.holds;
+      ++members;
+    }
+    held_ = members > 0 ? holds / members : 0;
+    if (held_ <= kHeld) return;
+    for (Server& server : servers_)
+      if (server.used) server.limit = std::max(server.limit * kHeld / held_, 1 / std::max(members, 1.0));
+  }
+
   void countFailure(Span now, Server& server, std::size_t use) {
     server.weight = std::max(kWeightFloor, server.weight / 2);
     ++server.run;
     server.failedAt = now;
-    if (server.zone == terms_.zone) {
-      ++nearRun_;
-      nearFailedAt_ = now;
-    }
+    Location& there = location(server.zone);
+    ++there.run;
+    there.failedAt = now;
     if (server.ejected || (server.run >= kFailuresToEject && mayPutOut(now, use))) eject(now, server);
   }
 
@@ -567,7 +594,9 @@
       for (Pending& pending : server.out) {
         if (pending.overdue || idle(pending) || now < overdueAt(now, pending)) continue;
         pending.overdue = true;
-        if (stuck(now, server, pending)) continue;
+        // An answer lost on its way, by the list: no failure of a server that holds little.
+        if (stuck(now, server, pending) || (terms_.weightsFollowLoad && server.holds <= kFirstLimit))
+          continue;
         moveLimit(now, server, kLimitCut);
         countFailure(now, server, queries_[pending.query].query.useCase.value);
       }
@@ -639,7 +668,7 @@
   [[nodiscard]] static bool idle(const Pending& pending) { return pending.coming || pending.started; }
   [[nodiscard]] double load(Span now, const Server& server) const {
     return static_cast<double>(std::count_if(server.out.begin(), server.out.end(), [&](const Pending& p) {
-      return !idle(p) && !stuck(now, server, p);
+      return !idle(p) && !stuck(now, server, p) && !(p.overdue && terms_.weightsFollowLoad);
     }));
   }
 
@@ -673,10 +702,20 @@
     return run >= most && now < failedAt + kEjectTime;
   }
 
+  Location& location(ZoneId zone) {
+    if (zone.value >= locations_.size()) locations_.resize(zone.value + 1);
+    return locations_[zone.value];
+  }
+  // Guards against a lost location whose servers would each have to fail five times, one after the other.
+  bool lost(Span now, ZoneId zone) {
+    return failsNow(now, location(zone).run, location(zone).failedAt, kFailuresToEject);
+  }
+
   std::optional<ServerSlot> pick(Span now, const Held& held) {
     if (poolWait(now) > Span{0}) return std::nullopt;
     measureWarmRate(now);
-    const bool homes = terms_.warmKeys && held.query.key;
+    // Where the list tells load, following it is worth more than a met key.
+    const bool homes = terms_.warmKeys && held.query.key && !terms_.weightsFollowLoad;
     const bool repeat = mayHaveRun(held) != nullptr;
     const double usual = answers_.mean(now, kUnmeasured);
     expected_.assign(servers_.size(), 0.0);
@@ -697,9 +736,7 @@
       ++pool;
     }
     const double crowded = kCrowded * (pool > 0 ? pool / inverse : usual);  // harmonic: no outlier moves it
-    // Guards against a lost zone whose homes would each have to fail five times, one after the other.
-    const bool lost = failsNow(now, nearRun_, nearFailedAt_, kFailuresToEject);
-    const bool atHome = homes && !lost;
+    const bool atHome = homes && !lost(now, terms_.zone);
     std::array<std::pair<double, ServerSlot>, kHomes> nearest;  // by distance
     nearest.fill({std::numeric_limits<double>::infinity(), 0});
     std::optional<ServerSlot> least;
@@ -708,7 +745,8 @@
     for (ServerSlot slot = 0; slot < servers_.size(); ++slot) {
       Server& server = servers_[slot];
       if (expected_[slot] <= 0 || triedBefore(held, slot)) continue;
-      const double share = server.weight * server.size * ramp(now, server) * speed(now, server);
+      const double share = server.weight * server.size * ramp(now, server) * speed(now, server) *
+                           std::pow(1 + server.holds, -kYield);
       if (atHome && server.zone == terms_.zone && !failsNow(now, server.run, server.failedAt, 1)) {
         // Guards against a hundred balancers that each see a key's home elsewhere, so that it is met nowhere:
         // by what all are told alike, and nothing that this one measured.
@@ -750,6 +788,11 @@
     // Guards against a real mass failure, in which the cap keeps dead servers in the pool: one that failed
     // often enough to be ejected stays in it, but gets one execution at a time, as in a trial.
     if (server.run >= kFailuresToEject && !server.out.empty()) return false;
+    // The same for a lost location as one: its servers have one execution out between them.
+    if (lost(now, server.zone) && std::any_of(servers_.begin(), servers_.end(), [&](const Server& s) {
+          return s.zone == server.zone && !s.out.empty();
+        }))
+      return false;
     return load(now, server) + 1 <= std::max(1.0, server.limit) && coldRoom(now, server);
   }
 
@@ -761,7 +804,7 @@
     double limits = 0;
     for (const Server& server : servers_) {
       out += load(now, server);
-      if (inPool(now, server) && !server.ejected) limits += server.limit;
+      if (inPool(now, server) && !server.ejected && !lost(now, server.zone)) limits += server.limit;
     }
     const double usual = answers_.mean(now, kUnmeasured);
     saved_ = std::clamp(saved_ + (limits - out) * seconds(now - savedAt_), -kSaved * usual, kSaved * usual);
@@ -947,8 +990,8 @@
   std::uint32_t setPicks_ = 0;
   std::array<Ring, 2> answersFrom_;       // other zones, and the own
   std::array<double, 2> unloaded_{1, 1};  // seconds; the least mean answer time so far of each
-  std::uint32_t nearRun_ = 0;             // failures in a row in the own zone
-  Span nearFailedAt_{};
+  std::vector<Location> locations_;       // by zone
+  double held_ = 0;                       // queries for each core in the pool, as listed
   double saved_ = 1;  // seconds of execution that the limits allow; at the start all that may be saved
   Span savedAt_{};
   Span askAt_ = Span::max();
