--- a/src/terms/told.cpp
+++ b/src/terms/told.cpp
@@ -97,6 +97,10 @@
   terms.discoveryOnRequest = reader.text("registry_mode") == "on_request";
   terms.weightsFollowLoad = reader.word<bool>(
       "weights", {{"", false}, {"none", false}, {"nominal", false}, {"rough", false}, {"live", true}});
+  // Guards against a moved file whose gaps were left open: a pool's sidecar must know its place in it.
+  for (const std::string name : {"locality", "peers_total", "my_number"})
+    if (terms.weightsFollowLoad && reader.text(name).empty())
+      malformed(name + " is needed with weights", "live");
   if (reader.yes("bounds.retry_after")) terms.longestAdvice = reader.span("bounds.max_retry_after_ms");
   terms.mostExecutions = reader.value<std::uint32_t>("bounds.max_executions", 1);
   terms.warmKeys = reader.yes("family_info.warm_keys");
