--- a/src/decide/balancer.cpp
+++ b/src/decide/balancer.cpp
@@ -555,10 +555,9 @@
       for (Pending& pending : server.out) {
         if (pending.overdue || idle(pending) || now < overdueAt(now, pending)) continue;
         pending.overdue = true;
-        // An answer lost on its way, by the list: no failure of a server that holds little.
-        if (stuck(now, server, pending) || (terms_.weightsFollowLoad && server.holds <= kFirstLimit))
-          continue;
-        moveLimit(now, server, kLimitCut);
+        if (stuck(now, server, pending)) continue;
+        // An answer lost on its way, by the list: no queue at a server that holds little.
+        if (!terms_.weightsFollowLoad || server.holds > kFirstLimit) moveLimit(now, server, kLimitCut);
         countFailure(now, server, queries_[pending.query].query.useCase.value);
       }
     }
