--- a/include/rackroute/terms.hpp
+++ b/include/rackroute/terms.hpp
@@ -47,7 +47,7 @@
   std::uint32_t number = 0;  // this balancer's among them
   bool discoveryOnRequest = false;
   bool weightsFollowLoad = false;  // a listed size is the nominal one over 1 + queries held for each core
-  Span longestAdvice{};  // 0 where clients take no advice on when to come back
+  Span longestAdvice{};            // 0 where clients take no advice on when to come back
   std::uint32_t mostExecutions = 1;
   bool warmKeys = false;
   Span tick{};
--- a/tests/move_test.cpp
+++ b/tests/move_test.cpp
@@ -68,8 +68,8 @@
 TEST_CASE("answers lost on their way fill no room at servers that the list calls idle") {
   const auto takenAfterLosses = [](const Terms& told) {
     Fleet fleet(told);
-    fleet.list(Listing::persisted, {weighing(1, 1), weighing(2, 1)});
-    for (int i = 0; i < 60; ++i) fleet.take(kNonIdempotent, 60s);
+    fleet.list(Listing::persisted, {weighing(1, 1), weighing(2, 1, 1)});
+    for (int i = 0; i < 8; ++i) fleet.take(kNonIdempotent, 60s);  // four at each: no run of five
     fleet.now += 5s;
     fleet.balancer.wake(fleet.now);
     const std::size_t lost = fleet.sent.size();
@@ -79,3 +79,24 @@
   CHECK(takenAfterLosses(terms()) == 0);
   CHECK(takenAfterLosses(followed()) > 2);
 }
+
+TEST_CASE("a server that is silent altogether is ejected, however little the list says it holds") {
+  Fleet fleet(followed());
+  fleet.list(Listing::persisted, {weighing(1, 1), weighing(2, 1), weighing(3, 1)});
+  std::vector<std::pair<Fleet::Sent, Span>> silent;
+  std::size_t seen = 0;
+  for (int i = 0; i < 650; ++i, fleet.now += 20ms) {
+    fleet.balancer.wake(fleet.now);
+    fleet.take(kNonIdempotent);
+    for (; seen < fleet.sent.size(); ++seen) {
+      const auto execution = fleet.sent[seen];
+      if (execution.server.value == 1)
+        silent.emplace_back(execution, fleet.now + 2s);
+      else
+        fleet.end(execution, Outcome::completed);
+    }
+    for (; !silent.empty() && silent.front().second <= fleet.now; silent.erase(silent.begin()))
+      fleet.end(silent.front().first, Outcome::timeout);
+  }
+  CHECK(fleet.balancer.standing(fleet.now).ejected == 1);
+}
