--- a/tests/move_test.cpp
+++ b/tests/move_test.cpp
@@ -1,4 +1,5 @@
 #include "story.hpp"
+#include "terms/told.hpp"
 
 using namespace rackroute;
 using namespace rackroute::story;
@@ -100,3 +101,24 @@
   }
   CHECK(fleet.balancer.standing(fleet.now).ejected == 1);
 }
+
+TEST_CASE(
+    "settings that say nothing of weights, or that they are sizes, decide alike; an unknown word is "
+    "refused") {
+  const auto decided = [](const char* weights) {
+    told::Pairs pairs{{"use_cases.count", "1"}, {"use_cases.0.effect", "retryable"},
+                      {"peers_total", "1"},     {"my_number", "0"},
+                      {"locality", "a"},        {"use_cases.0.slo_time_ms", "500"}};
+    if (weights != nullptr) pairs["weights"] = weights;
+    Fleet fleet(told::Told(7, pairs).terms);
+    fleet.list(Listing::persisted, {weighing(1, 1), weighing(2, 1)});
+    fleet.list(Listing::changes, {weighing(1, 0.1)});
+    std::vector<std::uint64_t> sent;
+    for (int i = 0; i < 100; ++i) sent.push_back(fleet.play(kIdempotent, Outcome::completed).value);
+    return sent;
+  };
+  CHECK(decided(nullptr) == decided("rough"));
+  CHECK(decided(nullptr) == decided("nominal"));
+  CHECK(decided(nullptr) != decided("live"));
+  CHECK_THROWS_AS(decided("heavy"), told::Malformed);
+}
