--- a/src/decide/balancer.cpp
+++ b/src/decide/balancer.cpp
@@ -352,7 +352,7 @@
     at->cell = listed.cell;
     // Guards against load that is counted twice, where the listed weight falls by it: the largest is nominal.
     const double weight = std::max(listed.size, 1e-3);
-    at->size = terms_.weightsFollowLoad && known ? std::max(at->size, weight) : weight;
+    at->size = terms_.weightsFollowLoad && !joins ? std::max(at->size, weight) : weight;
     at->holds = at->size / weight - 1;
     at->listedStart = listed.startedAt;
     at->closedFrom = Span::max();
--- a/src/migrate/translate.cpp
+++ b/src/migrate/translate.cpp
@@ -19,7 +19,8 @@
 using Poco::JSON::Object;
 
 constexpr std::array<std::string_view, 5> kNeeded = {"listen", "discovery", "seed", "known", "settings"};
-constexpr std::array<std::string_view, 4> kCarried = {"name", "listen", "discovery", "seed"};
+constexpr std::array<std::string_view, 6> kCarried = {"name", "listen", "discovery",
+                                                      "seed", "limits", "admin"};
 constexpr std::size_t kLocations = 2;  // the new shape's
 
 Object::Ptr parsed(const std::string& text) {
@@ -53,14 +54,13 @@
     if (weights == "live") throw Refused("it is of the new shape already: settings.weights is live");
     if (weights != "nominal" && weights != "rough" && weights != "none")
       throw Refused("settings.weights: '" + weights + "'");
-    for (const auto& [name, value] : *old_) {
+    for (const std::string& name : old_->getNames()) {  // in the file's order
       if (name == "settings") {
         made_.set(name, moved(*settings));
       } else if (name == "known") {
         made_.set(name, knownAnew());
-      } else if (name == "limits" || name == "admin" ||
-                 std::count(kCarried.begin(), kCarried.end(), name) > 0) {
-        carry(made_, "", name, value);
+      } else if (std::count(kCarried.begin(), kCarried.end(), name) > 0) {
+        carry(made_, "", name, old_->get(name));
       } else {
         missing(name, "the program knows no such key; left out");
       }
@@ -89,11 +89,11 @@
     const Var zones = settings.get("azs");
     const std::size_t locations =
         zones.type() == typeid(Array::Ptr) ? zones.extract<Array::Ptr>()->size() : 0;
-    for (const auto& [name, value] : settings) {
+    for (const std::string& name : settings.getNames()) {
       if (name == "weights" || name == "registry_mode" || name == "peers_total" || name == "my_number")
         continue;
       if ((name == "azs" || name == "locality") && locations != kLocations) continue;
-      carry(*made, "settings.", name, value);
+      carry(*made, "settings.", name, settings.get(name));
     }
     put(*made, "weights", "live", "the list's weights follow load");
     put(*made, "registry_mode", "pushed", "the list is sent unasked; the sidecar keeps its watch either way");
--- a/src/migrate/translate.hpp
+++ b/src/migrate/translate.hpp
@@ -14,11 +14,8 @@
   using std::runtime_error::runtime_error;
 };
 
-enum class Fate {
-  carried,
-  set,
-  missing
-};  // missing: not carried over; the operator supplies it or does without
+/// Missing: not carried over; the operator supplies it or does without.
+enum class Fate { carried, set, missing };
 
 struct Line {
   Fate fate;
