Add the fleet's view: SWIM with Lifeguard's parts, healing, hearing, and drills in virtual time

Need: what many processes do together when some fail stands on each knowing who is there. src/fleet/ (no I/O: clock, chance and sending are passed in) holds the view, probes, suspicion, refutation, words told on, exchanges where views differ, tries of the dead, hearing and the safe count; msgpack on the wire. rackroute-lab fleet plays drills with it. Not yet in the program.

--- a/src/lab/main.cpp
+++ b/src/lab/main.cpp
@@ -12,6 +12,8 @@
 #include <thread>
 
 #include "lab/experiment.hpp"
+#include "lab/fleet/judge.hpp"
+#include "lab/fleet/virtual_fleet.hpp"
 #include "lab/report.hpp"
 #include "lab/sockets.hpp"
 #include "lab/world.hpp"
@@ -108,6 +110,8 @@
   std::uint64_t seed = 1;
   unsigned seeds = 5;
   unsigned jobs = std::max(1U, std::thread::hardware_concurrency());
+  unsigned drills = 1;
+  std::string plot;
   std::string json;
   std::string log;
   std::string over;
@@ -239,6 +243,29 @@
   return kAsExpected;
 }
 
+/// One drill of a fleet's members, in virtual time over several seeds or with real processes.
+int drillFleet(const Asked& asked) {
+  const Drill drill = readDrill(asked.file, overridesOf(asked.sets));
+  Json runs = Json::array();
+  bool kept = true;
+  for (unsigned i = 0; i < asked.drills; ++i) {
+    Progress progress;
+    const auto tell = [&](double done) { progress.tell((i + done) / asked.drills); };
+    Json run = playDrillVirtual(drill, asked.seed + i, tell);
+    for (const Json& broken : run["broken"])
+      std::cout << "BROKEN " << broken["promise"].get<std::string>() << " at " << broken["second"]
+                << " s: " << broken["member"].get<std::string>() << ' ' << broken["what"].get<std::string>()
+                << '\n';
+    kept = kept && run["kept"].get<bool>();
+    std::cout << drill.name << "  seed " << asked.seed + i << "  "
+              << (run["kept"].get<bool>() ? "kept" : "BROKEN") << "  " << run["figures"].dump() << std::endl;
+    if (!asked.plot.empty()) writeWhole(asked.plot, pictureOf(run));
+    runs.push_back(std::move(run));
+  }
+  if (!asked.json.empty()) writeWhole(asked.json, runs.dump(1) + '\n');
+  return kept ? kAsExpected : kMissed;
+}
+
 int check(const Asked& asked) {
   const Scenario scenario = readScenario(asked.file, overridesOf(asked.sets));
   std::printf("%s: %u balancers, %u servers in %u zones, %.0f queries a second for %.0f s, %zu troubles\n",
@@ -290,6 +317,15 @@
   running->add_option("--seed", asked.seed);
   running->add_option("--json", asked.json, "the result file");
   running->add_option("--log", asked.log, "the execution log, one JSON object a line");
+  CLI::App* drilling = scenario(app.add_subcommand("fleet", "plays one drill of a fleet's members"));
+  drilling->add_option("--clock", asked.clock, "virtual, or sockets with real processes")
+      ->check(CLI::IsMember({"virtual", "sockets"}));
+  drilling->add_option("--program", asked.program,
+                       "the rackroute that sockets start; else the one beside this");
+  drilling->add_option("--seed", asked.seed, "the first");
+  drilling->add_option("--seeds", asked.drills, "how many, from --seed on")->check(CLI::Range(1U, 10'000U));
+  drilling->add_option("--json", asked.json, "the result file");
+  drilling->add_option("--plot", asked.plot, "a picture of each member's view over time, as SVG");
   CLI::App* comparing = scenario(app.add_subcommand("compare", "plays one scenario with all policies"));
   experiment(comparing);
   CLI::App* sweeping = scenario(app.add_subcommand("sweep", "plays one scenario over values of a key"));
@@ -304,6 +340,7 @@
   try {
     app.parse(argc, argv);
     if (*running) return run(asked);
+    if (*drilling) return drillFleet(asked);
     if (*comparing) return compare(asked);
     if (*sweeping) return sweep(asked);
     if (*reporting) return report(asked);
--- a/src/lab/scenario.cpp
+++ b/src/lab/scenario.cpp
@@ -1,28 +1,18 @@
 #include "lab/scenario.hpp"
 
-#include <toml++/toml.h>
-
 #include <algorithm>
 #include <array>
-#include <charconv>
 #include <cmath>
-#include <fstream>
-#include <initializer_list>
-#include <iterator>
-#include <set>
-#include <sstream>
+
+#include "lab/section.hpp"
 
 namespace rackroute::lab {
 namespace {
 
 constexpr double kMostBalancers = 20000;  // a gigabyte or so of balancers
 constexpr double kMostServers = 2000;
-constexpr double kLongest = 3600;      // seconds
 constexpr double kMostRate = 100'000;  // queries a second; more outgrows any machine
 
-template <class Value>
-using Words = std::initializer_list<std::pair<std::string_view, Value>>;
-
 const Words<Shape>& shapes() {
   static const Words<Shape> words = {{"fixed", Shape::fixed},
                                      {"uniform", Shape::uniform},
@@ -53,113 +43,6 @@
   return words;
 }
 
-/// One table of the file. Each key that is read is ticked off; what is left at the end is unknown.
-class Section {
- public:
-  Section(const toml::table* table, std::string path, const std::string& file)
-      : table_(table), path_(std::move(path)), file_(file) {}
-
-  [[noreturn]] void fail(std::string_view key, const std::string& what) const {
-    const toml::node* node = table_ == nullptr ? nullptr : table_->get(key);
-    std::ostringstream line;
-    line << file_;
-    if (node != nullptr)
-      line << ':' << node->source().begin.line;
-    else if (table_ != nullptr && table_->source().begin.line > 0)
-      line << ':' << table_->source().begin.line;
-    line << ": " << path_ << key << ": " << what;
-    throw BadScenario(line.str());
-  }
-  double number(std::string_view key, double otherwise, double least, double most) {
-    const toml::node* node = find(key);
-    if (node == nullptr) return otherwise;
-    const auto value = node->value<double>();
-    if (!value || !node->is_number()) fail(key, "wants a number");
-    if (!(*value >= least && *value <= most)) {
-      std::ostringstream what;
-      what << "wants a number from " << least << " to " << most << ", not " << *value;
-      fail(key, what.str());
-    }
-    return *value;
-  }
-  std::uint32_t whole(std::string_view key, std::uint32_t otherwise, double least, double most) {
-    const double value = number(key, otherwise, least, most);
-    if (value != std::floor(value)) fail(key, "wants a whole number");
-    return static_cast<std::uint32_t>(value);
-  }
-  Span seconds(std::string_view key, double otherwise, double least = 0, double most = kLongest) {
-    return span(number(key, otherwise, least, most));
-  }
-  Span millis(std::string_view key, double otherwise, double least = 0, double most = 1000 * kLongest) {
-    return span(number(key, otherwise, least, most) / 1000);
-  }
-  bool yes(std::string_view key, bool otherwise) {
-    const toml::node* node = find(key);
-    if (node == nullptr) return otherwise;
-    if (!node->is_boolean()) fail(key, "wants true or false");
-    return node->value_or(otherwise);
-  }
-  std::string text(std::string_view key, const std::string& otherwise) {
-    const toml::node* node = find(key);
-    if (node == nullptr) return otherwise;
-    if (!node->is_string()) fail(key, "wants a text");
-    return node->value_or(otherwise);
-  }
-  template <class Value>
-  Value word(std::string_view key, Value otherwise, const Words<Value>& words) {
-    const std::string said = text(key, "");
-    if (said.empty()) return otherwise;
-    std::string known;
-    for (const auto& [word, value] : words) {
-      if (word == said) return value;
-      known.append(known.empty() ? "" : ", ").append(word);
-    }
-    fail(key, "wants one of " + known + ", not '" + said + "'");
-  }
-  Section sub(std::string_view key) {
-    const toml::node* node = find(key);
-    if (node != nullptr && !node->is_table()) fail(key, "wants a table");
-    return {node == nullptr ? nullptr : node->as_table(), path_ + std::string(key) + '.', file_};
-  }
-  std::vector<Section> each(std::string_view key) {
-    std::vector<Section> all;
-    const toml::node* node = find(key);
-    if (node == nullptr) return all;
-    if (!node->is_array_of_tables()) fail(key, "wants tables, [[" + std::string(key) + "]]");
-    std::size_t number = 0;
-    for (const toml::node& one : *node->as_array())
-      all.emplace_back(one.as_table(), path_ + std::string(key) + '.' + std::to_string(number++) + '.',
-                       file_);
-    return all;
-  }
-  [[nodiscard]] bool has(std::string_view key) const { return table_ != nullptr && table_->contains(key); }
-  /// Guards against a key misspelt, or with another unit, that would be passed over in silence.
-  void close() const {
-    if (table_ == nullptr) return;
-    for (const auto& [key, node] : *table_) {
-      if (!read_.contains(key.str())) fail(key.str(), "is unknown here" + nearest(key.str()));
-    }
-  }
-
- private:
-  const toml::node* find(std::string_view key) {
-    read_.emplace(key);
-    return table_ == nullptr ? nullptr : table_->get(key);
-  }
-  [[nodiscard]] std::string nearest(std::string_view key) const {
-    const std::string_view stem = key.substr(0, key.find('_'));
-    for (const std::string& known : read_) {
-      if (known.starts_with(stem)) return "; is " + known + " meant?";
-    }
-    return "";
-  }
-
-  const toml::table* table_;
-  std::string path_;
-  const std::string& file_;
-  std::set<std::string, std::less<>> read_;
-};
-
 void readFleet(Section all, Scenario& into) {
   Section fleet = all.sub("fleet");
   into.balancers = fleet.whole("balancers", 5, 1, kMostBalancers);
@@ -298,41 +181,6 @@
   expect.close();
 }
 
-void override(toml::table& table, const Override& change, const std::string& file) {
-  const auto& [path, value] = change;
-  const auto fail = [&](const std::string& what) { throw BadScenario(file + ": " + path + ": " + what); };
-  toml::node* node = &table;
-  std::size_t from = 0;
-  for (;;) {
-    const std::size_t dot = path.find('.', from);
-    const std::string part = path.substr(from, dot - from);
-    const bool last = dot == std::string::npos;
-    if (toml::array* array = node->as_array()) {
-      std::size_t at = array->size();
-      std::from_chars(part.data(), part.data() + part.size(), at);
-      if (at >= array->size() || last) fail("names no table of the file");
-      node = array->get(at);
-    } else if (toml::table* inner = node->as_table()) {
-      if (last) {
-        double number = 0;
-        const auto end = std::from_chars(value.data(), value.data() + value.size(), number);
-        if (end.ec == std::errc{} && end.ptr == value.data() + value.size())
-          inner->insert_or_assign(part, number);
-        else if (value == "true" || value == "false")
-          inner->insert_or_assign(part, value == "true");
-        else
-          inner->insert_or_assign(part, value);
-        return;
-      }
-      if (!inner->contains(part)) inner->insert(part, toml::table{});
-      node = inner->get(part);
-    } else {
-      fail("names no table of the file");
-    }
-    from = dot + 1;
-  }
-}
-
 }  // namespace
 
 double Scenario::meanWork() const {
@@ -378,15 +226,7 @@
 
 Scenario readScenarioText(std::string_view text, const std::string& file,
                           const std::vector<Override>& overrides) {
-  toml::table table;
-  try {
-    table = toml::parse(text, file);
-  } catch (const toml::parse_error& error) {
-    std::ostringstream line;
-    line << file << ':' << error.source().begin.line << ": " << error.description();
-    throw BadScenario(line.str());
-  }
-  for (const Override& change : overrides) override(table, change, file);
+  const toml::table table = readTable(text, file, overrides);
   Scenario scenario;
   scenario.file = file;
   Section all(&table, "", scenario.file);
@@ -408,10 +248,7 @@
 }
 
 Scenario readScenario(const std::string& file, const std::vector<Override>& overrides) {
-  std::ifstream in(file);
-  std::string text{std::istreambuf_iterator<char>(in), {}};
-  if (!in) throw BadScenario(file + ": can't be read");
-  return readScenarioText(text, file, overrides);
+  return readScenarioText(textOf(file), file, overrides);
 }
 
 }  // namespace rackroute::lab
