Put the fleet's view on the network: datagrams, exchanges, /ops/fleet, figures, hand-over

Need: the view of src/fleet/ was not in the program. src/sidecar/fleet_side carries it on the one loop, off unless "fleet" stands in the configuration, checked by key; an upgrade's two processes are one member; the module is told the safe count (Balancer::fleetOf) in place of the number told at the start.

--- a/include/rackroute/balancer.hpp
+++ b/include/rackroute/balancer.hpp
@@ -118,6 +118,8 @@
 
   QueryHandle take(Span now, const Query& query);
   void serversListed(Span now, Listing listing, std::span<const ListedServer> servers);
+  /// How many balancers there may be, in place of Terms::balancers; never fewer than may be running.
+  void fleetOf(std::uint32_t balancers);
   void discoveryFailed(Span now);
   void wake(Span now);
   /// Maintenance by hand: it gets nothing new until it is put back, whatever the lists say; then it counts as
--- a/src/decide/balancer.cpp
+++ b/src/decide/balancer.cpp
@@ -82,9 +82,8 @@
 }
 
 Fate fateAfter(Outcome outcome) {
-  for (const Outcome never : {Outcome::full, Outcome::connectFailed, Outcome::moot})
-    if (outcome == never) return Fate::neverRan;
-  return Fate::mayHaveRun;
+  using enum Outcome;
+  return outcome == full || outcome == connectFailed || outcome == moot ? Fate::neverRan : Fate::mayHaveRun;
 }
 
 bool isFailure(Outcome outcome) {  // full is back pressure; cancelled and moot say nothing
@@ -104,16 +103,18 @@
         served_(terms_.useCases.size()) {
     // Guards against a fleet that starts together and asks at once: discovery, which works through calls in
     // turn, would serve hardly any in time. Each asks at its own moment of what all of them take.
-    askAt_ = scaled(all_, draw());
+    askAt_ = scaled(allCalls(), draw());
     if (!terms_.discoveryOnRequest) askAt_ = Span::max();
     if (askAt_ <= Span{0}) wake(Span{0});
     arm(Span{0});
   }
 
+  void fleetOf(std::uint32_t balancers) { terms_.balancers = std::max(balancers, 1U); }
+
   // ---- The list: the last good set is held through errors and doubtful lists.
 
   void serversListed(Span now, Listing listing, std::span<const ListedServer> servers) {
-    if (listing != Listing::persisted) askBackoff_ = std::max(kFirstAsk, all_);
+    if (listing != Listing::persisted) askBackoff_ = std::max(kFirstAsk, allCalls());
     if (listing != Listing::changes) dropAbsent(now, listing, servers);
     for (const ListedServer& listed : servers) update(now, listed);
     fillSet(now);
@@ -148,7 +149,7 @@
   // Guards against a registry that is out of reach: the held set stays, and the call is repeated later.
   void discoveryFailed(Span now) {
     askAt_ = now + scaled(askBackoff_, 0.25 + draw());
-    askBackoff_ = std::min(2 * askBackoff_, std::max(kLastAsk, all_));
+    askBackoff_ = std::min(2 * askBackoff_, std::max(kLastAsk, allCalls()));
     arm(now);
   }
 
@@ -437,6 +438,8 @@
     return std::max(kFirstLimit * std::max(listedCount_ / members, 1.0) / terms_.balancers, 1 / members);
   }
 
+  [[nodiscard]] Span allCalls() const { return std::min(kAllCalls, kOneCall * (terms_.balancers - 1)); }
+
   [[nodiscard]] static bool inPool(Span now, const Server& s) { return s.used && open(now, s); }
 
   // ---- The pool: failure runs eject until a trial, and ejection halts at a capped share.
@@ -955,8 +958,7 @@
   double saved_ = 1;  // seconds of execution that the limits allow; at the start all that may be saved
   Span savedAt_{};
   Span askAt_ = Span::max();
-  Span all_ = std::min(kAllCalls, kOneCall*(terms_.balancers - 1));  // in which all balancers ask once
-  Span askBackoff_ = std::max(kFirstAsk, all_);
+  Span askBackoff_ = std::max(kFirstAsk, allCalls());
   Span wakeAt_ = Span::max();
   bool doubting_ = false;
   bool listAgain_ = false;
@@ -974,6 +976,7 @@
 void Balancer::serversListed(Span now, Listing listing, std::span<const ListedServer> servers) {
   decider_->serversListed(now, listing, servers);
 }
+void Balancer::fleetOf(std::uint32_t balancers) { decider_->fleetOf(balancers); }
 void Balancer::discoveryFailed(Span now) { decider_->discoveryFailed(now); }
 void Balancer::wake(Span now) { decider_->wake(now); }
 void Balancer::takeOut(Span now, ServerId server) { decider_->takeOut(now, server); }
--- a/src/fleet/membership.cpp
+++ b/src/fleet/membership.cpp
@@ -28,6 +28,7 @@
 constexpr double kExchangeSoon = 0.5;        // of a period, while much changes
 constexpr double kUnsettled = 3;             // periods after much has changed at once
 constexpr double kExchangeSeldom = 30;       // periods, by chance; equal views cost a few bytes
+constexpr std::uint32_t kAgreed = 4;         // views in a row like one's own; then much that changed is known
 constexpr double kExchangeWait = 2;          // periods between two because of views that differ
 constexpr double kLongestExchangeWait = 64;  // periods, where exchanges leave the views different
 constexpr double kReach = 4;                 // a period: tries of the whole fleet to find those it lost
@@ -35,17 +36,18 @@
 constexpr double kJoinOver = 1;              // periods over which those who start together ask
 constexpr std::uint32_t kAloneQuick = 5;     // tries, one a period, of one that knows nobody
 constexpr double kAloneSlow = 0.2;           // of its periods from then on; a thousand of them ask too
-constexpr double kTellAccused = 0.1;         // of a period
-constexpr std::size_t kAccusedAtOnce = 2;    // told in that time; the fleet's others tell the rest
-constexpr double kNameAsked = 3;             // periods without an answer; then a name is free
-constexpr double kPartialBelow = 0.75;       // of those that may be running, alive; a quarter out is a cut
-constexpr double kWholeFrom = 0.9;           // of them; well apart from the other
-constexpr double kFalls = 2;                 // periods of hearing less, before it says so
-constexpr double kRises = 3;                 // periods of hearing more
-constexpr double kStall = 0.5;               // of a period late; no timer of a healthy process is
-constexpr double kDoubtsItself = 3;          // periods after a stall
-constexpr std::size_t kFarewells = 10;       // members told of a leave; one lost in ten leaves nine
-constexpr Span kKeepLeft = 1h;               // above any time that old messages are under way
+constexpr double kAccusers = 20;      // members of all that tell one that it is thought dead, an exchange
+constexpr double kTellAccused = 0.1;  // of a period
+constexpr std::size_t kAccusedAtOnce = 2;  // told in that time; the fleet's others tell the rest
+constexpr double kNameAsked = 3;           // periods without an answer; then a name is free
+constexpr double kPartialBelow = 0.75;     // of those that may be running, alive; a quarter out is a cut
+constexpr double kWholeFrom = 0.9;         // of them; well apart from the other
+constexpr double kFalls = 2;               // periods of hearing less, before it says so
+constexpr double kRises = 3;               // periods of hearing more
+constexpr double kStall = 0.5;             // of a period late; no timer of a healthy process is
+constexpr double kDoubtsItself = 3;        // periods after a stall
+constexpr std::size_t kFarewells = 10;     // members told of a leave; one lost in ten leaves nine
+constexpr Span kKeepLeft = 1h;             // above any time that old messages are under way
 constexpr std::uint64_t kLatestStart = std::uint64_t{1} << 52U;  // ms; no clock is there for ages
 constexpr std::uint32_t kLastIncarnation = 0x7fffffffU;          // then a new start; never met in practice
 constexpr std::size_t kLongestName = 64;                         // bytes; of names and zones
@@ -193,14 +195,19 @@
     // One that was thought dead talks: this heals a fleet that was cut in two. It must say so itself, with a
     // higher incarnation, as the message may be an old one; and it may know of many more.
     if (sender->life != message.self.life) return;
-    accused_.emplace(sender->id, now);
+    accused_.insert(sender->id);
     accuseAt_ = std::min(accuseAt_, now);
     if (now - exchangedAt_ > rhythm_.period) exchangeNow(now, sender->card->address);
     return;
   }
   if (message.digest == digest()) {
     exchangeWait_ = scaled(rhythm_.period, kExchangeWait);
-  } else if (now - changedAt_ > scaled(rhythm_.period, kExchangeWait) && now - exchangedAt_ > exchangeWait_) {
+    // What exchanges have brought to all need not be told on, word by word.
+    if (++agreed_ >= kAgreed && rumours_.size() > kFewChanges) rumours_.clear();
+    return;
+  }
+  agreed_ = 0;
+  if (now - changedAt_ > scaled(rhythm_.period, kExchangeWait) && now - exchangedAt_ > exchangeWait_) {
     // Doubled each time, so that views that can't agree, as one is full, do not cost an exchange a second.
     exchangeWait_ = std::min(2 * exchangeWait_, scaled(rhythm_.period, kLongestExchangeWait));
     exchangeNow(now, sender->card->address);
@@ -255,7 +262,7 @@
       // It lives for others and is dead here: it is to hear of that, as only it can end that.
       if (source == Source::exchange && held->state == State::dead && word.life == held->life &&
           word.state != State::left)
-        accused_.emplace(held->id, now);
+        accuse(now, held->id);
       return;
     }
     // Guards against a part of the fleet that was cut off and has buried all of this one: in an exchange a
@@ -265,15 +272,15 @@
       if (held->state == State::suspect && held->life == word.life) return;
       taken.state = State::suspect;
       taken.from = word.from;
-      accused_.emplace(word.id, now);
+      accuse(now, word.id);
     }
   }
-  if (!accused_.empty()) accuseAt_ = std::min(accuseAt_, now + scaled(rhythm_.period, kTellAccused * draw()));
   const std::optional<State> was = held != nullptr ? std::optional(held->state) : std::nullopt;
   const View::Taken how = view_.take(now, taken);
   if (how == View::Taken::full) ++figures_.refusedFull;
   if (how == View::Taken::nothing || how == View::Taken::full) return;
   changedAt_ = now;
+  agreed_ = 0;
   const Held& made = *view_.find(taken.id);
   if (how == View::Taken::fresh) {
     // At a random place, so that those who are new are probed as soon as others.
@@ -304,7 +311,10 @@
     suspicion.life = held.life;
     suspicion.begun = now;
   }
-  if (!suspicion.by.insert(by).second || suspicion.by.size() == 1) return;
+  const bool confirms = suspicion.by.insert(by).second;
+  suspicion.ends = deadline(suspicion);
+  ripeAt_ = std::min(ripeAt_, suspicion.ends);
+  if (!confirms || suspicion.by.size() == 1) return;
   // The first few that confirm it are told on, as they shorten it everywhere.
   if (suspicion.by.size() > kConfirmed + 1 || !rhythm_.lifeguard) return;
   Word word = wordOf(now, held);
@@ -331,9 +341,14 @@
   // Guards against a member that hears but is not heard, or hears nobody: it would bury all the others. While
   // nobody answers it at all it doubts itself.
   if (rhythm_.lifeguard && unheard_ > 0) return;
+  if (now < ripeAt_) return;
+  ripeAt_ = Span::max();
   std::vector<MemberId> over;
   for (const auto& [id, suspicion] : suspicions_) {
-    if (deadline(suspicion) <= now) over.push_back(id);
+    if (suspicion.ends <= now)
+      over.push_back(id);
+    else
+      ripeAt_ = std::min(ripeAt_, suspicion.ends);
   }
   for (const MemberId id : over) {
     const Held* const held = view_.find(id);
@@ -547,11 +562,18 @@
   for (const Held* member : drawLiving(kFanout, self_.id)) send(member->card->address, Message{});
 }
 
+// A few of all who learn of it tell it, or a thousand would.
+void Membership::accuse(Span now, MemberId id) {
+  if (draw() * static_cast<double>(view_.living()) >= kAccusers) return;
+  accused_.insert(id);
+  accuseAt_ = std::min(accuseAt_, now + scaled(rhythm_.period, kTellAccused * draw()));
+}
+
 void Membership::tellAccused(Span now) {
   for (std::size_t told = 0; told < kAccusedAtOnce && !accused_.empty();) {
     auto at = accused_.begin();
     std::advance(at, static_cast<std::ptrdiff_t>(pick(accused_.size())));
-    const Held* const held = view_.find(at->first);
+    const Held* const held = view_.find(*at);
     accused_.erase(at);
     if (held == nullptr) continue;
     if (const std::optional<Word> word = wordFor(held->id)) {
@@ -597,7 +619,11 @@
   feel(1);
   probe_.reset();
   favours_.clear();
-  for (auto& [id, suspicion] : suspicions_) suspicion.begun += late;
+  for (auto& [id, suspicion] : suspicions_) {
+    suspicion.begun += late;
+    suspicion.ends += late;
+  }
+  if (ripeAt_ != Span::max()) ripeAt_ += late;
   for (Span* timer : {&probeAt_, &spreadAt_, &accuseAt_, &exchangeAt_, &forgetAt_, &joinAt_})
     *timer = std::max(*timer, now);
   stalledUntil_ = now + scaled(rhythm_.period, kDoubtsItself);
@@ -666,9 +692,7 @@
   if (probe_) due_ = std::min({due_, probe_->askOthersAt, probe_->endsAt});
   for (const auto& [number, favour] : favours_)
     due_ = std::min(due_, favour.told ? favour.endsAt : favour.nackAt);
-  if (!rhythm_.lifeguard || unheard_ == 0) {
-    for (const auto& [id, suspicion] : suspicions_) due_ = std::min(due_, deadline(suspicion));
-  }
+  if (!rhythm_.lifeguard || unheard_ == 0) due_ = std::min(due_, ripeAt_);
   due_ = std::max(due_, now);  // what is overdue now is no stall
 }
 
--- a/src/fleet/membership.hpp
+++ b/src/fleet/membership.hpp
@@ -108,6 +108,7 @@
   struct Suspicion {
     Life life;
     Span begun{};
+    Span ends{};
     std::set<MemberId> by;
   };
   struct Favour {  // a probe for another member
@@ -137,6 +138,7 @@
   void reachOut(Span now);
   void askForName(Span now);
   void spread(Span now);
+  void accuse(Span now, MemberId id);
   void tellAccused(Span now);
   void exchangeNow(Span now, const std::string& address);
   void exchangeByChance(Span now);
@@ -164,7 +166,7 @@
   std::vector<MemberId> order_;  // whom to probe, the next one last
   std::optional<Probe> probe_;
   std::map<std::uint32_t, Favour> favours_;  // by the number of the probe
-  std::map<MemberId, Span> accused_;         // living ones that others think dead; since when
+  std::set<MemberId> accused_;               // those that others think dead, or living, against this view
   std::uint32_t lastNumber_ = 0;
   std::uint32_t ill_ = 0;  // Lifeguard's local health: 0 is well
   Span probeAt_ = Span::max();
@@ -173,6 +175,8 @@
   Span exchangeAt_ = Span::max();
   Span forgetAt_ = Span::max();
   Span joinAt_ = Span::max();
+  Span ripeAt_ = Span::max();  // no suspicion ends before
+  std::uint32_t agreed_ = 0;   // members in a row whose views were the same
   Span due_ = Span::max();
   Span changedAt_{};           // the view
   Span exchangedAt_{};         // with anyone
--- a/src/lab/fleet/virtual_fleet.cpp
+++ b/src/lab/fleet/virtual_fleet.cpp
@@ -129,7 +129,7 @@
     if (passage.spoilt) continue;  // it can't be read
     if (!shared) shared = std::make_shared<const Message>(message);
     timeline_.in(passage.delay, [this, place, bytes, shared] {
-      judge_.got(now(), memberOf(place), bytes);
+      if (places_[place]->membership) judge_.got(now(), memberOf(place), bytes);
       at(place, [this, shared](Membership& member) { member.heard(now(), *shared); });
     });
   }
--- a/src/sidecar/admin_side.cpp
+++ b/src/sidecar/admin_side.cpp
@@ -12,6 +12,7 @@
 #include "http/message.hpp"
 #include "sidecar/connection.hpp"
 #include "sidecar/exchange.hpp"
+#include "sidecar/fleet_side.hpp"
 #include "sidecar/log.hpp"
 
 namespace rackroute::sidecar {
@@ -82,8 +83,10 @@
       return maintain(path.substr(down ? kDown.size() : kUp.size()), down);
     }
     const bool readiness = path == "/ops/readiness";
-    if (!readiness && path != "/ops/stats") return answer("404 Not Found", "no such call\n");
+    const bool fleet = path == "/ops/fleet" && side_.fleet_ != nullptr;
+    if (!readiness && !fleet && path != "/ops/stats") return answer("404 Not Found", "no such call\n");
     if (method != "GET") return answer("405 Method Not Allowed", "GET it\n", "Allow: GET\r\n");
+    if (fleet) return answer("200 OK", side_.fleet_->json(), "Content-Type: application/json\r\n");
     if (!readiness) return answer("200 OK", side_.figures(), "Content-Type: text/plain; version=0.0.4\r\n");
     if (side_.ready_) return answer("200 OK", "ready\n");
     answer("503 Service Unavailable", "not ready\n");
@@ -189,6 +192,7 @@
   figure("open_requests", "gauge", "Requests taken and not ended.", exchange_.open());
   figure("registry_entries", "gauge", "Servers in discovery's list.", exchange_.listed());
   figure("out_of_rotation", "gauge", "Listed servers that get nothing now.", exchange_.avoided());
+  if (fleet_ != nullptr) fleet_->figures(out);
   return out.str();
 }
 
--- a/src/sidecar/admin_side.hpp
+++ b/src/sidecar/admin_side.hpp
@@ -22,6 +22,7 @@
 
 class AdminConnection;
 class Exchange;
+class FleetSide;
 
 /// What an operator asks for a server, and the yes or no that comes once it holds.
 using Maintenance = std::function<void(ServerId server, bool out, std::function<void(bool)> said)>;
@@ -34,6 +35,8 @@
   ~AdminSide();
 
   void listen(const Poco::Net::SocketAddress& address);
+  /// Tells of the fleet too; it must outlive this.
+  void show(const FleetSide& fleet) { fleet_ = &fleet; }
   /// Whether this process is ready to serve, as it tells.
   void ready(bool yes) { ready_ = yes; }
 
@@ -48,6 +51,7 @@
   Exchange& exchange_;
   const told::Told& told_;
   Maintenance maintain_;
+  const FleetSide* fleet_ = nullptr;
   Poco::Net::ServerSocket listener_;
   std::list<std::shared_ptr<AdminConnection>> connections_;  // the oldest first
   bool ready_ = false;
--- a/src/sidecar/exchange.hpp
+++ b/src/sidecar/exchange.hpp
@@ -61,6 +61,8 @@
                       const std::shared_ptr<const http::Message>& answer);
   void serversListed(const Listed& listed);
   void discoveryFailed();
+  /// How many balancers there may be, as the fleet's members know it.
+  void fleetOf(std::uint32_t balancers) { balancer_->fleetOf(balancers); }
   /// Maintenance by hand, to be repeated at will; whether a list ever named it tells known().
   void takeOut(ServerId server);
   void putBack(ServerId server, Span at);
--- a/src/sidecar/handover.cpp
+++ b/src/sidecar/handover.cpp
@@ -333,6 +333,7 @@
     listener_.reset();
   }
   clients_->yield(true);
+  if (fleetYields_) fleetYields_(true);
   peer.say("kept 0");
 }
 
@@ -345,6 +346,7 @@
   shared_();
   if (!succeeded || stopped_) return;
   clients_->yield(false);
+  if (fleetYields_) fleetYields_(false);
   listen();
 }
 
@@ -404,6 +406,7 @@
   for (const ServerId server : exchange_->everListed()) ever->add(std::to_string(server.value));
   state->set("ever", ever);
   state->set("learned", handover::text(exchange_->learned()));
+  if (fleetState_) state->set("fleet", fleetState_());
   std::ostringstream text;
   state->stringify(text);
   return text.str();
--- a/src/sidecar/handover.hpp
+++ b/src/sidecar/handover.hpp
@@ -49,6 +49,12 @@
   /// one is to be called ready, and each time that a second process comes or goes.
   void start(Exchange& exchange, ClientSide& clients, Discovery& discovery, std::function<void()> ready,
              std::function<void()> shared);
+  /// What else the successor goes on with, and who is to step back for it, or go on if it ends. Before
+  /// start().
+  void handOn(std::function<std::string()> state, std::function<void(bool)> yield) {
+    fleetState_ = std::move(state);
+    fleetYields_ = std::move(yield);
+  }
   /// What an operator says of a server; tells once it holds, in both processes.
   void say(ServerId server, bool out, std::function<void(bool)> said);
   void stop();
@@ -81,6 +87,8 @@
   ClientSide* clients_ = nullptr;
   Discovery* discovery_ = nullptr;
   std::function<void()> shared_;
+  std::function<std::string()> fleetState_;
+  std::function<void(bool)> fleetYields_;
   std::optional<Poco::Net::StreamSocket> asked_;
   std::unique_ptr<Poco::Net::ServerSocket> listener_;
   std::map<HandoverPeer*, std::shared_ptr<HandoverPeer>> peers_;
--- a/src/sidecar/main.cpp
+++ b/src/sidecar/main.cpp
@@ -30,6 +30,8 @@
 #include "sidecar/client_side.hpp"
 #include "sidecar/discovery.hpp"
 #include "sidecar/exchange.hpp"
+#include "sidecar/fleet_side.hpp"
+#include "sidecar/fleet_told.hpp"
 #include "sidecar/handover.hpp"
 #include "sidecar/log.hpp"
 #include "sidecar/loop.hpp"
@@ -48,6 +50,8 @@
 constexpr std::size_t kMostBacklog = 256 * 1024;  // bytes a connection; more makes nothing quicker
 constexpr std::size_t kForDoor = 56;  // descriptors; the door's 32 and the program's own dozen, and a margin
 
+constexpr std::size_t kForFleet = 40;  // descriptors; exchanges at a time, two sockets and a margin
+
 int signalEnds[2] = {-1, -1};
 
 void onSignal(int number) {
@@ -121,6 +125,7 @@
   std::optional<rlim_t> descriptors;
   std::optional<std::uint64_t> megabytes;         // of memory
   std::optional<Poco::Net::SocketAddress> admin;  // the operators' door, where there is one
+  std::optional<FleetTold> fleet;                 // the fleet, where members talk to each other
   Var known;
 };
 
@@ -152,6 +157,10 @@
   auto door = document->optValue<std::string>("admin", "");
   if (const char* const given = std::getenv("LB_ADMIN"); given != nullptr && *given != '\0') door = given;
   if (!door.empty()) made.admin = numericAddress(door);
+  if (const Var fleet = document->get("fleet"); !fleet.isEmpty()) {
+    const auto zone = made.pairs.find("locality");
+    made.fleet = readFleet(fleet, made.name, zone != made.pairs.end() ? zone->second : "");
+  }
   return made;
 }
 
@@ -177,7 +186,8 @@
     clients.limitBacklog(std::clamp(each, kLeastBacklog, kMostBacklog));
     servers.limitBacklog(std::clamp(each, kLeastBacklog, kMostBacklog));
   }
-  if (told.admin) servers.limitConnections(all / 2 - std::min(kForDoor, all / 4));
+  const std::size_t kept = (told.admin ? kForDoor : 0) + (told.fleet ? kForFleet : 0);
+  if (kept > 0) servers.limitConnections(all / 2 - std::min(kept, all / 4));
 }
 
 // Guards against a reload that costs service: a file that can't be used changes nothing, and one that can
@@ -192,6 +202,7 @@
     if (anew.listen != told.listen) waits += ",listen";
     if (anew.admin != told.admin) waits += ",admin";
     if (anew.name != told.name) waits += ",name";
+    if (anew.fleet != told.fleet) waits += ",fleet";
     if (anew.pairs != told.pairs) waits += ",settings";
     Line(Level::info) << "reloaded discovery=" << anew.discovery.toString()
                       << (waits.empty() ? "" : " needs_restart=") << waits.substr(waits.empty() ? 0 : 1);
@@ -252,9 +263,17 @@
   AdminSide admin(loop, exchange, told, [&](ServerId server, bool out, std::function<void(bool)> said) {
     change.say(server, out, std::move(said));
   });
+  std::optional<FleetSide> fleet;
+  if (assignment.fleet) {
+    fleet.emplace(loop, *assignment.fleet, assignment.seed,
+                  [&](std::uint32_t members) { exchange.fleetOf(std::max(members, told.terms.balancers)); });
+    admin.show(*fleet);
+    change.handOn([&] { return fleet->state(); }, [&](bool yes) { fleet->yield(yes); });
+  }
   const auto stop = [&] {
     Line(Level::info) << "stopping";
     admin.ready(false);
+    if (fleet) fleet->leave();
     change.stop();
     clients.stop([&] { loop.stop(); });
   };
@@ -274,8 +293,14 @@
     if (const auto learned = handover::readLearned(inherited->state->optValue<std::string>("learned", "")))
       exchange.learn(*learned);
   }
+  if (fleet && !inherited) fleet->start();
   change.start(
-      exchange, clients, discovery, [&] { admin.ready(true); },
+      exchange, clients, discovery,
+      [&] {
+        // Two processes are one member: this one takes part once the other has stepped back.
+        if (fleet && inherited) fleet->succeed(inherited->state->optValue<std::string>("fleet", ""));
+        admin.ready(true);
+      },
       [&] { limitDescriptors(assignment, clients, servers, change.isShared()); });
   Line(Level::info) << "listening name=" << assignment.name << " address=" << assignment.listen
                     << " servers=" << known.servers.size();
