--- /dev/null
+++ b/src/lab/fleet/process_fleet.cpp
@@ -0,0 +1,216 @@
+#include "lab/fleet/process_fleet.hpp"
+
+#include <Poco/TemporaryFile.h>
+#include <fcntl.h>
+#include <signal.h>
+#include <sys/prctl.h>
+#include <sys/resource.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <csignal>
+#include <fstream>
+#include <memory>
+#include <sstream>
+#include <stdexcept>
+#include <thread>
+#include <vector>
+
+#include "lab/fleet/rig.hpp"
+#include "sidecar/log.hpp"
+#include "sidecar/loop.hpp"
+
+namespace rackroute::lab {
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr std::uint32_t kMostProcesses = 250;  // last numbers of loopback addresses; memory for as many
+constexpr auto kStops = 5s;                    // after TERM; then it is killed
+constexpr Span kTell = 1s;                     // between two words on how far the run is
+
+volatile std::sig_atomic_t brokenOff = 0;
+void breakOff(int) { brokenOff = 1; }
+
+class ProcessFleet {
+ public:
+  ProcessFleet(const Drill& drill, const DrillPlan& plan)
+      : drill_(drill),
+        plan_(plan),
+        rig_(loop_, drill, plan.seed,
+             {[this](std::uint32_t place) { start(place); },
+              [this](std::uint32_t place, int number) { signal(place, number); }}),
+        processes_(rig_.places()) {}
+  ProcessFleet(const ProcessFleet&) = delete;
+  ProcessFleet& operator=(const ProcessFleet&) = delete;
+  // Guards against processes that outlive the run, whatever ended it.
+  ~ProcessFleet() {
+    for (const Process& process : processes_) {
+      if (process.id > 0) ::kill(process.id, SIGCONT);
+      if (process.id > 0) ::kill(process.id, SIGTERM);
+    }
+    const auto last = std::chrono::steady_clock::now() + kStops;
+    for (Process& process : processes_) {
+      while (process.id > 0 && ::waitpid(process.id, nullptr, WNOHANG) == 0) {
+        if (std::chrono::steady_clock::now() > last) ::kill(process.id, SIGKILL);
+        std::this_thread::sleep_for(5ms);
+      }
+      process.id = 0;
+    }
+  }
+
+  Json run() {
+    // Guarded, so that the loop's first poll ends with the first timer.
+    loop_.guarded([this] {
+      rig_.begin(false);
+      watch();
+    });
+    loop_.run();
+    Json run = rig_.finish();
+    measure(run);
+    if (crashed_ > 0) {
+      run["kept"] = false;
+      run["broken"].push_back({{"promise", "no process ends by itself"},
+                               {"second", seconds(rig_.now())},
+                               {"member", std::string("m").append(std::to_string(crash_))},
+                               {"what", std::to_string(crashed_) + " ended"}});
+    }
+    run["broken_off"] = brokenOff != 0;
+    return run;
+  }
+
+ private:
+  struct Process {
+    pid_t id = 0;
+    bool mayEnd = false;
+    std::unique_ptr<Poco::TemporaryFile> file;
+  };
+
+  void start(std::uint32_t place) {
+    Process& process = processes_[place];
+    reap(process);
+    // Guards against one that was told to end and still does: the new one would not get its address.
+    if (process.id > 0) ::kill(process.id, SIGKILL);
+    if (process.id > 0) ::waitpid(process.id, nullptr, 0);
+    Json told = rig_.told(place);
+    told["listen"] = rig_.clientsAt(place);
+    told["discovery"] = "127.0.0.1:1";  // nobody is there: lists come with the configuration
+    told["seed"] = std::to_string(1000 + place);
+    told["limits"]["sockets"] = 256;
+    told["known"] = {{"index", 0}, {"snapshot", true}, {"endpoints", Json::array()}};
+    told["settings"]["locality"] = std::string("z").append(std::to_string(place % drill_.zones));
+    told["settings"]["use_cases"] = {
+        {{"name", "read"}, {"effect", "retryable"}, {"group", "all"}, {"slo_time_ms", 500.0}}};
+    told["settings"]["bounds"] = {{"max_executions", 2}, {"dial_timeout_ms", 250.0}};
+    if (!process.file) process.file = std::make_unique<Poco::TemporaryFile>();
+    std::ofstream(process.file->path()) << told.dump();
+    const std::string config = "LB_CONFIG=" + process.file->path();
+    const std::string level = plan_.logs.empty() ? "RACKROUTE_LOG=error" : "RACKROUTE_LOG=info";
+    const std::string log =
+        plan_.logs.empty() ? "/dev/null" : plan_.logs + "/m" + std::to_string(place) + ".log";
+    const pid_t parent = ::getpid();
+    const pid_t id = ::fork();
+    if (id < 0) throw std::runtime_error("no process can be started");
+    if (id == 0) {
+      // Only what may be called between fork and exec.
+      ::prctl(PR_SET_PDEATHSIG, SIGKILL);
+      if (::getppid() != parent) ::_exit(1);
+      const int out = ::open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0644);
+      if (out >= 0) ::dup2(out, STDERR_FILENO);
+      ::signal(SIGINT, SIG_IGN);
+      char* const arguments[] = {const_cast<char*>(plan_.program.c_str()), nullptr};
+      char* const environment[] = {const_cast<char*>(config.c_str()), const_cast<char*>(level.c_str()),
+                                   nullptr};
+      ::execve(plan_.program.c_str(), arguments, environment);
+      ::_exit(1);
+    }
+    process.id = id;
+    process.mayEnd = false;
+  }
+
+  void signal(std::uint32_t place, int number) {
+    Process& process = processes_[place];
+    if (process.id <= 0) return;
+    ::kill(process.id, number);
+    if (number == SIGTERM) process.mayEnd = true;
+    if (number != SIGKILL) return;
+    ::waitpid(process.id, nullptr, 0);
+    process.id = 0;
+  }
+
+  /// True: it has ended.
+  static bool reap(Process& process) {
+    if (process.id <= 0 || ::waitpid(process.id, nullptr, WNOHANG) != process.id) return false;
+    process.id = 0;
+    return true;
+  }
+
+  void watch() {
+    for (std::uint32_t i = 0; i < processes_.size(); ++i) {
+      if (!reap(processes_[i]) || processes_[i].mayEnd) continue;
+      ++crashed_;
+      crash_ = i;
+    }
+    if (plan_.progress) plan_.progress(std::min(1.0, seconds(rig_.now()) / seconds(drill_.length)));
+    if (rig_.now() >= drill_.length || brokenOff != 0) return loop_.stop();
+    loop_.in(kTell, [this] { watch(); });
+  }
+
+  // Processor time and memory of those that still run, from the system's own account of them.
+  void measure(Json& run) {
+    double ticks = 0;
+    double age = 0;
+    double memory = 0;
+    double count = 0;
+    const auto perSecond = static_cast<double>(::sysconf(_SC_CLK_TCK));
+    std::ifstream up("/proc/uptime");
+    double uptime = 0;
+    up >> uptime;
+    for (const Process& process : processes_) {
+      if (process.id <= 0) continue;
+      std::ifstream stat("/proc/" + std::to_string(process.id) + "/stat");
+      std::string field;
+      std::vector<std::string> fields;
+      while (stat >> field) fields.push_back(field);
+      if (fields.size() < 24) continue;
+      ticks += std::stod(fields[13]) + std::stod(fields[14]);
+      age += uptime - std::stod(fields[21]) / perSecond;
+      memory += std::stod(fields[23]) * static_cast<double>(::sysconf(_SC_PAGESIZE));
+      ++count;
+    }
+    if (count == 0) return;
+    run["figures"]["cpu_share_of_a_core"] = ticks / perSecond / std::max(age, 1.0);
+    run["figures"]["resident_mib"] = memory / count / (1 << 20);
+  }
+
+  const Drill& drill_;
+  const DrillPlan& plan_;
+  sidecar::Loop loop_;
+  Rig rig_;
+  std::vector<Process> processes_;
+  std::uint64_t crashed_ = 0;
+  std::uint32_t crash_ = 0;
+};
+
+}  // namespace
+
+Json playDrillProcesses(const Drill& drill, const DrillPlan& plan) {
+  if (drill.members > kMostProcesses)
+    throw BadScenario(drill.file + ": fleet.members: with processes at most " +
+                      std::to_string(kMostProcesses));
+  if (drill.warm || !drill.lifeguard)
+    throw BadScenario(drill.file + ": fleet.warm and fleet.lifeguard go with virtual time");
+  if (!sidecar::setLevel("error")) throw std::logic_error("no such level");
+  // Each member has two sockets here, and connections pass through.
+  rlimit limit{};
+  ::getrlimit(RLIMIT_NOFILE, &limit);
+  limit.rlim_cur = std::min<rlim_t>(limit.rlim_max, 16'384);
+  ::setrlimit(RLIMIT_NOFILE, &limit);
+  std::signal(SIGPIPE, SIG_IGN);
+  std::signal(SIGINT, breakOff);
+  std::signal(SIGTERM, breakOff);
+  return ProcessFleet(drill, plan).run();
+}
+
+}  // namespace rackroute::lab
