--- a/src/fleet/membership.cpp
+++ b/src/fleet/membership.cpp
@@ -149,7 +149,7 @@
     case Kind::ack:
       if (probe_ && probe_->number == message.number && probe_->target == message.about) {
         probe_.reset();
-        unheard_ = 0;
+        answered(now);
         feel(-1);
       } else if (const auto at = favours_.find(message.number);
                  at != favours_.end() && at->second.target == message.about) {
@@ -178,7 +178,10 @@
       break;
     }
     case Kind::nack:
-      if (probe_ && probe_->number == message.number) ++probe_->heardOf;
+      if (probe_ && probe_->number == message.number) {
+        ++probe_->heardOf;
+        answered(now);
+      }
       break;
     case Kind::news:
       break;
@@ -486,7 +489,7 @@
   if (now < probe_->endsAt) return;
   const Probe over = *std::exchange(probe_, std::nullopt);
   ++figures_.probesLost;
-  unheard_ = over.heardOf > 0 ? 0 : unheard_ + 1;
+  if (over.heardOf == 0) ++unheard_;
   feel(over.asked > 0 ? static_cast<int>(over.asked) - static_cast<int>(std::min(over.heardOf, over.asked))
                       : 1);
   const Held* const held = view_.find(over.target);
@@ -652,6 +655,18 @@
   }
 }
 
+// Guards against a member that was cut off and is heard again: what it suspected meanwhile was its own
+// trouble, and those it suspects are to have the time to say so.
+void Membership::answered(Span now) {
+  if (std::exchange(unheard_, 0U) == 0) return;
+  ripeAt_ = Span::max();
+  for (auto& [id, suspicion] : suspicions_) {
+    suspicion.begun = now;
+    suspicion.ends = deadline(suspicion);
+    ripeAt_ = std::min(ripeAt_, suspicion.ends);
+  }
+}
+
 void Membership::feel(int by) {
   if (!rhythm_.lifeguard) return;
   ill_ = static_cast<std::uint32_t>(std::clamp(static_cast<int>(ill_) + by, 0, static_cast<int>(kMostIll)));
--- a/src/fleet/membership.hpp
+++ b/src/fleet/membership.hpp
@@ -144,6 +144,7 @@
   void exchangeByChance(Span now);
   void compare(Span now, const Message& message);
   void listen(Span now);
+  void answered(Span now);
 
   void send(const std::string& address, Message message, std::optional<Word> first = std::nullopt);
   [[nodiscard]] std::optional<Word> wordFor(MemberId id) const;
--- a/src/sidecar/main.cpp
+++ b/src/sidecar/main.cpp
@@ -304,7 +304,7 @@
       [&] { limitDescriptors(assignment, clients, servers, change.isShared()); });
   Line(Level::info) << "listening name=" << assignment.name << " address=" << assignment.listen
                     << " servers=" << known.servers.size();
-  loop.guarded([] {});  // so that the first poll ends with the first timer
+  if (fleet) loop.guarded([] {});  // so that the first poll ends with the first timer
   loop.run();
 
   std::ostringstream counters;
