Bound a whole view by the members allowed, and show a flood dropped within bounds

Found on reading: a connection might have sent 4 MiB to a fleet of ten; an upgrade that moved its address kept the old card within one start; one that steps back in counted the time it was away as others' silence.

--- a/src/fleet/membership.cpp
+++ b/src/fleet/membership.cpp
@@ -78,7 +78,7 @@
 }
 
 void Membership::begin(Span now) {
-  begun_ = true;
+  if (std::exchange(begun_, true)) notice(now);  // it stepped back for another process that has ended
   changedAt_ = exchangedAt_ = now;
   exchangeWait_ = scaled(rhythm_.period, kExchangeWait);
   // Guards against a fleet that starts together and probes together from then on.
--- a/src/fleet/view.cpp
+++ b/src/fleet/view.cpp
@@ -56,7 +56,7 @@
     if (!outranks(word.life, word.state, at->life, at->state)) return Taken::nothing;
     count(*at, false);
     const bool comes = !lives(at->state) && lives(word.state);
-    if (at->life.start != word.life.start) at->card = word.card;
+    if (at->life != word.life) at->card = word.card;  // an upgrade may have moved it
     at->life = word.life;
     at->since = at->state == word.state ? at->since : since;
     at->state = word.state;
--- a/src/sidecar/fleet_side.cpp
+++ b/src/sidecar/fleet_side.cpp
@@ -42,7 +42,8 @@
 constexpr Span kGather = 1s;                   // over which changes are told together
 constexpr std::size_t kToldApart = 4;          // changes; more become one line
 constexpr int kBacklog = 64;
-constexpr std::size_t kFrameHead = 4;  // bytes: the length, high byte first
+constexpr std::size_t kWordRoom = 256;  // bytes of a member in a whole view, at its longest
+constexpr std::size_t kFrameHead = 4;   // bytes: the length, high byte first
 
 std::uint64_t millisecondsNow() {
   return static_cast<std::uint64_t>(std::chrono::duration_cast<std::chrono::milliseconds>(
@@ -94,7 +95,7 @@
       std::size_t size = 0;
       for (std::size_t i = 0; i < kFrameHead; ++i) size = size << 8U | static_cast<unsigned char>(in_[i]);
       // Guards against a length that nobody means: it would be waited for, and kept.
-      if (size > fleet::kLongestWhole) return refuse(fleet::Refusal::absurd);
+      if (size > side_.longestWhole()) return refuse(fleet::Refusal::absurd);
       if (in_.size() < kFrameHead + size) return;
       fleet::Whole theirs;
       const fleet::Refusal refusal =
@@ -301,6 +302,10 @@
   settled();
 }
 
+std::size_t FleetSide::longestWhole() const {
+  return std::min(fleet::kLongestWhole, kWordRoom * (told_.rhythm.most + 1));
+}
+
 // The bytes that may be sent, saved up for a second. What tells on what others tell too gives way first.
 bool FleetSide::spend(std::size_t bytes, double least) {
   const Span now = loop_.now();
--- a/src/sidecar/fleet_side.hpp
+++ b/src/sidecar/fleet_side.hpp
@@ -68,6 +68,7 @@
   void accept(Poco::Net::ReadableNotification* event);
   void settled();
   void tellChanges();
+  [[nodiscard]] std::size_t longestWhole() const;
   [[nodiscard]] bool spend(std::size_t bytes, double least);
 
   struct Change {
--- a/tests/handover_test.cpp
+++ b/tests/handover_test.cpp
@@ -1,5 +1,6 @@
 // A new version under load: two processes are one sidecar, whatever becomes of either.
 
+#include <Poco/Net/DatagramSocket.h>
 #include <sys/stat.h>
 
 #include "handover/learned.hpp"
@@ -149,6 +150,30 @@
   CHECK(seen(R"("name":"n0","state":"left")"));
 }
 
+TEST_CASE("a member that is flooded with garbage drops it within bounds, counts it, and serves on") {
+  Folder folder;
+  Sidecar sidecar;
+  const SocketAddress address = ServerSocket(SocketAddress("127.0.0.1", 0)).address();
+  sidecar.more = R"(,"fleet":{"name":"f","listen":")" + address.toString() + "\"}";
+  Version member(sidecar, folder.path());
+  Poco::Net::DatagramSocket source(SocketAddress("127.0.0.1", 0));
+  std::string garbage(900, 'x');
+  for (int i = 0; i < 8000; ++i) source.sendTo(garbage.data(), static_cast<int>(garbage.size()), address);
+  StreamSocket half{address};  // a length that nobody means, and then nothing
+  half.sendBytes("\xff\xff\xff\xff", 4);
+  Peer client = sidecar.connect();
+  CHECK(has(serve(sidecar, client), "done"));
+  const std::string figures = member.call("GET /ops/stats");
+  const auto count = [&](const std::string& name) {
+    const std::size_t at = figures.find("edge_lb_fleet_" + name + ' ');
+    return at == std::string::npos ? 0 : std::stoul(figures.substr(at + 15 + name.size()));
+  };
+  CHECK(count("refused{reason=\"garbled\"}") > 0);
+  CHECK(count("refused{reason=\"garbled\"}") <= 4000);  // of one address, in the few seconds that this takes
+  CHECK(count("refused{reason=\"flood\"}") > 0);
+  CHECK(count("refused{reason=\"absurd\"}") == 1);
+}
+
 TEST_CASE("a fleet that can't be is refused at the start, by its key") {
   const std::vector<std::pair<std::string, std::string>> wrong = {
       {R"({"listen":"127.0.0.1:7946"})", "fleet.name"},
