Put a checksum before each message, and take only plain names

Symptom: the drill spoilt (a tenth of datagrams with a byte changed, 60 processes) never settled: 28 kB/s a member, safe counts of 1 to 59, doors whose answers could not be read. Checked: no process had ended; virtual time keeps the drill, as it drops what is spoilt. Cause: a changed bit within a name, a port or a start still decodes, so members that never were and starts of years ahead went round, and names of bad UTF-8 broke the door's JSON. Each message now stands behind a CRC-32, and names hold printable ASCII only, in messages and configuration. Two stories: each bit of a message, names with control characters.

--- a/src/fleet/member.hpp
+++ b/src/fleet/member.hpp
@@ -24,6 +24,10 @@
   return {value == 0 ? 1 : value};
 }
 
+/// What names, zones and addresses are made of: printable ASCII, no spaces, nothing that JSON or a log line
+/// quotes.
+[[nodiscard]] constexpr bool isPlain(char c) { return c > ' ' && c <= '~' && c != '"' && c != '\\'; }
+
 /// What does not change in a member's life.
 struct Card {
   std::string name;
--- a/src/fleet/wire.cpp
+++ b/src/fleet/wire.cpp
@@ -1,5 +1,7 @@
 #include "fleet/wire.hpp"
 
+#include <Poco/Checksum.h>
+
 #include <chrono>
 #include <limits>
 #include <msgpack.hpp>
@@ -49,9 +51,22 @@
 std::string text(const msgpack::object& object) {
   if (object.type != msgpack::type::STR) throw msgpack::type_error();
   if (object.via.str.size > kLongestText) throw Absurd{};
+  // Guards against names that spoil a log line or the door's JSON.
+  for (std::uint32_t i = 0; i < object.via.str.size; ++i) {
+    if (!isPlain(object.via.str.ptr[i])) throw Absurd{};
+  }
   return {object.via.str.ptr, object.via.str.size};
 }
 
+std::string checksum(std::string_view body) {
+  Poco::Checksum sum(Poco::Checksum::TYPE_CRC32);
+  sum.update(body.data(), static_cast<unsigned>(body.size()));
+  std::string bytes;
+  for (unsigned shift = 0; shift < 32; shift += 8)
+    bytes += static_cast<char>(sum.checksum() >> shift & 0xffU);
+  return bytes;
+}
+
 /// Calls back with each key and its value; keys that are no small numbers belong to later versions.
 template <class Field>
 void eachField(const msgpack::object& object, Field field) {
@@ -106,7 +121,12 @@
 }
 
 /// What a message and a whole view have in common, read into a message.
-Refusal read(const std::string& fleet, std::string_view bytes, std::size_t mostWords, Message& made) {
+Refusal read(const std::string& fleet, std::string_view whole, std::size_t mostWords, Message& made) {
+  // Guards against bytes changed on the way, which might still read as words: a name, an incarnation, a later
+  // start.
+  if (whole.size() < kSeal) return Refusal::garbled;
+  const std::string_view bytes = whole.substr(kSeal);
+  if (whole.substr(0, kSeal) != checksum(bytes)) return Refusal::garbled;
   try {
     std::size_t end = 0;
     const auto handle = msgpack::unpack(
@@ -190,6 +210,8 @@
   return kNames.at(static_cast<std::size_t>(refusal));
 }
 
+std::string sealed(std::string_view body) { return checksum(body).append(body); }
+
 std::string encode(const std::string& fleet, const Message& message) {
   constexpr std::size_t kArrayHead = 3;  // bytes at most
   Buffer head;
@@ -201,13 +223,13 @@
   std::size_t whole = 0;
   for (const Word& word : message.words) {
     pack(inner, word);
-    if (head.size() + kArrayHead + body.size() > kLongestDatagram) break;
+    if (kSeal + head.size() + kArrayHead + body.size() > kLongestDatagram) break;
     whole = body.size();
     ++words;
   }
   outer.pack_array(words);
   std::string bytes(head.data(), head.size());
-  return bytes.append(body.data() == nullptr ? "" : body.data(), whole);
+  return sealed(bytes.append(body.data() == nullptr ? "" : body.data(), whole));
 }
 
 std::string encode(const std::string& fleet, const Whole& whole) {
@@ -216,7 +238,7 @@
   packOuter(packer, fleet, Kind::news, 0, {}, whole.self, whole.digest);
   packer.pack_array(static_cast<std::uint32_t>(whole.words.size()));
   for (const Word& word : whole.words) pack(packer, word);
-  return {bytes.data(), bytes.size()};
+  return sealed({bytes.data(), bytes.size()});
 }
 
 Refusal decode(const std::string& fleet, std::string_view bytes, Message& message) {
--- a/src/fleet/wire.hpp
+++ b/src/fleet/wire.hpp
@@ -23,6 +23,10 @@
 inline constexpr std::size_t kRefusals = 5;
 [[nodiscard]] std::string_view nameOf(Refusal refusal);
 
+/// A checksum of so many bytes, and the body behind it.
+inline constexpr std::size_t kSeal = 4;
+[[nodiscard]] std::string sealed(std::string_view body);
+
 /// Words that do not fit into a datagram are left out, the last ones first.
 [[nodiscard]] std::string encode(const std::string& fleet, const Message& message);
 [[nodiscard]] std::string encode(const std::string& fleet, const Whole& whole);
--- a/src/lab/fleet/ways.cpp
+++ b/src/lab/fleet/ways.cpp
@@ -1,5 +1,7 @@
 #include "lab/fleet/ways.hpp"
 
+#include "fleet/wire.hpp"
+
 namespace rackroute::lab {
 
 Ways::Ways(const Drill& drill, const Timetable& table, std::uint64_t seed)
@@ -70,10 +72,12 @@
 // A msgpack map of up to 14 fields gets one more.
 void Ways::renew(std::string& bytes) {
   constexpr unsigned kMap = 0x80;
-  const auto first = bytes.empty() ? 0U : static_cast<unsigned char>(bytes[0]);
+  if (bytes.size() <= fleet::kSeal) return;
+  std::string body = bytes.substr(fleet::kSeal);
+  const auto first = static_cast<unsigned>(static_cast<unsigned char>(body[0]));
   if ((first & 0xf0U) != kMap || first == (kMap | 0xfU)) return;
-  bytes[0] = static_cast<char>(first + 1);
-  bytes += "\x7f\xa3new";
+  body[0] = static_cast<char>(first + 1);
+  bytes = fleet::sealed(body + "\x7f\xa3new");
 }
 
 }  // namespace rackroute::lab
--- a/src/sidecar/fleet_told.cpp
+++ b/src/sidecar/fleet_told.cpp
@@ -3,6 +3,7 @@
 #include <Poco/JSON/Array.h>
 #include <Poco/JSON/Object.h>
 
+#include <algorithm>
 #include <set>
 #include <stdexcept>
 
@@ -50,9 +51,13 @@
   }
 }
 
+bool isName(const std::string& value) {
+  return value.size() <= kLongestName && std::ranges::all_of(value, fleet::isPlain);
+}
+
 std::string name(const std::string& key, const std::string& value) {
-  if (value.empty() || value == "-" || value.size() > kLongestName)
-    fail(key, "wants 1 to " + std::to_string(kLongestName) + " bytes");
+  if (value.empty() || !isName(value))
+    fail(key, "wants 1 to 64 letters, digits and signs, no spaces or quotes");
   return value;
 }
 
@@ -84,10 +89,11 @@
       object.has("advertise") ? address(object, "advertise", text(object, "advertise")) : told.listen;
   if (numericAddress(told.self.address).host().isWildcard())
     fail(object.has("advertise") ? "advertise" : "listen", "wants an address that others can reach");
-  if (member.empty() || member == "-" || member.size() > kLongestName)
-    throw std::runtime_error("fleet: the configuration's name wants 1 to 64 bytes");
+  if (member.empty() || member == "-" || !isName(member))
+    throw std::runtime_error("fleet: the configuration's name wants 1 to 64 letters, digits and signs");
   told.self.name = member;
-  if (zone.size() > kLongestName) throw std::runtime_error("fleet: settings.locality is too long");
+  if (!isName(zone))
+    throw std::runtime_error("fleet: settings.locality wants up to 64 letters, digits and signs");
   told.self.zone = zone;
   if (object.has("join")) {
     const Array::Ptr join = object.getArray("join");
--- a/tests/fleet_test.cpp
+++ b/tests/fleet_test.cpp
@@ -148,9 +148,9 @@
   told.about = memberId("m9");
   told.words[0].from = memberId("m4");
   told.words[1].age = 5s;
-  std::string bytes = encode("austin", told);
-  bytes[0] = static_cast<char>(bytes[0] + 1);  // one field more
-  bytes += "\x63\x93\x01\xa1x\x80";
+  std::string body = encode("austin", told).substr(kSeal);
+  body[0] = static_cast<char>(body[0] + 1);  // one field more
+  const std::string bytes = sealed(body + "\x63\x93\x01\xa1x\x80");
   Message read;
   REQUIRE(decode("austin", bytes, read) == Refusal::none);
   CHECK((read.kind == Kind::ask && read.number == 42 && read.about == told.about));
@@ -173,15 +173,25 @@
   Message read;
   CHECK(decode("austin", "", read) == Refusal::garbled);
   CHECK(decode("austin", std::string(1300, 'x'), read) == Refusal::absurd);
-  CHECK(decode("austin", std::string("\xdf\xff\xff\xff\xff", 5), read) ==
+  CHECK(decode("austin", sealed({"\xdf\xff\xff\xff\xff", 5}), read) ==
         Refusal::absurd);  // a map of 4 billion
-  CHECK(decode("austin", std::string("\x81\x00\x05", 3), read) == Refusal::version);
+  CHECK(decode("austin", sealed({"\x81\x00\x05", 3}), read) == Refusal::version);
   Message large = message(Kind::news, "m1");
   large.self = word(std::string(200, 'm'));
   CHECK(decode("austin", encode("austin", large), read) == Refusal::absurd);
+  large.self = word("m\n1");
+  CHECK(decode("austin", encode("austin", large), read) == Refusal::absurd);
   const std::string whole = encode("austin", message(Kind::ping, "m1", {word("m2")}));
   for (std::size_t size = 0; size < whole.size(); ++size)
-    CHECK(decode("austin", std::string_view(whole).substr(0, size), read) != Refusal::none);
+    CHECK(decode("austin", sealed(std::string_view(whole).substr(kSeal, size)), read) !=
+          (size + kSeal < whole.size() ? Refusal::none : Refusal::garbled));
+  // One bit that was changed on the way is seen, also where the rest would read well: another name, a later
+  // start.
+  for (std::size_t bit = 0; bit < 8 * whole.size(); ++bit) {
+    std::string spoilt = whole;
+    spoilt[bit / 8] = static_cast<char>(spoilt[bit / 8] ^ (1 << bit % 8));
+    CHECK(decode("austin", spoilt, read) == Refusal::garbled);
+  }
 }
 
 TEST_CASE("spoilt bytes are never taken for more than they are, and nothing they say breaks a member") {
@@ -192,10 +202,11 @@
     std::string bytes =
         encode("austin", message(static_cast<Kind>(chance() % 5), named(chance() % 9),
                                  {word("m100", static_cast<State>(chance() % 4)), word("m2")}));
+    bytes.erase(0, kSeal);
     for (unsigned i = chance() % 4; i > 0; --i) bytes[chance() % bytes.size()] = static_cast<char>(chance());
     if (chance() % 8 == 0) bytes.resize(chance() % bytes.size());
     Message read;
-    if (decode("austin", bytes, read) != Refusal::none) continue;
+    if (decode("austin", sealed(bytes), read) != Refusal::none) continue;
     ++taken;
     here.now += 1ms;
     here.member.heard(here.now, read);
