Bury the dead sooner: those who check a suspicion probe at once; play cuts from discovery

Cause, by the sums: an exponential first ping (0.5% a death over the bound), then 3 s of suspicion of which the checks took two. Those who check now probe within 0.2 of a period, and the shortest suspicion is max(2, log10 n - 1) periods, enough for a word and its answer. Also: beside queries the relay passes what members say to discovery, with a fault that silences it.

--- a/src/fleet/membership.cpp
+++ b/src/fleet/membership.cpp
@@ -13,17 +13,18 @@
     0.25;                        // of a period, for a direct answer; a way across zones takes a tenth of that
 constexpr double kJudged = 0.6;  // of a period, for an answer through others too
 constexpr double kNack = 0.8;    // of the time that a helper has; it says by then that it hears nothing
-constexpr std::size_t kHelpers = 3;          // the paper's figure; each reaches the target by another way
-constexpr std::size_t kMostFavours = 64;     // at a time; far above what a healthy fleet asks of one member
-constexpr std::uint32_t kMostIll = 8;        // Lifeguard's figure: a probe every ninth period
-constexpr double kTenfolds = 2;              // at least, for the time of suspicion; small fleets stall too
-constexpr double kUnconfirmed = 3;           // times the shortest suspicion, while nobody else confirms it
-constexpr std::size_t kConfirmed = 2;        // others' probes that end a suspicion soonest
-constexpr double kChecks = 4;                // members of all that check a suspicion they hear of
-constexpr double kSpreadEvery = 0.2;         // of a period
-constexpr std::size_t kFanout = 3;           // members told at a time
-constexpr double kRetell = 4;                // times a word is told, for each tenfold of members
-constexpr std::size_t kRoom = 1100;          // bytes of a datagram, less what the encoding adds around
+constexpr std::size_t kHelpers = 3;       // the paper's figure; each reaches the target by another way
+constexpr std::size_t kMostFavours = 64;  // at a time; far above what a healthy fleet asks of one member
+constexpr std::uint32_t kMostIll = 8;     // Lifeguard's figure: a probe every ninth period
+constexpr double kLeastSuspicion = 2;  // periods; a word there and its answer back, in a fleet of a thousand
+constexpr double kCheckSoon = 0.2;     // of a period, until those who check a suspicion probe
+constexpr double kUnconfirmed = 3;     // times the shortest suspicion, while nobody else confirms it
+constexpr std::size_t kConfirmed = 2;  // others' probes that end a suspicion soonest
+constexpr double kChecks = 4;          // members of all that check a suspicion they hear of
+constexpr double kSpreadEvery = 0.2;   // of a period
+constexpr std::size_t kFanout = 3;     // members told at a time
+constexpr double kRetell = 4;          // times a word is told, for each tenfold of members
+constexpr std::size_t kRoom = 1100;    // bytes of a datagram, less what the encoding adds around
 constexpr std::size_t kFewChanges = 16;      // more at once go round by exchanges, which are cheaper for many
 constexpr double kExchangeSoon = 0.5;        // of a period, while much changes
 constexpr double kUnsettled = 3;             // periods after much has changed at once
@@ -300,7 +301,12 @@
   // A few of all look for themselves at once: they confirm it, or have it refuted, in little more than a
   // period.
   if (source != Source::own && rhythm_.lifeguard && draw() * static_cast<double>(view_.living()) < kChecks)
-    order_.push_back(taken.id);
+    checkSoon(now, taken.id);
+}
+
+void Membership::checkSoon(Span now, MemberId id) {
+  order_.push_back(id);
+  if (!probe_) probeAt_ = std::min(probeAt_, now + scaled(rhythm_.period, kCheckSoon * draw()));
 }
 
 void Membership::announce(Span now, const Held& held, std::optional<State> was) {
@@ -330,7 +336,8 @@
 // Lifeguard's dogpile: long while one member alone says so, shorter with each that confirms it.
 Span Membership::deadline(const Suspicion& suspicion) const {
   const auto members = static_cast<double>(view_.living() + 1);
-  const Span least = scaled(rhythm_.period, rhythm_.suspicion * std::max(kTenfolds, std::log10(members)));
+  const Span least =
+      scaled(rhythm_.period, rhythm_.suspicion * std::max(kLeastSuspicion, std::log10(members) - 1));
   if (!rhythm_.lifeguard) return suspicion.begun + least;
   const Span most = scaled(least, kUnconfirmed);
   const double wanted = std::min(static_cast<double>(kConfirmed), members - 2);
--- a/src/fleet/membership.hpp
+++ b/src/fleet/membership.hpp
@@ -127,6 +127,7 @@
   void learn(Span now, const Word& word, Source source);
   void learnOfSelf(Span now, const Word& word);
   void suspect(Span now, const Held& held, MemberId by, bool own);
+  void checkSoon(Span now, MemberId id);
   void settleSuspicions(Span now);
   [[nodiscard]] Span deadline(const Suspicion& suspicion) const;
   void announce(Span now, const Held& held, std::optional<State> was);
--- a/src/lab/fleet/drill.cpp
+++ b/src/lab/fleet/drill.cpp
@@ -12,20 +12,15 @@
 constexpr double kLongestDrill = 7200;  // seconds
 
 const Words<FaultKind>& faultKinds() {
-  static const Words<FaultKind> words = {{"cut", FaultKind::cut},
-                                         {"one_way", FaultKind::oneWay},
-                                         {"loss", FaultKind::loss},
-                                         {"delay", FaultKind::delay},
-                                         {"double", FaultKind::doubled},
-                                         {"corrupt", FaultKind::corrupt},
-                                         {"newer", FaultKind::newer},
-                                         {"kill", FaultKind::kill},
-                                         {"leave", FaultKind::leave},
-                                         {"freeze", FaultKind::freeze},
-                                         {"freezes", FaultKind::freezes},
-                                         {"churn", FaultKind::churn},
-                                         {"crash_loop", FaultKind::crashLoop},
-                                         {"twin", FaultKind::twin}};
+  static const Words<FaultKind> words = {
+      {"cut", FaultKind::cut},        {"one_way", FaultKind::oneWay},
+      {"loss", FaultKind::loss},      {"delay", FaultKind::delay},
+      {"double", FaultKind::doubled}, {"corrupt", FaultKind::corrupt},
+      {"newer", FaultKind::newer},    {"no_discovery", FaultKind::noDiscovery},
+      {"kill", FaultKind::kill},      {"leave", FaultKind::leave},
+      {"freeze", FaultKind::freeze},  {"freezes", FaultKind::freezes},
+      {"churn", FaultKind::churn},    {"crash_loop", FaultKind::crashLoop},
+      {"twin", FaultKind::twin}};
   return words;
 }
 
@@ -100,7 +95,7 @@
 
 bool disturbs(FaultKind kind) {
   return kind != FaultKind::loss && kind != FaultKind::delay && kind != FaultKind::doubled &&
-         kind != FaultKind::corrupt && kind != FaultKind::newer;
+         kind != FaultKind::corrupt && kind != FaultKind::newer && kind != FaultKind::noDiscovery;
 }
 
 bool lasts(FaultKind kind) { return !disturbs(kind) || kind == FaultKind::cut || kind == FaultKind::oneWay; }
--- a/src/lab/fleet/drill.hpp
+++ b/src/lab/fleet/drill.hpp
@@ -16,20 +16,21 @@
 namespace rackroute::lab {
 
 enum class FaultKind {
-  cut,        // nothing passes between the two groups
-  oneWay,     // nothing passes from the first to the second
-  loss,       // a share of datagrams is lost
-  delay,      // a share of them comes later
-  doubled,    // a share of them comes twice, the second one later
-  corrupt,    // a share of them has a byte changed
-  newer,      // what the first group says has a field that nobody knows yet
-  kill,       // at once; starts anew after for_s, if that is given
-  leave,      // by TERM; the same
-  freeze,     // for_s
-  freezes,    // each now and then, from least_s to most_s, with gap_s between in the mean
-  churn,      // each leaves at a moment drawn, and starts anew after least_s to most_s
-  crashLoop,  // killed and started anew every least_s
-  twin        // a second process with the name of the first one of the group
+  cut,          // nothing passes between the two groups
+  oneWay,       // nothing passes from the first to the second
+  loss,         // a share of datagrams is lost
+  delay,        // a share of them comes later
+  doubled,      // a share of them comes twice, the second one later
+  corrupt,      // a share of them has a byte changed
+  noDiscovery,  // nothing passes between members and discovery; beside queries only
+  newer,        // what the first group says has a field that nobody knows yet
+  kill,         // at once; starts anew after for_s, if that is given
+  leave,        // by TERM; the same
+  freeze,       // for_s
+  freezes,      // each now and then, from least_s to most_s, with gap_s between in the mean
+  churn,        // each leaves at a moment drawn, and starts anew after least_s to most_s
+  crashLoop,    // killed and started anew every least_s
+  twin          // a second process with the name of the first one of the group
 };
 
 struct Fault {
--- a/src/lab/fleet/process_fleet.cpp
+++ b/src/lab/fleet/process_fleet.cpp
@@ -199,7 +199,11 @@
  public:
   DrillBeside(sidecar::Loop& loop, const Drill& drill, std::uint64_t seed)
       : drill_(drill), rig_(loop, drill_, seed, {[](std::uint32_t) {}, [](std::uint32_t, int) {}}) {}
-  [[nodiscard]] Json told(std::uint32_t balancer) const override { return rig_.told(balancer); }
+  [[nodiscard]] Json told(std::uint32_t balancer, const std::string& discovery) override {
+    Json told = rig_.told(balancer);
+    told["discovery"] = rig_.discoveryFor(balancer, discovery);
+    return told;
+  }
   void begin() override { rig_.begin(true); }
   [[nodiscard]] Json finish() override { return rig_.finish(); }
 
@@ -223,6 +227,10 @@
   if (drill.members > kMostProcesses)
     throw BadScenario(drill.file + ": fleet.members: with processes at most " +
                       std::to_string(kMostProcesses));
+  for (const Fault& fault : drill.faults) {
+    if (fault.kind == FaultKind::noDiscovery)
+      throw BadScenario(drill.file + ": fault: no_discovery goes with processes beside queries");
+  }
   if (drill.warm || !drill.lifeguard)
     throw BadScenario(drill.file + ": fleet.warm and fleet.lifeguard go with virtual time");
   if (!sidecar::setLevel("error")) throw std::logic_error("no such level");
--- a/src/lab/fleet/relay.cpp
+++ b/src/lab/fleet/relay.cpp
@@ -20,6 +20,7 @@
 using sidecar::Reason;
 
 constexpr std::uint16_t kPort = 7946;
+constexpr std::uint16_t kDiscoveryPort = 8500;
 constexpr int kATurn = 256;  // datagrams of one member
 constexpr int kBacklog = 256;
 constexpr std::size_t kLongest = 65536;  // bytes; any datagram whole, also one that nobody should send
@@ -29,8 +30,16 @@
 /// One side of a connection that passes through.
 class RelayLink : public Connection {
  public:
-  RelayLink(Relay& relay, Poco::Net::StreamSocket socket, std::uint32_t from, std::uint32_t to)
-      : Connection(relay.loop_, "relay", std::move(socket), ""), relay_(relay), from_(from), to_(to) {}
+  RelayLink(Relay& relay, Poco::Net::StreamSocket socket, std::uint32_t from, std::uint32_t to,
+            bool discovery)
+      : Connection(relay.loop_, "relay", std::move(socket), ""),
+        relay_(relay),
+        from_(from),
+        to_(to),
+        discovery_(discovery) {}
+  [[nodiscard]] bool passes() const {
+    return discovery_ ? relay_.ways_.listed(from_) : relay_.ways_.connects(from_, to_).has_value();
+  }
   void start() {
     open();
     readNow();
@@ -41,11 +50,11 @@
   // What comes while nothing passes is lost with its connection, which stays open and silent.
   void received() override {
     std::string bytes = std::exchange(in_, {});
-    if (!relay_.ways_.connects(from_, to_)) silent_ = true;
+    if (!passes()) silent_ = true;
     const auto there = other.lock();
     if (silent_ || !there || there->ended()) return;
-    relay_.sent_(from_, to_, bytes.size());
-    relay_.got_(from_, to_, bytes.size());
+    if (!discovery_) relay_.sent_(from_, to_, bytes.size());
+    if (!discovery_) relay_.got_(from_, to_, bytes.size());
     http::Gather pieces;
     pieces.text(std::move(bytes));
     there->send(std::move(pieces));
@@ -61,6 +70,7 @@
   Relay& relay_;
   std::uint32_t from_;
   std::uint32_t to_;
+  bool discovery_;  // not between members; from and to are the same
   bool silent_ = false;
 };
 
@@ -80,21 +90,24 @@
     place->listener.bind(address, true, false);
     place->listener.listen(kBacklog);
     place->listener.setBlocking(false);
-    sockets_[place->datagrams.impl()->sockfd()] = {i, false};
-    sockets_[place->listener.impl()->sockfd()] = {i, true};
-    const Poco::Observer<Relay, ReadableNotification> readable(*this, &Relay::readable);
-    loop_.addEventHandler(place->datagrams, readable);
-    loop_.addEventHandler(place->listener, readable);
+    watch(place->datagrams, i, Kind::datagrams);
+    watch(place->listener, i, Kind::exchanges);
     places_.push_back(std::move(place));
   }
 }
 
+void Relay::watch(const Poco::Net::Socket& socket, std::uint32_t place, Kind kind) {
+  sockets_[socket.impl()->sockfd()] = {place, kind};
+  loop_.addEventHandler(socket, Poco::Observer<Relay, ReadableNotification>(*this, &Relay::readable));
+}
+
 Relay::~Relay() {
+  const Poco::Observer<Relay, ReadableNotification> readable(*this, &Relay::readable);
   for (const auto& place : places_) {
-    const Poco::Observer<Relay, ReadableNotification> readable(*this, &Relay::readable);
     loop_.removeEventHandler(place->datagrams, readable);
     loop_.removeEventHandler(place->listener, readable);
   }
+  for (const auto& [member, forward] : discovery_) loop_.removeEventHandler(forward->listener, readable);
   const auto links = links_;
   for (const auto& [at, link] : links) link->end(Reason::shutdown);
 }
@@ -115,7 +128,9 @@
   loop_.guarded([this, descriptor] {
     const auto at = sockets_.find(descriptor);
     if (at == sockets_.end()) return;
-    at->second.second ? accept(at->second.first) : read(at->second.first);
+    const auto [place, kind] = at->second;
+    if (kind == Kind::datagrams) return read(place);
+    kind == Kind::exchanges ? accept(place) : acceptForDiscovery(place);
   });
 }
 
@@ -157,16 +172,44 @@
   }
   const auto last = std::stoul(peer.host().toString().substr(peer.host().toString().rfind('.') + 1));
   if (last == 0 || last > places_.size()) return;
-  const std::uint32_t from = memberOf(static_cast<std::uint32_t>(last - 1));
-  const std::uint32_t to = memberOf(place);
-  const auto near = std::make_shared<RelayLink>(*this, socket, from, to);
+  join(socket, memberOf(static_cast<std::uint32_t>(last - 1)), memberOf(place), listens(place, kPort), false);
+}
+
+std::string Relay::discoveryFor(std::uint32_t member, const std::string& address) {
+  auto made = std::make_unique<Forward>();
+  made->address = address;
+  const std::string at = std::string("127.") + std::to_string(network_) + ".2." + std::to_string(member + 1) +
+                         ':' + std::to_string(kDiscoveryPort);
+  made->listener.bind(SocketAddress(at), true, false);
+  made->listener.listen(kBacklog);
+  made->listener.setBlocking(false);
+  watch(made->listener, member, Kind::discovery);
+  discovery_[member] = std::move(made);
+  return at;
+}
+
+void Relay::acceptForDiscovery(std::uint32_t member) {
+  const Forward& forward = *discovery_.at(member);
+  try {
+    SocketAddress peer;
+    Poco::Net::ServerSocket listener = forward.listener;
+    join(listener.acceptConnection(peer), member, member, forward.address, true);
+  } catch (const Poco::Exception&) {
+    return;  // it left before it was accepted
+  }
+}
+
+void Relay::join(const Poco::Net::StreamSocket& socket, std::uint32_t from, std::uint32_t to,
+                 const std::string& address, bool discovery) {
+  const auto near = std::make_shared<RelayLink>(*this, socket, from, to, discovery);
   links_.emplace(near.get(), near);
-  if (!ways_.connects(from, to)) return near->start();  // silent from the first byte
-  const auto far = std::make_shared<RelayLink>(*this, Poco::Net::StreamSocket(SocketAddress::IPv4), to, from);
+  if (!near->passes()) return near->start();  // silent from the first byte
+  const auto far =
+      std::make_shared<RelayLink>(*this, Poco::Net::StreamSocket(SocketAddress::IPv4), to, from, discovery);
   links_.emplace(far.get(), far);
   near->other = far;
   far->other = near;
-  far->dial(SocketAddress(listens(place, kPort)));
+  far->dial(SocketAddress(address));
   near->start();
 }
 
--- a/src/lab/fleet/relay.hpp
+++ b/src/lab/fleet/relay.hpp
@@ -37,6 +37,8 @@
   /// Where a member listens, and where it is reached.
   [[nodiscard]] std::string listens(std::uint32_t place, std::uint16_t port) const;
   [[nodiscard]] std::string reached(std::uint32_t place) const;
+  /// Where the member finds discovery from here on: what it says goes on to that address while it may.
+  std::string discoveryFor(std::uint32_t member, const std::string& address);
 
  private:
   friend class RelayLink;
@@ -45,9 +47,22 @@
     Poco::Net::DatagramSocket datagrams;
     Poco::Net::ServerSocket listener;
   };
+  enum class Kind { datagrams, exchanges, discovery };
+  struct Socket {
+    std::uint32_t place;
+    Kind kind;
+  };
+  struct Forward {
+    Poco::Net::ServerSocket listener;
+    std::string address;
+  };
   void readable(Poco::Net::ReadableNotification* event);
+  void watch(const Poco::Net::Socket& socket, std::uint32_t place, Kind kind);
   void read(std::uint32_t place);
   void accept(std::uint32_t place);
+  void acceptForDiscovery(std::uint32_t member);
+  void join(const Poco::Net::StreamSocket& socket, std::uint32_t from, std::uint32_t to,
+            const std::string& address, bool discovery);
   [[nodiscard]] std::uint32_t memberOf(std::uint32_t place) const {
     return place < members_ ? place : members_ - 1;
   }
@@ -59,8 +74,8 @@
   Tell sent_;
   Tell got_;
   std::vector<std::unique_ptr<Place>> places_;
-  std::map<int, std::pair<std::uint32_t, bool>>
-      sockets_;  // by descriptor: its place, whether it is the listener
+  std::map<std::uint32_t, std::unique_ptr<Forward>> discovery_;  // by member
+  std::map<int, Socket> sockets_;                                // by descriptor
   std::map<RelayLink*, std::shared_ptr<RelayLink>> links_;
 };
 
--- a/src/lab/fleet/rig.hpp
+++ b/src/lab/fleet/rig.hpp
@@ -37,6 +37,10 @@
 
   /// What a process at that place is told beside all else: its name, its door and its fleet.
   [[nodiscard]] Json told(std::uint32_t place) const;
+  /// Where it finds discovery, past the relay.
+  std::string discoveryFor(std::uint32_t member, const std::string& address) {
+    return relay_.discoveryFor(member, address);
+  }
   [[nodiscard]] std::string clientsAt(std::uint32_t place) const { return relay_.listens(place, 8000); }
   [[nodiscard]] std::uint32_t places() const { return drill_.members + 1; }
   /// Plays the timetable from now on. With started, all run already, and its starts are passed over.
--- a/src/lab/fleet/ways.cpp
+++ b/src/lab/fleet/ways.cpp
@@ -1,5 +1,7 @@
 #include "lab/fleet/ways.hpp"
 
+#include <algorithm>
+
 #include "fleet/wire.hpp"
 
 namespace rackroute::lab {
@@ -63,6 +65,12 @@
   return way(from, to);
 }
 
+bool Ways::listed(std::uint32_t member) const {
+  return std::ranges::none_of(lasting_, [&](std::uint32_t fault) {
+    return drill_.faults[fault].kind == FaultKind::noDiscovery && table_.who[fault][member];
+  });
+}
+
 void Ways::spoil(std::string& bytes) {
   if (bytes.empty()) return;
   const auto place = static_cast<std::size_t>(fraction(chance_) * static_cast<double>(bytes.size()));
--- a/src/lab/fleet/ways.hpp
+++ b/src/lab/fleet/ways.hpp
@@ -29,6 +29,8 @@
   [[nodiscard]] std::vector<Passage> pass(std::uint32_t from, std::uint32_t to);
   /// How long a connection's bytes take; nothing if they never come, in either direction.
   [[nodiscard]] std::optional<Span> connects(std::uint32_t from, std::uint32_t to);
+  /// Whether what this member says to discovery arrives, and what it says back.
+  [[nodiscard]] bool listed(std::uint32_t member) const;
   /// Changes one byte, or adds a field at its end that no version knows.
   void spoil(std::string& bytes);
   static void renew(std::string& bytes);
--- a/src/lab/sockets.cpp
+++ b/src/lab/sockets.cpp
@@ -466,7 +466,7 @@
   config["limits"]["sockets"] = 1024;
   config["known"] = Json::parse(list(balancer, true, registry_.whole()));
   config["settings"] = settings;
-  if (beside_) config.merge_patch(beside_->told(balancer));
+  if (beside_) config.merge_patch(beside_->told(balancer, node.discovery->address()));
   node.file = std::make_unique<Poco::TemporaryFile>();
   std::ofstream(node.file->path()) << config.dump();
   node.process = Poco::Process::launch(plan_.program, {}, nullptr, nullptr, nullptr,
--- a/src/lab/sockets.hpp
+++ b/src/lab/sockets.hpp
@@ -23,8 +23,8 @@
   Companion& operator=(const Companion&) = delete;
   virtual ~Companion() = default;
 
-  /// What a process is told beside all else.
-  [[nodiscard]] virtual Json told(std::uint32_t balancer) const = 0;
+  /// What a process is told beside all else, or in its place; discovery: the address that it would be told.
+  [[nodiscard]] virtual Json told(std::uint32_t balancer, const std::string& discovery) = 0;
   /// All processes run, and queries come from now on.
   virtual void begin() = 0;
   /// Its own result, which joins the run's under "beside".
