--- a/src/lab/fleet/judge.hpp
+++ b/src/lab/fleet/judge.hpp
@@ -44,7 +44,8 @@
   struct Member {
     bool runs = false;
     bool frozen = false;
-    Span disturbedAt = Span::min() / 2;  // started, ended, frozen or woken
+    Span disturbedAt = Span::min() / 2;  // started or ended
+    Span wokenAt = Span::min() / 2;      // or frozen
     Span endedAt = Span::min() / 2;
     Span suspectedAt = Span::max();   // first, since it ended
     Span buriedAt = Span::min() / 2;  // last counted as a wrong death
