--- a/src/sidecar/fleet_told.cpp
+++ b/src/sidecar/fleet_told.cpp
@@ -24,10 +24,9 @@
 
 double number(const Object& object, const std::string& key, double otherwise, double least, double most) {
   if (!object.has(key)) return otherwise;
-  double value = 0;
   const auto given = object.get(key);
   if (!given.isNumeric() || given.isBoolean()) fail(key, "wants a number");
-  value = given.convert<double>();
+  const auto value = given.convert<double>();
   if (!(value >= least && value <= most))
     fail(key, "wants a number from " + std::to_string(least) + " to " + std::to_string(most));
   return value;
@@ -39,8 +38,7 @@
   return given.convert<std::string>();
 }
 
-std::string address(const Object& object, const std::string& key, const std::string& value) {
-  static_cast<void>(object);
+std::string address(const std::string& key, const std::string& value) {
   try {
     const auto read = numericAddress(value);
     if (read.port() == 0 || read.family() != Poco::Net::SocketAddress::IPv4)
@@ -84,9 +82,8 @@
   }
   FleetTold told;
   told.fleet = name("name", text(object, "name"));
-  told.listen = address(object, "listen", text(object, "listen"));
-  told.self.address =
-      object.has("advertise") ? address(object, "advertise", text(object, "advertise")) : told.listen;
+  told.listen = address("listen", text(object, "listen"));
+  told.self.address = object.has("advertise") ? address("advertise", text(object, "advertise")) : told.listen;
   if (numericAddress(told.self.address).host().isWildcard())
     fail(object.has("advertise") ? "advertise" : "listen", "wants an address that others can reach");
   if (member.empty() || member == "-" || !isName(member))
@@ -101,7 +98,7 @@
       fail("join", "wants a list of up to " + std::to_string(kMostJoin) + " addresses");
     for (const auto& one : *join) {
       if (!one.isString()) fail("join", "wants addresses");
-      told.join.push_back(address(object, "join", one.convert<std::string>()));
+      told.join.push_back(address("join", one.convert<std::string>()));
     }
   }
   told.rhythm.period = seconds(number(object, "period_ms", 1000, 100, 60'000) / 1000);
