Tell only parts of views that differ, and deaths only with an answer in hand

Exchanges: a view falls into 64 parts by member id; who asks says each part's digest, and only parts that differ are told, both ways.

Deaths: frozen processes bury nobody even in plain SWIM, as what waited in their sockets is read first; the virtual clock now reads 64 datagrams a turn and runs timers between, as the program's loop does, with the same result. So a fault of its own was added, as Lifeguard's authors stall their members: a tenth hears nothing for 2 to 10 s while its timers run (drill deaf). Looked at one by one: members that were deaf buried those whose refutation they had missed, as they asked others for their views only by chance, or as nine-fold periods hid from them that nobody answered.

--- a/src/fleet/member.hpp
+++ b/src/fleet/member.hpp
@@ -84,11 +84,18 @@
   std::vector<Word> words;
 };
 
-/// The whole view, as members exchange it over a connection.
+/// A view falls into parts by its members' ids; two that exchange views tell only the parts that differ.
+inline constexpr std::size_t kParts = 64;
+[[nodiscard]] constexpr std::size_t partOf(MemberId id) { return id.value >> 58U; }
+/// What each part holds, as a digest. Empty: not told, and so all is to be told.
+using Marks = std::vector<std::uint64_t>;
+
+/// A view, as members exchange it over a connection.
 struct Whole {
   Word self;
   std::uint64_t digest = 0;
   std::vector<Word> words;
+  Marks marks;  // of the view that the words are from
 };
 
 }  // namespace rackroute::fleet
--- a/src/fleet/membership.cpp
+++ b/src/fleet/membership.cpp
@@ -18,6 +18,7 @@
 constexpr std::uint32_t kMostIll = 8;     // Lifeguard's figure: a probe every ninth period
 constexpr double kLeastSuspicion = 2;  // periods; a word there and its answer back, in a fleet of a thousand
 constexpr double kCheckSoon = 0.2;     // of a period, until those who check a suspicion probe
+constexpr double kUnanswered = 3;      // periods; one in doubt of itself asks less often still
 constexpr double kUnconfirmed = 3;     // times the shortest suspicion, while nobody else confirms it
 constexpr std::size_t kConfirmed = 2;  // others' probes that end a suspicion soonest
 constexpr double kChecks = 4;          // members of all that check a suspicion they hear of
@@ -80,7 +81,7 @@
 
 void Membership::begin(Span now) {
   if (std::exchange(begun_, true)) notice(now);  // it stepped back for another process that has ended
-  changedAt_ = exchangedAt_ = now;
+  changedAt_ = exchangedAt_ = answeredAt_ = now;
   exchangeWait_ = scaled(rhythm_.period, kExchangeWait);
   // Guards against a fleet that starts together and probes together from then on.
   probeAt_ = now + scaled(rhythm_.period, draw());
@@ -131,9 +132,9 @@
     return plan(now);
   }
   if (displaced_) return;
+  const std::string& address = message.self.card->address;
   learn(now, message.self, Source::gossip);
   for (const Word& word : message.words) learn(now, word, Source::gossip);
-  const std::string& address = message.self.card->address;
   Message answer;
   answer.number = message.number;
   answer.about = message.about;
@@ -150,7 +151,7 @@
     case Kind::ack:
       if (probe_ && probe_->number == message.number && probe_->target == message.about) {
         probe_.reset();
-        answered(now);
+        answered(now, address);
         feel(-1);
       } else if (const auto at = favours_.find(message.number);
                  at != favours_.end() && at->second.target == message.about) {
@@ -181,7 +182,7 @@
     case Kind::nack:
       if (probe_ && probe_->number == message.number) {
         ++probe_->heardOf;
-        answered(now);
+        answered(now, address);
       }
       break;
     case Kind::news:
@@ -218,10 +219,24 @@
   }
 }
 
-Whole Membership::whole(Span now) const {
-  Whole made{self_, digest(), {}};
-  made.words.reserve(view_.all().size());
-  for (const Held& held : view_.all()) made.words.push_back(wordOf(now, held));
+// One that knows few asks for all, which then costs no more than the marks; the dead are told to it as well.
+Marks Membership::marks() const {
+  if (view_.living() < kParts) return {};
+  Marks made(view_.marks().begin(), view_.marks().end());
+  made[partOf(self_.id)] += View::digestOf(self_.id, self_.life);
+  return made;
+}
+
+Whole Membership::question() const { return {self_, digest(), {}, marks()}; }
+
+Whole Membership::whole(Span now, const Marks& theirs) const {
+  Whole made = question();
+  const bool all = theirs.size() != kParts || made.marks.empty();
+  made.words.reserve(all ? view_.all().size() : 0);
+  for (const Held& held : view_.all()) {
+    const std::size_t part = partOf(held.id);
+    if (all || made.marks[part] != theirs[part]) made.words.push_back(wordOf(now, held));
+  }
   return made;
 }
 
@@ -348,9 +363,6 @@
 }
 
 void Membership::settleSuspicions(Span now) {
-  // Guards against a member that hears but is not heard, or hears nobody: it would bury all the others. While
-  // nobody answers it at all it doubts itself.
-  if (rhythm_.lifeguard && unheard_ > 0) return;
   if (now < ripeAt_) return;
   ripeAt_ = Span::max();
   std::vector<MemberId> over;
@@ -662,10 +674,17 @@
   }
 }
 
-// Guards against a member that was cut off and is heard again: what it suspected meanwhile was its own
-// trouble, and those it suspects are to have the time to say so.
-void Membership::answered(Span now) {
-  if (std::exchange(unheard_, 0U) == 0) return;
+// Guards against a member that hears but is not heard, or hears nobody: it would bury all the others, or one
+// whose answer to a suspicion it missed. So deaths are told in the moment of an answer alone, and one that
+// was not answered for a while asks what it missed, and gives those it suspects their time anew.
+void Membership::answered(Span now, const std::string& address) {
+  const bool missed = now - std::exchange(answeredAt_, now) > scaled(rhythm_.period, kUnanswered);
+  const bool silent = std::exchange(unheard_, 0U) > 0;
+  if (!rhythm_.lifeguard) return;
+  if (!silent && !missed) return settleSuspicions(now);
+  // After silence the trouble is over, whatever it was; else it would ask seldom for most of a minute.
+  if (silent) ill_ = 0;
+  exchangeNow(now, address);
   ripeAt_ = Span::max();
   for (auto& [id, suspicion] : suspicions_) {
     suspicion.begun = now;
@@ -686,7 +705,7 @@
   notice(now);
   followProbe(now);
   settleFavours(now);
-  settleSuspicions(now);
+  if (!rhythm_.lifeguard) settleSuspicions(now);
   if (now >= probeAt_) {
     probeNext(now);
     listen(now);
@@ -714,7 +733,7 @@
   if (probe_) due_ = std::min({due_, probe_->askOthersAt, probe_->endsAt});
   for (const auto& [number, favour] : favours_)
     due_ = std::min(due_, favour.told ? favour.endsAt : favour.nackAt);
-  if (!rhythm_.lifeguard || unheard_ == 0) due_ = std::min(due_, ripeAt_);
+  if (!rhythm_.lifeguard) due_ = std::min(due_, ripeAt_);
   due_ = std::max(due_, now);  // what is overdue now is no stall
 }
 
--- a/src/fleet/membership.hpp
+++ b/src/fleet/membership.hpp
@@ -76,8 +76,10 @@
   void goOn(const Life& life);
   void begin(Span now);
   void heard(Span now, const Message& message);
-  /// The two sides of an exchange: who asks says its digest, is told a whole view, and tells its own.
-  [[nodiscard]] Whole whole(Span now) const;
+  /// The sides of an exchange: who asks says its digest and marks, is told what differs, and tells its own
+  /// of that. Marks: of whom it is for; none: all is told.
+  [[nodiscard]] Whole question() const;
+  [[nodiscard]] Whole whole(Span now, const Marks& marks = {}) const;
   void merge(Span now, const Whole& theirs);
   void wake(Span now);
   /// When to wake it next.
@@ -145,12 +147,13 @@
   void exchangeByChance(Span now);
   void compare(Span now, const Message& message);
   void listen(Span now);
-  void answered(Span now);
+  void answered(Span now, const std::string& address);
 
   void send(const std::string& address, Message message, std::optional<Word> first = std::nullopt);
   [[nodiscard]] std::optional<Word> wordFor(MemberId id) const;
   [[nodiscard]] Word wordOf(Span now, const Held& held) const;
   [[nodiscard]] std::vector<const Held*> drawLiving(std::size_t count, MemberId but);
+  [[nodiscard]] Marks marks() const;
   [[nodiscard]] double draw();
   [[nodiscard]] std::size_t pick(std::size_t below);
   [[nodiscard]] std::uint32_t times() const;
@@ -182,6 +185,7 @@
   Span due_ = Span::max();
   Span changedAt_{};           // the view
   Span exchangedAt_{};         // with anyone
+  Span answeredAt_{};          // by the target of a probe, or by one that was asked
   Span exchangeWait_{};        // between two because of views that differ
   Span unsettledUntil_{};      // much has changed at once
   std::vector<Word> merged_;   // what the exchange under way brought
--- a/src/fleet/view.cpp
+++ b/src/fleet/view.cpp
@@ -36,8 +36,9 @@
 void View::count(const Held& held, bool in) {
   counts_[static_cast<std::size_t>(held.state)] += in ? 1U : std::size_t(-1);
   if (!lives(held.state)) return;
-  const std::uint64_t part = digestOf(held.id, held.life);
-  digest_ += in ? part : ~part + 1;
+  const std::uint64_t own = digestOf(held.id, held.life);
+  digest_ += in ? own : ~own + 1;
+  marks_[partOf(held.id)] += in ? own : ~own + 1;
 }
 
 bool View::outdated(Span now, State state, Span since) const {
--- a/src/fleet/view.hpp
+++ b/src/fleet/view.hpp
@@ -3,6 +3,7 @@
 // All that one member holds of the others, and which word replaces which. It owns the records; whom to probe,
 // whom to tell and how long to wait is not its business. No I/O, no chance.
 
+#include <array>
 #include <cstddef>
 #include <cstdint>
 #include <functional>
@@ -41,6 +42,8 @@
   [[nodiscard]] std::size_t safe() const { return living() + count(State::dead); }
   /// The same at two members that hold the same ones for living, in the same incarnations.
   [[nodiscard]] std::uint64_t digest() const { return digest_; }
+  /// The same by part.
+  [[nodiscard]] const std::array<std::uint64_t, kParts>& marks() const { return marks_; }
   [[nodiscard]] static std::uint64_t digestOf(MemberId id, const Life& life);
 
  private:
@@ -53,6 +56,7 @@
   std::vector<Held> held_;
   std::size_t counts_[4] = {};
   std::uint64_t digest_ = 0;
+  std::array<std::uint64_t, kParts> marks_{};
 };
 
 }  // namespace rackroute::fleet
--- a/src/fleet/wire.cpp
+++ b/src/fleet/wire.cpp
@@ -11,7 +11,7 @@
 namespace {
 
 // Keys of the outer map, and of a word's.
-enum : std::uint8_t { kVersionKey, kFleet, kKind, kNumber, kAbout, kSelf, kDigest, kWords };
+enum : std::uint8_t { kVersionKey, kFleet, kKind, kNumber, kAbout, kSelf, kDigest, kWords, kMarks };
 enum : std::uint8_t { kName, kAddress, kZone, kStart, kIncarnation, kState, kAge, kFrom };
 
 constexpr std::size_t kMostWords = 20000;                         // in a whole view
@@ -120,8 +120,18 @@
   return word;
 }
 
+Marks readMarks(const msgpack::object& object) {
+  if (object.type != msgpack::type::ARRAY) throw msgpack::type_error();
+  if (object.via.array.size != kParts) throw Absurd{};
+  Marks marks;
+  for (std::uint32_t i = 0; i < object.via.array.size; ++i)
+    marks.push_back(number(object.via.array.ptr[i], std::numeric_limits<std::uint64_t>::max()));
+  return marks;
+}
+
 /// What a message and a whole view have in common, read into a message.
-Refusal read(const std::string& fleet, std::string_view whole, std::size_t mostWords, Message& made) {
+Refusal read(const std::string& fleet, std::string_view whole, std::size_t mostWords, Message& made,
+             Marks* marks = nullptr) {
   // Guards against bytes changed on the way, which might still read as words: a name, an incarnation, a later
   // start.
   if (whole.size() < kSeal) return Refusal::garbled;
@@ -165,6 +175,9 @@
         case kWords:
           words = &value;
           break;
+        case kMarks:
+          if (marks != nullptr) *marks = readMarks(value);
+          break;
         default:
           break;
       }
@@ -189,8 +202,8 @@
 }
 
 void packOuter(Packer& packer, const std::string& fleet, Kind kind, std::uint32_t number, MemberId about,
-               const Word& self, std::uint64_t digest) {
-  packer.pack_map(8);
+               const Word& self, std::uint64_t digest, bool marked = false) {
+  packer.pack_map(marked ? 9 : 8);
   packer.pack(std::uint8_t{kVersionKey}).pack(kVersion);
   packer.pack(std::uint8_t{kFleet}).pack(fleet);
   packer.pack(std::uint8_t{kKind}).pack(static_cast<std::uint8_t>(kind));
@@ -235,9 +248,11 @@
 std::string encode(const std::string& fleet, const Whole& whole) {
   Buffer bytes;
   Packer packer(bytes);
-  packOuter(packer, fleet, Kind::news, 0, {}, whole.self, whole.digest);
+  const bool marked = !whole.marks.empty();
+  packOuter(packer, fleet, Kind::news, 0, {}, whole.self, whole.digest, marked);
   packer.pack_array(static_cast<std::uint32_t>(whole.words.size()));
   for (const Word& word : whole.words) pack(packer, word);
+  if (marked) packer.pack(std::uint8_t{kMarks}).pack(whole.marks);
   return sealed({bytes.data(), bytes.size()});
 }
 
@@ -251,9 +266,10 @@
 
 Refusal decode(const std::string& fleet, std::string_view bytes, Whole& whole) {
   Message made;
+  Marks marks;
   const Refusal refusal =
-      bytes.size() > kLongestWhole ? Refusal::absurd : read(fleet, bytes, kMostWords, made);
-  if (refusal == Refusal::none) whole = {made.self, made.digest, std::move(made.words)};
+      bytes.size() > kLongestWhole ? Refusal::absurd : read(fleet, bytes, kMostWords, made, &marks);
+  if (refusal == Refusal::none) whole = {made.self, made.digest, std::move(made.words), std::move(marks)};
   return refusal;
 }
 
--- a/src/lab/fleet/drill.cpp
+++ b/src/lab/fleet/drill.cpp
@@ -12,15 +12,22 @@
 constexpr double kLongestDrill = 7200;  // seconds
 
 const Words<FaultKind>& faultKinds() {
-  static const Words<FaultKind> words = {
-      {"cut", FaultKind::cut},        {"one_way", FaultKind::oneWay},
-      {"loss", FaultKind::loss},      {"delay", FaultKind::delay},
-      {"double", FaultKind::doubled}, {"corrupt", FaultKind::corrupt},
-      {"newer", FaultKind::newer},    {"no_discovery", FaultKind::noDiscovery},
-      {"kill", FaultKind::kill},      {"leave", FaultKind::leave},
-      {"freeze", FaultKind::freeze},  {"freezes", FaultKind::freezes},
-      {"churn", FaultKind::churn},    {"crash_loop", FaultKind::crashLoop},
-      {"twin", FaultKind::twin}};
+  static const Words<FaultKind> words = {{"cut", FaultKind::cut},
+                                         {"one_way", FaultKind::oneWay},
+                                         {"loss", FaultKind::loss},
+                                         {"delay", FaultKind::delay},
+                                         {"double", FaultKind::doubled},
+                                         {"corrupt", FaultKind::corrupt},
+                                         {"newer", FaultKind::newer},
+                                         {"no_discovery", FaultKind::noDiscovery},
+                                         {"kill", FaultKind::kill},
+                                         {"leave", FaultKind::leave},
+                                         {"freeze", FaultKind::freeze},
+                                         {"freezes", FaultKind::freezes},
+                                         {"deaf", FaultKind::deaf},
+                                         {"churn", FaultKind::churn},
+                                         {"crash_loop", FaultKind::crashLoop},
+                                         {"twin", FaultKind::twin}};
   return words;
 }
 
@@ -185,11 +192,13 @@
           add(end, Deed::Kind::wake, i);
           break;
         case FaultKind::freezes:
+        case FaultKind::deaf:
           for (Span at = fault.at + span(fraction(chance) * seconds(fault.gap));;) {
             const Span until = at + between(fault.least, fault.most);
             if (until >= end) break;
-            add(at, Deed::Kind::freeze, i);
-            add(until, Deed::Kind::wake, i);
+            const bool deaf = fault.kind == FaultKind::deaf;
+            add(at, deaf ? Deed::Kind::deaf : Deed::Kind::freeze, i);
+            add(until, deaf ? Deed::Kind::hears : Deed::Kind::wake, i);
             at = until + span(seconds(fault.gap) * 2 * fraction(chance));
           }
           break;
--- a/src/lab/fleet/drill.hpp
+++ b/src/lab/fleet/drill.hpp
@@ -28,6 +28,7 @@
   leave,        // by TERM; the same
   freeze,       // for_s
   freezes,      // each now and then, from least_s to most_s, with gap_s between in the mean
+  deaf,         // the same, but it only hears nothing of others: its timers run, and what it says arrives
   churn,        // each leaves at a moment drawn, and starts anew after least_s to most_s
   crashLoop,    // killed and started anew every least_s
   twin          // a second process with the name of the first one of the group
@@ -84,7 +85,7 @@
 
 /// What is done to one member, or to what passes between all.
 struct Deed {
-  enum class Kind { start, kill, leave, freeze, wake, faultBegins, faultEnds, twin };
+  enum class Kind { start, kill, leave, freeze, wake, deaf, hears, faultBegins, faultEnds, twin };
   Span at{};
   Kind kind = Kind::start;
   std::uint32_t member = 0;  // or the fault
--- a/src/lab/fleet/rig.cpp
+++ b/src/lab/fleet/rig.cpp
@@ -152,6 +152,10 @@
       frozen_[member] = deed.kind == Deed::Kind::freeze;
       hands_.signal(member, frozen_[member] ? SIGSTOP : SIGCONT);
       return judge_.frozen(now(), member, frozen_[member]);
+    case Deed::Kind::deaf:
+    case Deed::Kind::hears:
+      ways_.hears(member, deed.kind == Deed::Kind::hears);
+      return judge_.frozen(now(), member, deed.kind == Deed::Kind::deaf);
     case Deed::Kind::twin:
       twinOf_ = member;
       return hands_.start(drill_.members);
--- a/src/lab/fleet/virtual_fleet.cpp
+++ b/src/lab/fleet/virtual_fleet.cpp
@@ -24,7 +24,9 @@
 constexpr Span kDialTime = 1s;           // an exchange that does not come up by then fails
 constexpr std::size_t kBuffered = 1000;  // datagrams that wait for a frozen member; a socket's usual buffer
 constexpr std::uint64_t kEpoch = 1'700'000'000'000;  // ms; any time would do
-constexpr std::size_t kHead = 60;                    // bytes of a message beside its words
+constexpr std::size_t kATurn = 64;  // of what waited, before its timers run; as the program's loop has it
+constexpr Span kTurn = 1ms;         // that such a turn takes
+constexpr std::size_t kHead = 60;   // bytes of a message beside its words
 
 std::size_t sizeOf(const std::vector<fleet::Word>& words) {
   std::size_t size = 0;
@@ -32,6 +34,8 @@
   return size;
 }
 
+std::size_t sizeOf(const fleet::Marks& marks) { return marks.size() * 9; }
+
 class VirtualFleet;
 
 /// A process with its sockets.
@@ -48,7 +52,7 @@
   std::uint32_t starts = 0;
   bool frozen = false;
   Span wakesAt = Span::max();
-  std::deque<std::function<void()>> waiting;  // what came while it was frozen
+  std::deque<std::function<void(Membership&)>> waiting;  // what came while it was frozen
   std::uint64_t taken = 0;
 };
 
@@ -95,6 +99,7 @@
   /// Does it now, or once the member is no more frozen; never if it has ended by then.
   void at(std::uint32_t place, std::function<void(Membership&)> deed);
   void arm(std::uint32_t place);
+  void drain(std::uint32_t place);
   void look();
   [[nodiscard]] Span now() const { return timeline_.now(); }
 
@@ -135,19 +140,19 @@
   }
 }
 
-// Who asks says its digest; the other tells its whole view if its own differs, and is then told the first
-// one's.
+// Who asks says its digest and marks; the other tells what differs of its view, and is then told the first
+// one's of that.
 void VirtualFleet::exchange(std::uint32_t from, const std::string& address) {
   const auto found = addresses_.find(address);
   if (found == addresses_.end() || found->second == from) return;
   const std::uint32_t to = found->second;
   const auto way = ways_.connects(memberOf(from), memberOf(to));
   if (!way) return;
-  const fleet::Whole question{places_[from]->membership->self(), places_[from]->membership->digest(), {}};
+  const fleet::Whole question = places_[from]->membership->question();
   const Span until = now() + kDialTime;
   const auto tell = [this](std::uint32_t one, std::uint32_t other, const fleet::Whole& whole,
                            std::function<void(Membership&)> deed) {
-    const std::size_t bytes = kHead + fleet::sizeOf(whole.self) + sizeOf(whole.words);
+    const std::size_t bytes = kHead + fleet::sizeOf(whole.self) + sizeOf(whole.words) + sizeOf(whole.marks);
     judge_.sent(now(), memberOf(one), bytes);
     const auto back = ways_.connects(memberOf(one), memberOf(other));
     if (!back) return;
@@ -156,16 +161,16 @@
       at(other, deed);
     });
   };
-  const std::size_t size = kHead + fleet::sizeOf(question.self);
+  const std::size_t size = kHead + fleet::sizeOf(question.self) + sizeOf(question.marks);
   judge_.sent(now(), memberOf(from), size);
   timeline_.in(2 * *way, [this, from, to, question, size, until, tell] {
     judge_.got(now(), memberOf(to), size);
     at(to, [this, from, to, question, until, tell](Membership& asked) {
       if (now() > until || asked.displaced() || asked.digest() == question.digest) return;
       asked.merge(now(), question);
-      const auto theirs = std::make_shared<const fleet::Whole>(asked.whole(now()));
+      const auto theirs = std::make_shared<const fleet::Whole>(asked.whole(now(), question.marks));
       tell(to, from, *theirs, [this, from, to, theirs, tell](Membership& asker) {
-        const auto own = std::make_shared<const fleet::Whole>(asker.whole(now()));
+        const auto own = std::make_shared<const fleet::Whole>(asker.whole(now(), theirs->marks));
         const bool fresh = own->words.empty();  // all that it can tell stood in its question
         asker.merge(now(), *theirs);
         if (!fresh) tell(from, to, *own, [this, own](Membership& other) { other.merge(now(), *own); });
@@ -183,9 +188,8 @@
 void VirtualFleet::at(std::uint32_t place, std::function<void(Membership&)> deed) {
   Place& here = *places_[place];
   if (!here.membership) return;
-  if (here.frozen) {
-    if (here.waiting.size() < kBuffered)
-      here.waiting.push_back([this, place, deed = std::move(deed)] { at(place, deed); });
+  if (here.frozen || !here.waiting.empty()) {
+    if (here.waiting.size() < kBuffered) here.waiting.push_back(std::move(deed));
     return;
   }
   deed(*here.membership);
@@ -198,12 +202,32 @@
   if (due >= here.wakesAt) return;
   here.wakesAt = due;
   timeline_.at(due, [this, place, due, starts = here.starts] {
-    Place& now = *places_[place];
-    if (now.starts != starts || now.wakesAt != due) return;
-    now.wakesAt = Span::max();
-    at(place, [this](Membership& member) {
-      if (member.due() <= timeline_.now()) member.wake(timeline_.now());
-    });
+    Place& one = *places_[place];
+    if (one.starts != starts || one.wakesAt != due) return;
+    one.wakesAt = Span::max();
+    if (!one.membership || one.frozen || !one.waiting.empty()) return;
+    if (one.membership->due() <= now()) one.membership->wake(now());
+    arm(place);
+  });
+}
+
+// One that woke reads a turn's datagrams of those that waited, then its timers run, then the next: what is
+// still unread then may be the answer to what a timer takes for lost.
+void VirtualFleet::drain(std::uint32_t place) {
+  Place& here = *places_[place];
+  if (!here.membership || here.frozen) return;
+  for (std::size_t i = 0; i < kATurn && !here.waiting.empty(); ++i) {
+    const auto deed = std::move(here.waiting.front());
+    here.waiting.pop_front();
+    deed(*here.membership);
+  }
+  if (here.membership->due() <= now()) here.membership->wake(now());
+  if (here.waiting.empty()) {
+    here.wakesAt = Span::max();
+    return arm(place);
+  }
+  timeline_.in(kTurn, [this, place, starts = here.starts] {
+    if (places_[place]->starts == starts) drain(place);
   });
 }
 
@@ -247,16 +271,16 @@
       here.frozen = here.membership != nullptr;
       judge_.frozen(now(), deed.member, here.frozen);
       break;
-    case Deed::Kind::wake: {
+    case Deed::Kind::wake:
       here.frozen = false;
       judge_.frozen(now(), deed.member, false);
-      // What waited in the socket comes before the timers, as in the program's loop.
-      const auto waiting = std::exchange(here.waiting, {});
-      for (const auto& one : waiting) one();
-      here.wakesAt = Span::max();
-      if (here.membership) arm(deed.member);
+      drain(deed.member);
+      break;
+    case Deed::Kind::deaf:
+    case Deed::Kind::hears:
+      ways_.hears(deed.member, deed.kind == Deed::Kind::hears);
+      judge_.frozen(now(), deed.member, deed.kind == Deed::Kind::deaf);
       break;
-    }
     case Deed::Kind::twin:
       start(drill_.members, nameOf(deed.member));
       places_[drill_.members]->membership->begin(now());
--- a/src/lab/fleet/ways.cpp
+++ b/src/lab/fleet/ways.cpp
@@ -7,13 +7,14 @@
 namespace rackroute::lab {
 
 Ways::Ways(const Drill& drill, const Timetable& table, std::uint64_t seed)
-    : drill_(drill), table_(table), chance_(chanceOf(seed, Purpose::network)) {}
+    : drill_(drill), table_(table), chance_(chanceOf(seed, Purpose::network)), deaf_(drill.members) {}
 
 bool Ways::applies(std::uint32_t fault, std::uint32_t from, std::uint32_t to) const {
   return table_.who[fault][from] && table_.whom[fault][to];
 }
 
 bool Ways::cut(std::uint32_t from, std::uint32_t to) const {
+  if (deaf_[to]) return true;
   for (const std::uint32_t fault : lasting_) {
     const FaultKind kind = drill_.faults[fault].kind;
     if (kind == FaultKind::cut && (applies(fault, from, to) || applies(fault, to, from))) return true;
--- a/src/lab/fleet/ways.hpp
+++ b/src/lab/fleet/ways.hpp
@@ -25,6 +25,8 @@
 
   void begins(std::uint32_t fault) { lasting_.push_back(fault); }
   void ends(std::uint32_t fault) { std::erase(lasting_, fault); }
+  /// Whether what is said to this member arrives.
+  void hears(std::uint32_t member, bool yes) { deaf_[member] = !yes; }
   /// No arrival: it is lost.
   [[nodiscard]] std::vector<Passage> pass(std::uint32_t from, std::uint32_t to);
   /// How long a connection's bytes take; nothing if they never come, in either direction.
@@ -44,6 +46,7 @@
   const Timetable& table_;
   Chance chance_;
   std::vector<std::uint32_t> lasting_;
+  std::vector<bool> deaf_;  // by member
 };
 
 }  // namespace rackroute::lab
--- a/src/sidecar/fleet_side.cpp
+++ b/src/sidecar/fleet_side.cpp
@@ -70,8 +70,8 @@
 
 }  // namespace
 
-/// One exchange of whole views. Who asks sends its own word and its digest; the other sends its view if its
-/// digest is another, and is then sent the first one's.
+/// One exchange of views. Who asks sends its own word, its digest and its marks; the other sends what differs
+/// of its view, and is then sent the first one's of that.
 class FleetLink : public Connection {
  public:
   FleetLink(FleetSide& side, Poco::Net::StreamSocket socket, std::string peer, bool asks)
@@ -85,7 +85,7 @@
   void ask(const Poco::Net::SocketAddress& address) {
     limit();
     dial(address);
-    tell({side_.membership_.self(), side_.membership_.digest(), {}});
+    tell(side_.membership_.question());
   }
   [[nodiscard]] bool asks() const { return asks_; }
 
@@ -127,7 +127,7 @@
     const bool last = asks_ || heard_;
     if (!asks_ && !heard_ && same) return finish(Reason::done);
     heard_ = true;
-    const fleet::Whole own = membership.whole(loop_.now());
+    const fleet::Whole own = membership.whole(loop_.now(), theirs.marks);
     membership.merge(loop_.now(), theirs);
     // All that one can tell who knows nobody stood in its question.
     if (asks_ ? !own.words.empty() : !last) tell(own);
--- a/tests/fleet_test.cpp
+++ b/tests/fleet_test.cpp
@@ -68,8 +68,11 @@
   /// The others answer what was sent to them, all but those that are silent.
   void answer() {
     for (const auto& [address, message] : std::exchange(sent, {})) {
-      if (message.kind != Kind::ping || silent || address.ends_with(dead)) continue;
-      Message ack = ::message(Kind::ack, named(std::stoul(address.substr(address.rfind(':') + 1))));
+      if ((message.kind != Kind::ping && message.kind != Kind::ask) || silent || address.ends_with(dead))
+        continue;
+      // Those that are asked to try the one that does not answer reach it no better.
+      Message ack = ::message(message.kind == Kind::ping ? Kind::ack : Kind::nack,
+                              named(std::stoul(address.substr(address.rfind(':') + 1))));
       ack.number = message.number;
       ack.about = message.about;
       for (const Word& said : message.words)  // it speaks up
@@ -309,7 +312,7 @@
 
 TEST_CASE("an exchange's deaths are only suspicions, and who is accused is told") {
   Alone here({"m1", "m2"});
-  Whole theirs{word("m1"), 1, {word("m2", State::dead)}};
+  Whole theirs{word("m1"), 1, {word("m2", State::dead)}, {}};
   here.member.merge(here.now, theirs);
   CHECK(here.state("m2") == State::suspect);
   here.now = here.member.due();
@@ -321,6 +324,44 @@
   CHECK(told);
 }
 
+TEST_CASE("of two large views that exchange only the parts that differ are told") {
+  std::vector<std::string> names;
+  for (std::size_t i = 0; i < 400; ++i) names.push_back(named(1000 + i));
+  Alone one(names);
+  names.push_back("m7");
+  Alone other(names);
+  const Whole asked = one.member.question();
+  const Whole told = other.member.whole(other.now, asked.marks);
+  CHECK((told.words.size() > 0 && told.words.size() < 30));
+  Whole arrived;
+  CHECK(decode("f", encode("f", told), arrived) == Refusal::none);
+  CHECK(arrived.marks == told.marks);
+  one.member.merge(one.now, arrived);
+  CHECK(one.member.digest() == other.member.digest());
+  // One that asks without marks, of an earlier version or new, is told all.
+  CHECK(other.member.whole(other.now).words.size() == 401);
+  CHECK(Alone({"m1"}).member.question().marks.empty());
+  Whole absurd = told;
+  absurd.marks.push_back(1);
+  CHECK(decode("f", encode("f", absurd), arrived) == Refusal::absurd);
+}
+
+TEST_CASE("one that missed an answer to its suspicion asks what it missed before it buries anyone") {
+  Alone here({"m1", "m2", "m3", "m4"});
+  here.pass(3s);
+  here.dead = ":1";
+  while (here.state("m1") == State::alive) here.pass(1s);
+  here.silent = true;  // m1 speaks up now, and this one does not hear it
+  here.pass(20s);
+  CHECK(here.state("m1") == State::suspect);
+  here.silent = false;
+  here.exchanges.clear();
+  while (here.exchanges.empty()) here.pass(1s);
+  CHECK(here.state("m1") == State::suspect);
+  here.pass(30s);
+  CHECK(here.state("m1") == State::dead);  // it is, if nobody says otherwise
+}
+
 TEST_CASE("halves that buried each other become one again without a hand, in virtual time") {
   const char* const text = R"(
 name = "halves"
