Cut processes off from servers, kill and stop them, while they carry queries

Each process now finds each server at an address of the relay's own (no_servers, all servers or a zone's), and a drill beside queries kills, stops and starts processes anew.

--- a/src/lab/fleet/drill.cpp
+++ b/src/lab/fleet/drill.cpp
@@ -20,6 +20,7 @@
                                          {"corrupt", FaultKind::corrupt},
                                          {"newer", FaultKind::newer},
                                          {"no_discovery", FaultKind::noDiscovery},
+                                         {"no_servers", FaultKind::noServers},
                                          {"kill", FaultKind::kill},
                                          {"leave", FaultKind::leave},
                                          {"freeze", FaultKind::freeze},
@@ -92,6 +93,10 @@
       if (text != "others" && !group(drill, text, chance, members))
         section.fail(key, "wants all, others, zone N, half N, third N, share X or members N M");
     }
+    if (fault.kind == FaultKind::noServers && fault.whom != "all") {
+      if (!fault.whom.starts_with("zone ")) section.fail("whom", "of servers: wants all or zone N");
+      fault.zone = static_cast<std::uint32_t>(numberAfter(fault.whom, 1));
+    }
     if (fault.who == "others") section.fail("who", "others goes with whom");
     section.close();
     drill.faults.push_back(fault);
@@ -102,7 +107,8 @@
 
 bool disturbs(FaultKind kind) {
   return kind != FaultKind::loss && kind != FaultKind::delay && kind != FaultKind::doubled &&
-         kind != FaultKind::corrupt && kind != FaultKind::newer && kind != FaultKind::noDiscovery;
+         kind != FaultKind::corrupt && kind != FaultKind::newer && kind != FaultKind::noDiscovery &&
+         kind != FaultKind::noServers;
 }
 
 bool lasts(FaultKind kind) { return !disturbs(kind) || kind == FaultKind::cut || kind == FaultKind::oneWay; }
--- a/src/lab/fleet/drill.hpp
+++ b/src/lab/fleet/drill.hpp
@@ -5,6 +5,7 @@
 // run.
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -23,6 +24,7 @@
   doubled,      // a share of them comes twice, the second one later
   corrupt,      // a share of them has a byte changed
   noDiscovery,  // nothing passes between members and discovery; beside queries only
+  noServers,    // nothing passes between members and servers, all or those of a zone; beside queries only
   newer,        // what the first group says has a field that nobody knows yet
   kill,         // at once; starts anew after for_s, if that is given
   leave,        // by TERM; the same
@@ -39,7 +41,8 @@
   Span at{};
   Span length{};  // 0: to the end
   std::string who;
-  std::string whom;  // "others": all but who
+  std::string whom;                   // "others": all but who
+  std::optional<std::uint32_t> zone;  // of the servers; none: all of them
   double share = 1;
   Span delay{};
   Span least{};
--- a/src/lab/fleet/rig.hpp
+++ b/src/lab/fleet/rig.hpp
@@ -37,10 +37,15 @@
 
   /// What a process at that place is told beside all else: its name, its door and its fleet.
   [[nodiscard]] Json told(std::uint32_t place) const;
-  /// Where it finds discovery, past the relay.
+  /// Where it finds discovery, and a server of that zone, past the relay.
   std::string discoveryFor(std::uint32_t member, const std::string& address) {
-    return relay_.discoveryFor(member, address);
+    return relay_.forward(member, address, [this, member] { return ways_.listed(member); });
   }
+  std::string serverFor(std::uint32_t member, const std::string& address, std::uint32_t zone) {
+    return relay_.forward(member, address, [this, member, zone] { return ways_.served(member, zone); });
+  }
+  [[nodiscard]] Span lostAt(std::uint32_t member) const { return relay_.lostAt(member); }
+  void set(Hands hands) { hands_ = std::move(hands); }
   [[nodiscard]] std::string clientsAt(std::uint32_t place) const { return relay_.listens(place, 8000); }
   [[nodiscard]] std::uint32_t places() const { return drill_.members + 1; }
   /// Plays the timetable from now on. With started, all run already, and its starts are passed over.
--- a/src/lab/fleet/ways.cpp
+++ b/src/lab/fleet/ways.cpp
@@ -72,6 +72,13 @@
   });
 }
 
+bool Ways::served(std::uint32_t member, std::uint32_t zone) const {
+  return std::ranges::none_of(lasting_, [&](std::uint32_t no) {
+    const Fault& fault = drill_.faults[no];
+    return fault.kind == FaultKind::noServers && table_.who[no][member] && fault.zone.value_or(zone) == zone;
+  });
+}
+
 void Ways::spoil(std::string& bytes) {
   if (bytes.empty()) return;
   const auto place = static_cast<std::size_t>(fraction(chance_) * static_cast<double>(bytes.size()));
--- a/src/lab/fleet/ways.hpp
+++ b/src/lab/fleet/ways.hpp
@@ -33,6 +33,8 @@
   [[nodiscard]] std::optional<Span> connects(std::uint32_t from, std::uint32_t to);
   /// Whether what this member says to discovery arrives, and what it says back.
   [[nodiscard]] bool listed(std::uint32_t member) const;
+  /// The same for servers of that zone.
+  [[nodiscard]] bool served(std::uint32_t member, std::uint32_t zone) const;
   /// Changes one byte, or adds a field at its end that no version knows.
   void spoil(std::string& bytes);
   static void renew(std::string& bytes);
