Meet a key at home only while the own location answers as quickly as others

Lines at fault: Decider::pick, which takes a home judged by itself alone, and it is met too rarely to be known as slow.

Now homes are passed over while the own location's answers take over 1.25 times the others'.

--- a/src/decide/balancer.cpp
+++ b/src/decide/balancer.cpp
@@ -659,8 +659,7 @@
     return std::clamp(services_.mean(now, server.service) / server.service, 1 / kMostSpeed, kMostSpeed);
   }
 
-  // Guards against keys that cling to homes that fail: those keep none until they answer, or for the eject
-  // time.
+  // Guards against keys that cling to homes that fail: those keep none until they answer, or the eject time.
   [[nodiscard]] static bool failsNow(Span now, std::uint32_t run, Span failedAt, std::uint32_t most) {
     return run >= most && now < failedAt + kEjectTime;
   }
@@ -699,7 +698,9 @@
       ++pool;
     }
     const double crowded = kCrowded * (pool > 0 ? pool / inverse : usual);  // harmonic: no outlier moves it
-    const bool atHome = homes && !lost(now, terms_.zone);
+    // Guards against a location whose keys alone are more than its servers bear, while others idle.
+    const bool bears = answersFrom_[1].mean(now, 0) <= kCrowded * answersFrom_[0].mean(now, unloaded_[0]);
+    const bool atHome = homes && bears && !lost(now, terms_.zone);
     std::array<std::pair<double, ServerSlot>, kHomes> nearest;  // by distance
     nearest.fill({std::numeric_limits<double>::infinity(), 0});
     std::optional<ServerSlot> least;
@@ -760,8 +761,7 @@
   }
 
   // How long until one more execution may be out: the limits' sum binds too. Guards against a thousand
-  // balancers that may each have one out: what a limit below one allows is saved up over time, in seconds
-  // of execution, and an execution that is out uses it up.
+  // balancers with one out each: a limit below one is saved up, in seconds of execution, and used up by it.
   [[nodiscard]] Span poolWait(Span now) {
     double out = 0;
     double limits = 0;
@@ -903,9 +903,9 @@
   // ---- Housekeeping
 
   QuerySlot freeSlot() {
-    QuerySlot slot = 0;
-    while (slot < queries_.size() && queries_[slot].inUse) ++slot;
-    if (slot == queries_.size()) queries_.emplace_back();
+    const auto free = std::ranges::find(queries_, false, &Held::inUse);
+    const auto slot = static_cast<QuerySlot>(free - queries_.begin());
+    if (free == queries_.end()) queries_.emplace_back();
     return slot;
   }
 
