--- a/src/lab/sockets.cpp
+++ b/src/lab/sockets.cpp
@@ -484,7 +484,7 @@
   lookUp(balancer);
 }
 
-// What a process held that is killed, ends or stands still is its clients' loss and no breach of its own:
+// What a process held that is killed or stands still is its clients' loss and no breach of its own:
 // they leave, and those that come meanwhile find nobody.
 void Stage::signal(std::uint32_t balancer, int number) {
   Node& node = nodes_[balancer];
@@ -492,6 +492,7 @@
   ::kill(node.process->id(), number);
   if (number == SIGCONT) return lookUp(balancer);
   node.up = false;
+  if (number == SIGTERM) return;  // it still owes its answers
   std::vector<std::uint32_t> held;
   for (const auto& [query, asked] : tries_) {
     if (asked.ask.balancer == balancer && !asked.answered && !asked.gone) held.push_back(query);
--- a/tests/fleet_test.cpp
+++ b/tests/fleet_test.cpp
@@ -346,6 +346,29 @@
   CHECK(decode("f", encode("f", absurd), arrived) == Refusal::absurd);
 }
 
+TEST_CASE("every second probe goes to the next living member by id") {
+  Alone here({"m1", "m2", "m3", "m4", "m5", "m6", "m7", "m8"});
+  const auto& all = here.member.view().all();
+  const auto next = std::ranges::upper_bound(all, memberId("m100"), {}, &Held::id);
+  const std::string neighbour = (next == all.end() ? all.front() : *next).card->address;
+  int met = 0;
+  int missed = 0;  // in a row
+  for (int period = 0; period < 40; ++period) {
+    here.now = here.member.due();
+    here.member.wake(here.now);
+    const bool probed = std::ranges::any_of(
+        here.sent, [&](const auto& one) { return one.first == neighbour && one.second.kind == Kind::ping; });
+    const bool any =
+        std::ranges::any_of(here.sent, [](const auto& one) { return one.second.kind == Kind::ping; });
+    here.answer();
+    if (!any) continue;
+    met += probed ? 1 : 0;
+    missed = probed ? 0 : missed + 1;
+    CHECK(missed <= 1);
+  }
+  CHECK(met > 10);
+}
+
 TEST_CASE("one that missed an answer to its suspicion asks what it missed before it buries anyone") {
   Alone here({"m1", "m2", "m3", "m4"});
   here.pass(3s);
