--- /dev/null
+++ b/src/mesh/caller/caller.cpp
@@ -0,0 +1,285 @@
+#include "mesh/caller/caller.hpp"
+
+#include <algorithm>
+#include <cassert>
+#include <utility>
+
+namespace rackroute::mesh {
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr std::size_t kProcessesUntold = 100;  // until the control plane tells; more than share most slacks
+constexpr std::uint32_t kMostDoors = 4;        // that may turn a request away before it is given up
+constexpr Span kLeastLeft = 20ms;              // of a client's time; nothing is served in less
+constexpr Span kLeastComeBack = 50ms;          // for a client that is turned away; a queue's shortest time
+constexpr Span kMostComeBack = 400ms;          // clients heed a third of what time they have
+constexpr Span kNoServers = 300ms;             // to come back when none is known; news takes about that long
+constexpr double kHedgeMean = 3;               // times the mean answer, before another server is asked too
+constexpr double kHedgeAim = 0.5;              // of the aim, before which no other server is asked
+constexpr double kAnswerShare = 0.05;          // of the newest answer in the mean
+constexpr std::uint32_t kTimeout = 504;
+constexpr std::uint32_t kFailed = 502;
+constexpr std::uint32_t kBusy = 503;
+
+}  // namespace
+
+Caller::Caller(Built built)
+    : built_(std::move(built)),
+      rack_(built_.zone, built_.node, built_.seed),
+      chance_(built_.seed + 1),
+      processes_(kProcessesUntold) {}
+
+void Caller::processes(std::size_t count) {
+  processes_ = std::max<std::size_t>(count, 1);
+  for (auto& [service, budget] : budgets_) budget.share(built_.allowance, processes_);
+}
+
+Budget& Caller::budget(const ServiceName& service) {
+  const auto [found, added] = budgets_.try_emplace(service);
+  if (added) found->second.share(built_.allowance, processes_);
+  return found->second;
+}
+
+Span Caller::hedgeAfter(const Route& route) const {
+  const auto mean = meanAnswer_.find(route.name);
+  const Span byAim = std::chrono::duration_cast<Span>(route.aim * kHedgeAim);
+  if (mean == meanAnswer_.end()) return byAim;
+  return std::max(byAim,
+                  std::chrono::duration_cast<Span>(std::chrono::duration<double>(mean->second * kHedgeMean)));
+}
+
+CallActs Caller::asked(Span now, CallNo no, const Asked& asked) {
+  CallActs acts;
+  auto route = book_.find(asked.host, asked.path);
+  if (!route) {
+    answer(no, 404, Span{0}, acts);
+    return acts;
+  }
+  Call call;
+  call.started = now;
+  call.deadline = now + std::min(asked.patience.value_or(route->timeout), route->timeout);
+  call.service = route->targetAt(std::uniform_real_distribution<double>(0, 1)(chance_));
+  if (route->kind == RouteKind::pure && route->mostServers > 1) call.hedgeAt = now + hedgeAfter(*route);
+  call.route = std::move(route);
+  budget(call.service).request(now);
+  Call& kept = calls_.emplace(no, std::move(call)).first->second;
+  if (!sendOn(now, no, kept, acts)) giveUp(now, no, kept, acts);
+  return acts;
+}
+
+// To one more server, if any may take it; no question of the budget.
+bool Caller::sendOn(Span now, CallNo no, Call& call, CallActs& acts) {
+  if (call.deadline - now < kLeastLeft) return false;
+  const bool keyed = call.route->kind == RouteKind::keyed;
+  const auto picked = rack_.pick(now, call.service, keyed, call.been);
+  if (!picked) return false;
+  call.been.insert(picked->id);
+  const TryNo sent{++tries_};
+  call.out[sent] = {picked->id, false};
+  CallAct act{CallAct::Kind::send, no, sent};
+  act.at = picked->at;
+  act.ask.instance = picked->id;
+  act.ask.service = call.service;
+  act.ask.caller = built_.service;
+  act.ask.left = call.deadline - now;
+  act.ask.aim = std::max(Span{0}, call.started + call.route->aim - now);
+  act.ask.priority = call.route->priority;
+  act.ask.kind = call.route->kind;
+  acts.push_back(std::move(act));
+  return true;
+}
+
+CallActs Caller::hopped(Span now, CallNo no, TryNo sent, Hopped how, const HopTold& told,
+                        std::uint32_t status, std::shared_ptr<const void> bytes) {
+  CallActs acts;
+  const auto found = calls_.find(no);
+  if (found == calls_.end() || found->second.out.count(sent) == 0) return acts;
+  Call& call = found->second;
+  const Try tried = call.out.at(sent);
+  call.out.erase(sent);
+  const Verdict verdict = how == Hopped::told ? told.verdict : Verdict::unknown;
+  const bool pure = call.route->kind == RouteKind::pure;
+
+  // What it says of the server.
+  if (!tried.asking) {
+    Ending ending = Ending::failed;
+    switch (verdict) {
+      case Verdict::ran:
+        ending = status >= 500 && !told.repeated ? Ending::erred : Ending::served;
+        break;
+      case Verdict::turnedAway:
+      case Verdict::full:
+      case Verdict::held:
+      case Verdict::atWork:
+        ending = Ending::full;
+        break;
+      case Verdict::leaving:
+        ending = Ending::leaving;
+        break;
+      case Verdict::strange:
+        ending = Ending::strange;
+        break;
+      case Verdict::voteless:
+        ending = Ending::voteless;
+        break;
+      case Verdict::unreachable:
+      case Verdict::unknown:
+        ending = how == Hopped::told ? Ending::failed : Ending::wayFailed;
+        break;
+    }
+    rack_.ended(now, tried.instance, ending, told.load);
+  }
+
+  switch (verdict) {
+    case Verdict::ran: {
+      ++call.reached;
+      if (!told.repeated && status < 400) {
+        double& mean = meanAnswer_.try_emplace(call.route->name, 0).first->second;
+        const double seconds = std::chrono::duration<double>(now - call.started).count();
+        mean = mean == 0 ? seconds : mean + kAnswerShare * (seconds - mean);
+      }
+      call.mayHaveRun = true;
+      // A failure of one server may be no failure of the next.
+      if (pure && status >= 500) {
+        call.lastBytes = bytes;
+        if (!call.out.empty()) return acts;
+        if (call.reached < call.route->mostServers && budget(call.service).take(now) &&
+            sendOn(now, no, call, acts))
+          return acts;
+      }
+      CallAct act{CallAct::Kind::pass, no};
+      act.bytes = std::move(bytes);
+      acts.push_back(std::move(act));
+      calls_.erase(found);
+      return acts;
+    }
+    case Verdict::full:
+    case Verdict::leaving:
+    case Verdict::strange:
+    case Verdict::unreachable:
+    case Verdict::voteless:
+      ++call.doors;
+      if (told.wait > Span{0}) call.wait = std::min(call.wait, told.wait);
+      if (!call.out.empty()) return acts;
+      if (tried.asking) break;  // the holder gave its claim back; the client may ask anew
+      if (call.doors < kMostDoors && sendOn(now, no, call, acts)) return acts;
+      break;
+    case Verdict::turnedAway:
+      ++call.reached;
+      ++call.doors;
+      if (!call.out.empty()) return acts;
+      if (call.reached < call.route->mostServers && call.doors < kMostDoors &&
+          budget(call.service).take(now) && sendOn(now, no, call, acts))
+        return acts;
+      break;
+    case Verdict::held: {
+      if (tried.asking || !told.holder) break;
+      // Its answer lies with the process that holds the key, if that one still lives.
+      const TryNo next{++tries_};
+      call.out[next] = {InstanceId{}, true};
+      CallAct act{CallAct::Kind::send, no, next};
+      act.at = told.holder->at;
+      act.ask.service = call.service;
+      act.ask.caller = built_.service;
+      act.ask.left = call.deadline - now;
+      act.ask.kind = call.route->kind;
+      act.ask.priority = call.route->priority;
+      act.ask.holder = told.holder->life;
+      acts.push_back(std::move(act));
+      return acts;
+    }
+    case Verdict::atWork:
+      answer(no, 409, Span{0}, acts);
+      calls_.erase(found);
+      return acts;
+    case Verdict::unknown: {
+      if (tried.asking) {
+        // An earlier run of the operation ended with no answer, and this try itself never ran. Whether that
+        // one did nobody knows; to promise anything would only make its client ask again.
+        answer(no, kFailed, Span{0}, acts);
+        calls_.erase(found);
+        return acts;
+      }
+      if (how != Hopped::notSent) {
+        ++call.reached;
+        call.mayHaveRun = true;
+      }
+      if (!call.out.empty()) return acts;
+      // A keyed request may go to another server: its key is claimed there, and a claim that stands is found.
+      // After word from the server's own process that it may have run it is known to be in vain.
+      const bool again =
+          how == Hopped::notSent || pure || (call.route->kind == RouteKind::keyed && how != Hopped::told);
+      const bool counted = how != Hopped::notSent;
+      if (how == Hopped::notSent) ++call.doors;
+      if (again && call.doors < kMostDoors && call.reached < call.route->mostServers + (counted ? 0U : 1U) &&
+          (!counted || budget(call.service).take(now)) && sendOn(now, no, call, acts))
+        return acts;
+      break;
+    }
+  }
+  giveUp(now, no, call, acts);
+  return acts;
+}
+
+void Caller::giveUp(Span now, CallNo no, Call& call, CallActs& acts) {
+  if (!call.out.empty()) return;
+  if (call.lastBytes) {
+    CallAct act{CallAct::Kind::pass, no};
+    act.bytes = call.lastBytes;
+    acts.push_back(std::move(act));
+  } else if (call.mayHaveRun) {
+    answer(no, call.deadline <= now ? kTimeout : kFailed, Span{0}, acts);
+  } else {
+    const bool known = rack_.standing(call.service) > 0;
+    const Span wait = call.wait == Span::max() ? (known ? kLeastComeBack : kNoServers) : call.wait;
+    answer(no, kBusy, std::clamp(wait, kLeastComeBack, kMostComeBack), acts);
+  }
+  calls_.erase(no);
+}
+
+void Caller::answer(CallNo no, std::uint32_t status, Span comeBack, CallActs& acts) {
+  CallAct act{CallAct::Kind::answer, no};
+  act.status = status;
+  act.comeBack = comeBack;
+  acts.push_back(std::move(act));
+}
+
+CallActs Caller::tick(Span now) {
+  CallActs acts;
+  std::vector<CallNo> due;
+  for (const auto& [no, call] : calls_) {
+    if (std::min(call.deadline, call.hedgeAt) <= now) due.push_back(no);
+  }
+  for (const CallNo no : due) {
+    Call& call = calls_.at(no);
+    if (call.deadline <= now) {
+      // What is still out may have run; nobody waits for it any more.
+      for (const auto& [sent, tried] : call.out) {
+        if (!tried.asking) rack_.ended(now, tried.instance, Ending::failed, std::nullopt);
+        call.mayHaveRun = true;
+      }
+      call.out.clear();
+      giveUp(now, no, call, acts);
+      continue;
+    }
+    call.hedgeAt = Span::max();
+    // One more than the route allows must never be out: those out may all have reached their servers.
+    const std::uint32_t may = call.reached + static_cast<std::uint32_t>(call.out.size());
+    if (may >= call.route->mostServers || rack_.standing(call.service) < 2) continue;
+    if (budget(call.service).take(now)) sendOn(now, no, call, acts);
+  }
+  rack_.sweep(now);
+  return acts;
+}
+
+std::optional<Span> Caller::nextTick() const {
+  std::optional<Span> next;
+  for (const auto& [no, call] : calls_) {
+    const Span at = std::min(call.deadline, call.hedgeAt);
+    next = std::min(next.value_or(at), at);
+  }
+  return next;
+}
+
+}  // namespace rackroute::mesh
--- /dev/null
+++ b/src/mesh/caller/caller.hpp
@@ -0,0 +1,116 @@
+#pragma once
+
+// The process beside a caller decides: which route a request takes, which server gets it, whether it goes to
+// another, and when it is given up. It owns the requests of this machine that have no final answer yet and
+// what was learned of the servers; it takes inputs and returns what to send and answer, with no I/O and no
+// clock. It must never send what may have run and is not repeatable to a server that could run it again,
+// and never answer 429 or 503 for what may have run.
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "mesh/hop/hop.hpp"
+#include "mesh/rack/budget.hpp"
+#include "mesh/rack/rack.hpp"
+
+namespace rackroute::mesh {
+
+using CallNo = Id<struct CallTag, std::uint64_t>;  // one request of a client on this machine
+using TryNo = Id<struct TryTag, std::uint64_t>;    // one time that it was sent to another process
+
+/// What decides about a request; its bytes are kept by whoever read them.
+struct Asked {
+  std::string_view host;
+  std::string_view path;
+  std::optional<Span> patience;  // that its client will wait
+};
+
+/// What came of one try.
+enum class Hopped {
+  told,     // the other process answered
+  notSent,  // no connection came up
+  broken,   // it was sent, and the connection ended without a whole answer
+  silent,   // no answer in time
+};
+
+struct CallAct {
+  enum class Kind { send, answer, pass };
+  Kind kind = Kind::send;
+  CallNo call;
+  TryNo sent{};                         // send
+  Address at{};                         // send
+  HopAsk ask{};                         // send
+  std::uint32_t status = 0;             // answer
+  Span comeBack{};                      // answer: 0, no advice
+  std::shared_ptr<const void> bytes{};  // pass: the answer that goes to the client
+};
+using CallActs = std::vector<CallAct>;
+
+class Caller {
+ public:
+  struct Built {
+    NodeName node;
+    std::string zone;
+    ServiceName service;  // that runs on this machine
+    Allowance allowance;
+    std::uint64_t seed = 0;
+  };
+  explicit Caller(Built built);
+
+  void configured(const Items& items) { book_.read(items); }
+  void told(Span now, const Served& server, bool heard) { rack_.told(now, server, heard); }
+  /// How many data-plane processes share the allowance for further tries.
+  void processes(std::size_t count);
+  CallActs asked(Span now, CallNo no, const Asked& asked);
+  /// status: of the server's answer, if the verdict is that it ran.
+  CallActs hopped(Span now, CallNo no, TryNo sent, Hopped how, const HopTold& told, std::uint32_t status,
+                  std::shared_ptr<const void> bytes);
+  CallActs tick(Span now);
+  [[nodiscard]] std::optional<Span> nextTick() const;
+  [[nodiscard]] const RouteBook& book() const { return book_; }
+  [[nodiscard]] const Rack& rack() const { return rack_; }
+  [[nodiscard]] std::size_t atWork() const { return calls_.size(); }
+
+ private:
+  struct Try {
+    InstanceId instance;
+    bool asking = false;  // only after an answer; no server gets it
+  };
+  struct Call {
+    std::shared_ptr<const Route> route;
+    ServiceName service;
+    Span started{};
+    Span deadline{};
+    Span hedgeAt = Span::max();
+    std::set<InstanceId> been;  // servers that it was sent to, or tried to be
+    std::map<TryNo, Try> out;
+    std::uint32_t reached = 0;  // servers that it may have reached
+    std::uint32_t doors = 0;    // that did not let it in
+    bool mayHaveRun = false;
+    Span wait = Span::max();                // the shortest until there may be room, as doors told
+    std::shared_ptr<const void> lastBytes;  // a server's answer that it failed, in case nothing better comes
+  };
+  bool sendOn(Span now, CallNo no, Call& call, CallActs& acts);
+  void giveUp(Span now, CallNo no, Call& call, CallActs& acts);
+  void answer(CallNo no, std::uint32_t status, Span comeBack, CallActs& acts);
+  Budget& budget(const ServiceName& service);
+  [[nodiscard]] Span hedgeAfter(const Route& route) const;
+
+  Built built_;
+  RouteBook book_;
+  Rack rack_;
+  std::mt19937_64 chance_;
+  std::map<CallNo, Call> calls_;
+  std::map<ServiceName, Budget> budgets_;
+  std::map<std::string, double> meanAnswer_;  // seconds, by route
+  std::size_t processes_;
+  std::uint64_t tries_ = 0;
+};
+
+}  // namespace rackroute::mesh
--- /dev/null
+++ b/src/mesh/door/door.cpp
@@ -0,0 +1,448 @@
+#include "mesh/door/door.hpp"
+
+#include <algorithm>
+#include <cassert>
+#include <utility>
+
+namespace rackroute::mesh {
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr Span kDrainMargin = 1200ms;  // before the bound, nothing new is let to a server that drains
+constexpr double kWaitPart = 0.25;     // of the aim, the longest that a request waits here for room
+constexpr Span kLeastWait = 20ms;      // for requests with no aim left: a round of the shortest answers
+constexpr Span kClaimTime = 600ms;     // for a quorum's votes; some slow syncs and a lost packet
+constexpr Span kLeastLeft = 15ms;      // of a client's time; no server answers in less
+constexpr double kRunShare = 0.1;      // of the newest run in the mean
+constexpr Span kNoteSpare = 10s;       // beyond the window that an operation's end is remembered
+constexpr Span kNoServerFor = 60s;     // without a beat, a server that never signed off is forgotten
+
+}  // namespace
+
+Door::Door(Built built) : built_(std::move(built)) {}
+
+DoorActs Door::beat(Span now, const Beat& beat) {
+  DoorActs acts;
+  auto found = servers_.find(beat.id);
+  if (found == servers_.end()) {
+    if (beat.gone) return acts;
+    Server fresh;
+    fresh.told.id = beat.id;
+    fresh.told.service = beat.service;
+    fresh.told.at = built_.at;
+    fresh.told.node = built_.node;
+    fresh.told.zone = beat.zone.empty() ? built_.zone : beat.zone;
+    fresh.told.life = built_.life;
+    found = servers_.emplace(beat.id, std::move(fresh)).first;
+  } else if (!beat.gone && beat.seq <= found->second.seq) {
+    found->second.lastBeat = now;
+    return acts;  // a late call; what was said since stands
+  }
+  Server& server = found->second;
+  const Served before = server.told;
+  server.lastBeat = now;
+  if (!beat.gone) {
+    server.seq = beat.seq;
+    server.address = beat.address;
+    server.told.capacity = std::max<std::uint32_t>(beat.capacity, 1);
+    server.told.coldLeft = beat.coldLeft;
+    server.coldUntil = now + beat.coldLeft;
+  }
+  server.told.gone = server.told.gone || beat.gone;
+  if ((beat.draining || beat.gone) && server.drainsSince == Span::max()) server.drainsSince = now;
+  server.told.draining = server.told.draining || beat.draining;
+  Served plain = server.told;
+  plain.coldLeft = before.coldLeft;
+  // Told when something changed that others act on; how cold it is they count down themselves.
+  if (!(plain == before) || before.seq == 0) {
+    server.told.seq = ++said_;
+    DoorAct act{DoorAct::Kind::tell, {}};
+    act.served = server.told;
+    acts.push_back(std::move(act));
+  }
+  if (server.told.gone) {
+    while (!server.waiting.empty()) {
+      const AskNo no = server.waiting.front();
+      refuse(no, Verdict::leaving, &server, acts);
+    }
+  }
+  return acts;
+}
+
+bool Door::open(Span now, const Server& server) const {
+  if (leaving_ || server.told.gone) return false;
+  return server.drainsSince == Span::max() || now < server.drainsSince + built_.drain - kDrainMargin;
+}
+
+std::uint32_t Door::room(const Server& server) const { return server.told.capacity; }
+
+Span Door::waitAhead(const Server& server) const {
+  const double ahead = static_cast<double>(server.waiting.size()) + 1;
+  return std::chrono::duration_cast<Span>(
+      std::chrono::duration<double>(ahead * server.meanRun / room(server)));
+}
+
+HopTold Door::toldOf(Verdict verdict, const Server* server) const {
+  HopTold told;
+  told.verdict = verdict;
+  if (server != nullptr) {
+    told.load = Load{server->busy, static_cast<std::uint32_t>(server->waiting.size())};
+    told.wait = waitAhead(*server);
+  }
+  return told;
+}
+
+DoorActs Door::asked(Span now, AskNo no, const HopAsk& ask, const std::optional<std::string>& key) {
+  DoorActs acts;
+  const auto answer = [&](HopTold told, std::shared_ptr<const void> bytes = nullptr) {
+    DoorAct act{DoorAct::Kind::answer, no};
+    act.told = std::move(told);
+    act.bytes = std::move(bytes);
+    acts.push_back(std::move(act));
+  };
+  const auto found = servers_.find(ask.instance);
+  const Server* here = found == servers_.end() ? nullptr : &found->second;
+  std::optional<KeyPrint> print;
+  if (key) {
+    print = printOfKey(*key);
+    const auto past = operations_.find(*print);
+    if (past != operations_.end()) {
+      HopTold told = toldOf(Verdict::ran, here);
+      told.repeated = true;
+      switch (past->second.past) {
+        case Past::answered:
+          answer(told, past->second.bytes);
+          return acts;
+        case Past::unknown:
+          told.verdict = Verdict::unknown;
+          answer(told);
+          return acts;
+        case Past::working:
+          past->second.waiters.emplace_back(no, now + ask.left - kLeastLeft);
+          awaited_.insert(*print);
+          return acts;
+      }
+    }
+    if (ask.holder) {
+      // The claim it asks after: of this life it was given back, of an earlier one nobody knows.
+      HopTold told = toldOf(*ask.holder == built_.life ? Verdict::voteless : Verdict::unknown, here);
+      answer(told);
+      return acts;
+    }
+  }
+  if (here == nullptr || here->told.service != ask.service) {
+    answer(toldOf(Verdict::strange, nullptr));
+    return acts;
+  }
+  Server& server = found->second;
+  if (!open(now, server)) {
+    answer(toldOf(Verdict::leaving, &server));
+    return acts;
+  }
+  if (ask.left < kLeastLeft) {
+    answer(toldOf(Verdict::full, &server));
+    return acts;
+  }
+  Job job;
+  job.no = no;
+  job.ask = ask;
+  job.deadline = now + ask.left;
+  job.key = print;
+  const Span patience =
+      std::min(ask.left - kLeastLeft,
+               std::max<Span>(kLeastWait, std::chrono::duration_cast<Span>(ask.aim * kWaitPart)));
+  job.startBy = now + patience;
+  if (print) {
+    Operation operation;
+    operation.by = no;
+    operation.at = now;
+    operations_.emplace(*print, std::move(operation));
+  }
+  Job& kept = jobs_.emplace(no, std::move(job)).first->second;
+  if (server.busy < room(server) && server.waiting.empty()) {
+    start(now, kept, server, acts);
+  } else {
+    // The most important first; among equals as they came.
+    const auto place = std::find_if(server.waiting.begin(), server.waiting.end(),
+                                    [&](AskNo other) { return jobs_.at(other).ask.priority > ask.priority; });
+    server.waiting.insert(place, no);
+    // Whoever cannot be started in time, seen from its place, goes at once and not when its time is over.
+    double ahead = 0;
+    std::vector<AskNo> late;
+    for (const AskNo waiting : server.waiting) {
+      ahead += 1;
+      const Span due = now + std::chrono::duration_cast<Span>(
+                                 std::chrono::duration<double>(ahead * server.meanRun / room(server)));
+      if (due > jobs_.at(waiting).startBy) {
+        late.push_back(waiting);
+        ahead -= 1;
+      }
+    }
+    for (const AskNo waiting : late) refuse(waiting, Verdict::full, &server, acts);
+  }
+  check();
+  return acts;
+}
+
+// A job that surely never ran ends with a verdict that says so.
+void Door::refuse(AskNo no, Verdict verdict, const Server* server, DoorActs& acts,
+                  std::optional<Holder> holder) {
+  const auto found = jobs_.find(no);
+  if (found == jobs_.end()) return;
+  const Job job = found->second;
+  const auto at = servers_.find(job.ask.instance);
+  if (at != servers_.end()) {
+    if (job.stage == Stage::waiting) {
+      auto& waiting = at->second.waiting;
+      waiting.erase(std::remove(waiting.begin(), waiting.end(), no), waiting.end());
+    } else {
+      --at->second.busy;
+    }
+  }
+  DoorAct act{DoorAct::Kind::answer, no};
+  act.told = toldOf(verdict, server);
+  act.told.holder = std::move(holder);
+  acts.push_back(std::move(act));
+  jobs_.erase(found);
+  if (job.key) forgetOperation(*job.key, verdict, acts);
+}
+
+void Door::start(Span now, Job& job, Server& server, DoorActs& acts) {
+  ++server.busy;
+  job.startedAt = now;
+  if (!job.key) return run(now, job, server, acts);
+  job.stage = Stage::claiming;
+  job.claim = claims_.open(now, *job.key, std::min(now + kClaimTime, job.deadline - kLeastLeft));
+  operations_.at(*job.key).claim = job.claim;
+  claiming_[job.claim] = job.no;
+  DoorAct act{DoorAct::Kind::claim, job.no};
+  act.key = *job.key;
+  act.claim = job.claim;
+  acts.push_back(std::move(act));
+}
+
+void Door::run(Span now, Job& job, Server& server, DoorActs& acts) {
+  job.stage = Stage::running;
+  job.startedAt = now;
+  DoorAct act{DoorAct::Kind::run, job.no};
+  act.server = server.address;
+  act.instance = job.ask.instance;
+  act.caller = job.ask.caller;
+  act.left = job.deadline - now;
+  acts.push_back(std::move(act));
+}
+
+DoorActs Door::claimEnded(Span now, const Claims::Ended& ended) {
+  DoorActs acts;
+  const auto found = claiming_.find(ended.no);
+  if (found == claiming_.end()) return acts;
+  const AskNo no = found->second;
+  claiming_.erase(found);
+  Job& job = jobs_.at(no);
+  const KeyPrint key = *job.key;
+  const InstanceId instance = job.ask.instance;
+  const auto at = servers_.find(instance);
+  const bool stillOpen = at != servers_.end() && open(now, at->second) && job.deadline - now >= kLeastLeft;
+  if (ended.won && stillOpen) {
+    run(now, job, at->second, acts);
+    return acts;
+  }
+  // It never ran here and never will: whatever was promised to it is given back.
+  DoorAct act{DoorAct::Kind::giveBack, no};
+  act.key = key;
+  act.claim = ended.no;
+  acts.push_back(act);
+  const Server* server = at == servers_.end() ? nullptr : &at->second;
+  const Verdict verdict = ended.won ? Verdict::leaving : ended.holder ? Verdict::held : Verdict::voteless;
+  refuse(no, verdict, server, acts, ended.won ? std::nullopt : ended.holder);
+  if (at != servers_.end()) next(now, at->second, acts);
+  check();
+  return acts;
+}
+
+DoorActs Door::ran(Span now, AskNo no, AtServer how, const ServerAnswer& answer) {
+  DoorActs acts;
+  const auto found = jobs_.find(no);
+  if (found == jobs_.end()) return acts;
+  const Job job = found->second;
+  const auto at = servers_.find(job.ask.instance);
+  Server* server = at == servers_.end() ? nullptr : &at->second;
+  const bool sure = how == AtServer::notSent || (how == AtServer::answered && answer.notRun);
+  if (sure) {
+    if (job.key) {
+      DoorAct act{DoorAct::Kind::giveBack, no};
+      act.key = *job.key;
+      act.claim = job.claim;
+      acts.push_back(act);
+    }
+    refuse(no, how == AtServer::notSent ? Verdict::unreachable : Verdict::turnedAway, server, acts);
+  } else {
+    jobs_.erase(found);
+    if (server != nullptr) {
+      --server->busy;
+      const double seconds = std::chrono::duration<double>(now - job.startedAt).count();
+      server->meanRun += kRunShare * (seconds - server->meanRun);
+    }
+    DoorAct act{DoorAct::Kind::answer, no};
+    act.told = toldOf(how == AtServer::answered ? Verdict::ran : Verdict::unknown, server);
+    act.bytes = how == AtServer::answered ? answer.bytes : nullptr;
+    acts.push_back(std::move(act));
+    if (job.key)
+      endOperation(now, *job.key, how == AtServer::answered ? Past::answered : Past::unknown, answer, acts);
+  }
+  if (server != nullptr) next(now, *server, acts);
+  check();
+  return acts;
+}
+
+void Door::endOperation(Span now, const KeyPrint& key, Past past, const ServerAnswer& answer,
+                        DoorActs& acts) {
+  Operation& operation = operations_.at(key);
+  operation.past = past;
+  operation.at = now;
+  if (past == Past::answered) {
+    operation.bytes = answer.bytes;
+    operation.size = answer.size;
+    kept_ += answer.size;
+  }
+  for (const auto& [no, until] : std::exchange(operation.waiters, {})) {
+    DoorAct act{DoorAct::Kind::answer, no};
+    act.told = toldOf(past == Past::answered ? Verdict::ran : Verdict::unknown, nullptr);
+    act.told.repeated = true;
+    act.bytes = operation.bytes;
+    acts.push_back(std::move(act));
+  }
+  ended_.emplace_back(now, key);
+  // Guards against answers that eat the memory: the oldest go first, and their repeats are told that nobody
+  // knows.
+  for (auto old = ended_.begin(); kept_ > built_.mostKept && old != ended_.end(); ++old) {
+    const auto found = operations_.find(old->second);
+    if (found == operations_.end() || found->second.past != Past::answered) continue;
+    kept_ -= found->second.size;
+    found->second.past = Past::unknown;
+    found->second.bytes.reset();
+    found->second.size = 0;
+  }
+}
+
+void Door::forgetOperation(const KeyPrint& key, Verdict, DoorActs& acts) {
+  const auto found = operations_.find(key);
+  if (found == operations_.end()) return;
+  for (const auto& [no, until] : found->second.waiters) {
+    DoorAct act{DoorAct::Kind::answer, no};
+    act.told = toldOf(Verdict::voteless, nullptr);
+    acts.push_back(std::move(act));
+  }
+  operations_.erase(found);
+}
+
+void Door::next(Span now, Server& server, DoorActs& acts) {
+  while (server.busy < room(server) && !server.waiting.empty()) {
+    const AskNo no = server.waiting.front();
+    Job& job = jobs_.at(no);
+    if (!open(now, server) || job.deadline - now < kLeastLeft) {
+      refuse(no, Verdict::leaving, &server, acts);
+      continue;
+    }
+    server.waiting.pop_front();
+    start(now, job, server, acts);
+  }
+}
+
+DoorActs Door::tick(Span now) {
+  DoorActs acts;
+  for (const Claims::Ended& ended : claims_.expire(now)) {
+    const DoorActs more = claimEnded(now, ended);
+    acts.insert(acts.end(), more.begin(), more.end());
+  }
+  for (auto& [id, server] : servers_) {
+    const std::deque<AskNo> waiting = server.waiting;
+    for (const AskNo no : waiting) {
+      const Verdict verdict = open(now, server) ? Verdict::full : Verdict::leaving;
+      if (verdict == Verdict::leaving || jobs_.at(no).startBy <= now) refuse(no, verdict, &server, acts);
+    }
+  }
+  for (auto at = awaited_.begin(); at != awaited_.end();) {
+    const auto found = operations_.find(*at);
+    if (found == operations_.end() || found->second.waiters.empty()) {
+      at = awaited_.erase(at);
+      continue;
+    }
+    ++at;
+    auto& waiters = found->second.waiters;
+    for (const auto& [no, until] : waiters) {
+      if (until > now) continue;
+      DoorAct act{DoorAct::Kind::answer, no};
+      act.told = toldOf(Verdict::atWork, nullptr);
+      acts.push_back(std::move(act));
+    }
+    waiters.erase(
+        std::remove_if(waiters.begin(), waiters.end(), [&](const auto& w) { return w.second <= now; }),
+        waiters.end());
+  }
+  while (!ended_.empty() && ended_.front().first + built_.keyWindow + kNoteSpare <= now) {
+    const auto found = operations_.find(ended_.front().second);
+    if (found != operations_.end() && found->second.past != Past::working &&
+        found->second.at <= ended_.front().first) {
+      kept_ -= found->second.size;
+      operations_.erase(found);
+    }
+    ended_.pop_front();
+  }
+  for (auto at = servers_.begin(); at != servers_.end();) {
+    const Server& server = at->second;
+    const bool over = server.lastBeat + kNoServerFor < now && server.busy == 0 && server.waiting.empty();
+    at = over ? servers_.erase(at) : std::next(at);
+  }
+  return acts;
+}
+
+std::optional<Span> Door::nextTick() const {
+  std::optional<Span> next = claims_.nextEnd();
+  const auto earlier = [&](Span at) { next = std::min(next.value_or(at), at); };
+  for (const auto& [id, server] : servers_) {
+    for (const AskNo no : server.waiting) earlier(jobs_.at(no).startBy);
+  }
+  for (const KeyPrint& key : awaited_) {
+    const auto found = operations_.find(key);
+    if (found == operations_.end()) continue;
+    for (const auto& waiter : found->second.waiters) earlier(waiter.second);
+  }
+  return next;
+}
+
+DoorActs Door::leave(Span now) {
+  leaving_ = true;
+  DoorActs acts = tick(now);
+  for (auto& [id, server] : servers_) {
+    server.told.draining = true;
+    server.told.seq = ++said_;
+    DoorAct act{DoorAct::Kind::tell, {}};
+    act.served = server.told;
+    acts.push_back(std::move(act));
+  }
+  return acts;
+}
+
+std::vector<Served> Door::servers() const {
+  std::vector<Served> all;
+  for (const auto& [id, server] : servers_) all.push_back(server.told);
+  return all;
+}
+
+void Door::check() const {
+#ifndef NDEBUG
+  for (const auto& [id, server] : servers_) {
+    assert(server.busy <= room(server));
+    std::size_t busy = 0;
+    for (const auto& [no, job] : jobs_) {
+      if (job.ask.instance == id && job.stage != Stage::waiting) ++busy;
+    }
+    assert(busy == server.busy);
+  }
+  for (const auto& [no, job] : jobs_) assert(!job.key || operations_.count(*job.key) > 0);
+#endif
+}
+
+}  // namespace rackroute::mesh
--- /dev/null
+++ b/src/mesh/door/door.hpp
@@ -0,0 +1,157 @@
+#pragma once
+
+// The last door before a server: the process on its machine. It knows which servers live here and what they
+// say of themselves, how many requests each is working on, and which operations ran here. It owns all of
+// that; it takes inputs and returns what to send, claim and answer, with no I/O and no clock. It must never
+// let a request to a server that is another, gone, or drains for too long; never run a key without a won
+// claim; and never say that something has not run when it may have.
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "mesh/hop/hop.hpp"
+#include "mesh/latch/latches.hpp"
+
+namespace rackroute::mesh {
+
+using AskNo = Id<struct AskTag, std::uint64_t>;  // one request that came from another process
+
+/// What a server says in a beat, or with its sign-off.
+struct Beat {
+  InstanceId id;
+  ServiceName service;
+  Address address;
+  std::string zone;
+  std::uint32_t capacity = 1;
+  bool draining = false;
+  bool gone = false;
+  Span coldLeft{};
+  std::uint64_t seq = 0;
+};
+
+/// How an execution at a server here ended.
+enum class AtServer { answered, notSent, broken, timedOut, spoilt };
+
+/// A server's answer, as much of it as decides anything; the bytes are kept by whoever reads them.
+struct ServerAnswer {
+  std::uint32_t status = 0;
+  bool notRun = false;  // it says so
+  std::shared_ptr<const void> bytes;
+  std::size_t size = 0;
+};
+
+/// What the door wants done. Which fields matter goes by the kind.
+struct DoorAct {
+  enum class Kind { run, answer, claim, giveBack, tell };
+  Kind kind = Kind::run;
+  AskNo ask;
+  Address server{};                     // run
+  InstanceId instance{};                // run
+  ServiceName caller{};                 // run
+  Span left{};                          // run: until its client gives up
+  HopTold told{};                       // answer
+  std::shared_ptr<const void> bytes{};  // answer: the server's, if there is one
+  KeyPrint key{};                       // claim, giveBack
+  ClaimNo claim{};                      // claim, giveBack
+  Served served{};                      // tell
+};
+using DoorActs = std::vector<DoorAct>;
+
+class Door {
+ public:
+  struct Built {
+    NodeName node;
+    Address at;
+    std::string zone;
+    LifeNo life;
+    ServiceName service;  // of the server on this machine, as the settings tell
+    Span drain{};
+    Span keyWindow{};
+    std::size_t mostKept = 0;  // bytes of answers that are kept for repeats
+  };
+  explicit Door(Built built);
+
+  DoorActs beat(Span now, const Beat& beat);
+  /// A request from another process; key: of its operation, if its route is keyed.
+  DoorActs asked(Span now, AskNo no, const HopAsk& ask, const std::optional<std::string>& key);
+  DoorActs claimEnded(Span now, const Claims::Ended& ended);
+  DoorActs ran(Span now, AskNo no, AtServer how, const ServerAnswer& answer);
+  DoorActs tick(Span now);
+  /// When tick() is to be called at the latest; none: whenever.
+  [[nodiscard]] std::optional<Span> nextTick() const;
+  Claims& claims() { return claims_; }
+  /// The process leaves: nothing new is let in.
+  DoorActs leave(Span now);
+  [[nodiscard]] std::size_t atWork() const { return jobs_.size(); }
+  [[nodiscard]] std::vector<Served> servers() const;
+  [[nodiscard]] std::size_t kept() const { return kept_; }
+
+ private:
+  struct Server {
+    Served told;
+    Address address;
+    std::uint64_t seq = 0;  // its own calls
+    Span drainsSince = Span::max();
+    Span coldUntil{};
+    std::uint32_t busy = 0;
+    std::deque<AskNo> waiting;  // by priority, then as they came
+    double meanRun = 0.2;       // seconds
+    Span lastBeat{};
+  };
+  enum class Stage { waiting, claiming, running };
+  struct Job {
+    AskNo no;
+    HopAsk ask;
+    Span deadline{};
+    Span startBy{};
+    Span startedAt{};
+    Stage stage = Stage::waiting;
+    std::optional<KeyPrint> key;
+    ClaimNo claim;
+  };
+  enum class Past { working, answered, unknown };
+  struct Operation {
+    Past past = Past::working;
+    ClaimNo claim;
+    AskNo by;
+    std::shared_ptr<const void> bytes;
+    std::size_t size = 0;
+    Span at{};
+    std::vector<std::pair<AskNo, Span>> waiters;  // and when each gives up
+  };
+
+  void start(Span now, Job& job, Server& server, DoorActs& acts);
+  void run(Span now, Job& job, Server& server, DoorActs& acts);
+  void next(Span now, Server& server, DoorActs& acts);
+  void refuse(AskNo no, Verdict verdict, const Server* server, DoorActs& acts,
+              std::optional<Holder> holder = {});
+  void endOperation(Span now, const KeyPrint& key, Past past, const ServerAnswer& answer, DoorActs& acts);
+  void forgetOperation(const KeyPrint& key, Verdict verdict, DoorActs& acts);
+  void settle(Span now, AskNo no, DoorActs& acts);
+  [[nodiscard]] bool open(Span now, const Server& server) const;
+  [[nodiscard]] Span waitAhead(const Server& server) const;
+  [[nodiscard]] HopTold toldOf(Verdict verdict, const Server* server) const;
+  [[nodiscard]] std::uint32_t room(const Server& server) const;
+  void check() const;
+
+  Built built_;
+  Claims claims_;
+  std::map<InstanceId, Server> servers_;
+  std::map<AskNo, Job> jobs_;
+  std::map<ClaimNo, AskNo> claiming_;
+  std::unordered_map<KeyPrint, Operation, HashKeyPrint> operations_;
+  std::set<KeyPrint> awaited_;                   // operations at work that repeats may wait for
+  std::deque<std::pair<Span, KeyPrint>> ended_;  // operations, as they ended
+  std::size_t kept_ = 0;
+  std::uint64_t said_ = 0;
+  bool leaving_ = false;
+};
+
+}  // namespace rackroute::mesh
--- /dev/null
+++ b/src/mesh/hop/hop.cpp
@@ -0,0 +1,94 @@
+#include "mesh/hop/hop.hpp"
+
+#include <charconv>
+#include <vector>
+
+namespace rackroute::mesh {
+namespace {
+
+std::vector<std::string_view> fieldsOf(std::string_view text) {
+  std::vector<std::string_view> fields;
+  for (;;) {
+    const std::size_t end = text.find(';');
+    fields.push_back(text.substr(0, end));
+    if (end == text.npos) return fields;
+    text.remove_prefix(end + 1);
+  }
+}
+
+template <class Number>
+bool read(std::string_view text, Number& number) {
+  const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), number);
+  return error == std::errc{} && end == text.data() + text.size();
+}
+
+}  // namespace
+
+std::string textOf(const HopAsk& ask) {
+  return ask.instance.value + ';' + ask.service.value + ';' + ask.caller.value + ';' +
+         std::to_string(ask.left / std::chrono::milliseconds(1)) + ';' +
+         std::to_string(ask.aim / std::chrono::milliseconds(1)) + ';' + std::to_string(ask.priority) + ';' +
+         std::to_string(static_cast<int>(ask.kind)) + ';' +
+         (ask.holder ? std::to_string(ask.holder->value) : std::string());
+}
+
+std::optional<HopAsk> askFrom(std::string_view text) {
+  const auto fields = fieldsOf(text);
+  if (fields.size() != 8) return std::nullopt;
+  HopAsk ask;
+  ask.instance = {std::string(fields[0])};
+  ask.service = {std::string(fields[1])};
+  ask.caller = {std::string(fields[2])};
+  std::int64_t left = 0;
+  std::int64_t aim = 0;
+  int kind = 0;
+  if (!read(fields[3], left) || !read(fields[4], aim) || !read(fields[5], ask.priority) ||
+      !read(fields[6], kind) || kind < 0 || kind > static_cast<int>(RouteKind::keyed))
+    return std::nullopt;
+  ask.left = std::chrono::milliseconds(left);
+  ask.aim = std::chrono::milliseconds(aim);
+  ask.kind = static_cast<RouteKind>(kind);
+  if (!fields[7].empty()) {
+    LifeNo life;
+    if (!read(fields[7], life.value)) return std::nullopt;
+    ask.holder = life;
+  }
+  return ask;
+}
+
+std::string textOf(const HopTold& told) {
+  std::string text = std::to_string(static_cast<int>(told.verdict)) + ';';
+  if (told.load) text += std::to_string(told.load->busy) + ';' + std::to_string(told.load->queued) + ';';
+  if (!told.load) text += ";;";
+  text += std::to_string(told.wait / std::chrono::milliseconds(1)) + ';' + (told.repeated ? "1" : "") + ';';
+  if (told.holder) {
+    text += told.holder->at.value + ';' + std::to_string(told.holder->life.value) + ';' +
+            std::to_string(told.holder->no.value);
+  } else {
+    text += ";;";
+  }
+  return text;
+}
+
+std::optional<HopTold> toldFrom(std::string_view text) {
+  const auto fields = fieldsOf(text);
+  if (fields.size() != 8) return std::nullopt;
+  HopTold told;
+  int verdict = 0;
+  std::int64_t wait = 0;
+  if (!read(fields[0], verdict) || verdict < 0 || verdict > static_cast<int>(Verdict::unknown) ||
+      !read(fields[3], wait))
+    return std::nullopt;
+  told.verdict = static_cast<Verdict>(verdict);
+  told.wait = std::chrono::milliseconds(wait);
+  told.repeated = fields[4] == "1";
+  Load load;
+  if (read(fields[1], load.busy) && read(fields[2], load.queued)) told.load = load;
+  Holder holder;
+  holder.at = {std::string(fields[5])};
+  if (!fields[5].empty() && read(fields[6], holder.life.value) && read(fields[7], holder.no.value))
+    told.holder = holder;
+  return told;
+}
+
+}  // namespace rackroute::mesh
--- /dev/null
+++ b/src/mesh/hop/hop.hpp
@@ -0,0 +1,64 @@
+#pragma once
+
+// What two data-plane processes say to each other beside a request and its answer: one header each way, of
+// this one connection alone. It decides nothing.
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include "mesh/names.hpp"
+#include "mesh/plan/route_book.hpp"
+#include "mesh/rack/rack.hpp"
+
+namespace rackroute::mesh {
+
+inline constexpr std::string_view kHop = "Rackroute-Hop";
+inline constexpr std::string_view kAttempt = "Rackroute-Attempt-Id";
+inline constexpr std::string_view kDeadline = "Rackroute-Deadline-Ms";
+inline constexpr std::string_view kExpect = "Rackroute-Expect-Instance";
+inline constexpr std::string_view kCaller = "Rackroute-Caller-Service";
+inline constexpr std::string_view kOperation = "Rackroute-Operation-Key";
+inline constexpr std::string_view kNotRun = "Rackroute-Not-Run";
+
+/// What the caller's process asks of the server's.
+struct HopAsk {
+  InstanceId instance;
+  ServiceName service;
+  ServiceName caller;  // what runs on the machine where the request began
+  Span left{};         // until its client gives up
+  Span aim{};          // left of the time within which it earns its full worth
+  std::uint32_t priority = 0;
+  RouteKind kind = RouteKind::effectful;
+  std::optional<LifeNo> holder;  // set: only for the answer of the operation that this life holds
+};
+
+enum class Verdict {
+  ran,          // the server's answer
+  turnedAway,   // the server answered that it did not run it
+  full,         // not sent to the server: no room in time
+  leaving,      // not sent: it drains or is gone
+  strange,      // not sent: no such server here
+  unreachable,  // not sent: the server takes no connection
+  voteless,     // not sent: no quorum for its key
+  held,         // not sent: another claim holds its key
+  atWork,       // the first of its key is still at work
+  unknown,      // it may have run, and no answer came
+};
+
+/// What the server's process tells with whatever it answers.
+struct HopTold {
+  Verdict verdict = Verdict::unknown;
+  std::optional<Load> load;
+  std::optional<Holder> holder;
+  Span wait{};            // how long until there may be room
+  bool repeated = false;  // the answer is an earlier run's
+};
+
+std::string textOf(const HopAsk& ask);
+std::optional<HopAsk> askFrom(std::string_view text);
+std::string textOf(const HopTold& told);
+std::optional<HopTold> toldFrom(std::string_view text);
+
+}  // namespace rackroute::mesh
--- /dev/null
+++ b/src/mesh/plan/items.cpp
@@ -0,0 +1,242 @@
+#include "mesh/plan/items.hpp"
+
+#include <xxhash.h>
+
+#include <algorithm>
+#include <set>
+#include <utility>
+
+#include "mesh/plan/gauge.hpp"
+#include "mesh/plan/span_text.hpp"
+
+namespace rackroute::mesh {
+namespace {
+
+using nlohmann::json;
+using namespace std::chrono_literals;
+
+constexpr Span kLongestTimeout = 10min;  // of a route, as the protocol has it
+
+std::uint64_t hashOf(std::string_view text) { return XXH3_64bits(text.data(), text.size()); }
+
+std::uint64_t printOf(const Item& item) {
+  return hashOf(textOf(item.key) + (item.dropped ? "-" : "+") + writeGeneration(item.generation) +
+                item.hostname + (item.dropped ? "" : item.value.dump()));
+}
+
+Result<Item> itemOf(ItemKind kind, const json& value, bool dropped) {
+  Item item;
+  item.key = {kind, kind == ItemKind::limits ? "limits" : value["name"].get<std::string>()};
+  const auto generation = readGeneration(value["generation"].get<std::string>());
+  if (!generation) return mishap("change", textOf(item.key) + ".generation is no version");
+  item.generation = *generation;
+  item.dropped = dropped;
+  if (!dropped) item.value = value;
+  return item;
+}
+
+Result<void> checkRoute(const Item& route) {
+  const json& value = route.value;
+  const std::string name = textOf(route.key);
+  const auto span = [&](const char* field) -> std::optional<Span> {
+    return value.contains(field) ? readSpan(value[field].get<std::string>()) : std::optional<Span>(1ms);
+  };
+  const auto timeout = span("timeout");
+  if (!timeout) return mishap("change", name + ".timeout can't be read");
+  if (*timeout <= Span{0}) return mishap("change", name + ".timeout is 0");
+  if (*timeout > kLongestTimeout) return mishap("change", name + ".timeout is over ten minutes");
+  if (!span("target_time")) return mishap("change", name + ".target_time can't be read");
+  if (value["path_prefix"].get<std::string>()[0] != '/')
+    return mishap("change", name + ".path_prefix does not begin with a slash");
+  if (value.contains("target") == value.contains("weighted"))
+    return mishap("change", name + " needs either target or weighted");
+  if (value.contains("weighted")) {
+    double sum = 0;
+    for (const json& part : value["weighted"]) sum += part["weight"].get<double>();
+    if (!(sum > 0)) return mishap("change", name + ".weighted has no weight");
+  }
+  return boost::outcome_v2::success();
+}
+
+}  // namespace
+
+std::string textOf(const ItemKey& key) {
+  static constexpr const char* kKinds[] = {"route/", "service/", "limits/"};
+  return kKinds[static_cast<std::size_t>(key.kind)] + key.name;
+}
+
+std::optional<ItemKey> keyOf(std::string_view text) {
+  const std::size_t slash = text.find('/');
+  if (slash == std::string_view::npos) return std::nullopt;
+  const std::string_view kind = text.substr(0, slash);
+  const std::string name(text.substr(slash + 1));
+  if (kind == "route") return ItemKey{ItemKind::route, name};
+  if (kind == "service") return ItemKey{ItemKind::service, name};
+  if (kind == "limits") return ItemKey{ItemKind::limits, name};
+  return std::nullopt;
+}
+
+json toJson(const Item& item) {
+  json out{{"k", textOf(item.key)}, {"g", item.generation.value}};
+  if (item.dropped) return out;
+  out["v"] = item.value;
+  if (!item.hostname.empty()) out["h"] = item.hostname;
+  return out;
+}
+
+Item itemFrom(const json& from) {
+  Item item;
+  item.key = keyOf(from.at("k").get<std::string>()).value_or(ItemKey{});
+  item.generation = {from.at("g").get<std::uint64_t>()};
+  item.dropped = !from.contains("v");
+  if (!item.dropped) item.value = from["v"];
+  item.hostname = from.value("h", std::string());
+  return item;
+}
+
+std::vector<std::string> servicesOf(const Item& route) {
+  std::vector<std::string> services;
+  if (route.dropped || route.key.kind != ItemKind::route) return services;
+  if (route.value.contains("target")) services.push_back(route.value["target"].get<std::string>());
+  if (route.value.contains("weighted")) {
+    for (const json& part : route.value["weighted"]) services.push_back(part["target"].get<std::string>());
+  }
+  return services;
+}
+
+Result<std::vector<Item>> readChange(std::string_view text) {
+  if (auto shape = checkShape(Shape::change, text); !shape) return std::move(shape).error();
+  const json change = json::parse(text);
+  std::vector<Item> items;
+  std::map<ItemKey, std::size_t> places;
+  // A name may stand in a change more than once: its highest version prevails there too.
+  const auto add = [&](Result<Item> read) -> Result<void> {
+    if (!read) return std::move(read).error();
+    Item item = std::move(read).value();
+    const auto [place, first] = places.try_emplace(item.key, items.size());
+    if (first) {
+      items.push_back(std::move(item));
+      return boost::outcome_v2::success();
+    }
+    Item& other = items[place->second];
+    if (item.generation == other.generation && printOf(item) != printOf(other))
+      return mishap("change", textOf(item.key) + " stands in it twice with one version");
+    if (item.generation > other.generation) other = std::move(item);
+    return boost::outcome_v2::success();
+  };
+  if (const auto upsert = change.find("upsert"); upsert != change.end()) {
+    for (const json& service : upsert->value("service_list", json::array())) {
+      if (auto added = add(itemOf(ItemKind::service, service, false)); !added)
+        return std::move(added).error();
+    }
+    if (const auto limits = upsert->find("limits"); limits != upsert->end()) {
+      if (auto added = add(itemOf(ItemKind::limits, *limits, false)); !added) return std::move(added).error();
+      for (const char* field : {"header", "idle"}) {
+        if (limits->contains(field) && !readSpan((*limits)[field].get<std::string>()))
+          return mishap("change", std::string("limits.") + field + " can't be read");
+      }
+    }
+    for (const json& host : upsert->value("host_map", json::array())) {
+      for (const json& route : host["path_routes"]) {
+        Result<Item> read = itemOf(ItemKind::route, route, false);
+        if (!read) return std::move(read).error();
+        read.value().hostname = host["hostname"].get<std::string>();
+        if (auto sound = checkRoute(read.value()); !sound) return std::move(sound).error();
+        if (auto added = add(std::move(read)); !added) return std::move(added).error();
+      }
+    }
+  }
+  if (const auto remove = change.find("remove"); remove != change.end()) {
+    for (const auto& [list, entries] : remove->items()) {
+      if (list != "route_list" && list != "service_list" && !entries.empty())
+        return mishap("change", "remove." + list + " is no list of items");
+      for (const json& entry : entries) {
+        const ItemKind kind = list == "route_list" ? ItemKind::route : ItemKind::service;
+        if (auto added = add(itemOf(kind, entry, true)); !added) return std::move(added).error();
+      }
+    }
+  }
+  return items;
+}
+
+bool Items::newer(const Item& item) const {
+  const Item* held = find(item.key);
+  return held == nullptr || held->generation < item.generation;
+}
+
+bool Items::merge(const Item& item) {
+  const auto found = items_.find(item.key);
+  if (found != items_.end()) {
+    const Item& held = found->second;
+    if (held.generation > item.generation) return false;
+    // Guards against two operators who gave one version to two contents: every copy keeps the same one.
+    if (held.generation == item.generation && printOf(held) >= printOf(item)) return false;
+    digest_ ^= printOf(held);
+  }
+  digest_ ^= printOf(item);
+  items_[item.key] = item;
+  return true;
+}
+
+const Item* Items::find(const ItemKey& key) const {
+  const auto found = items_.find(key);
+  return found == items_.end() ? nullptr : &found->second;
+}
+
+json Items::versions() const {
+  json versions = json::object();
+  for (const auto& [key, item] : items_) versions[textOf(key)] = {item.generation.value, printOf(item)};
+  return versions;
+}
+
+std::vector<Item> Items::beyond(const json& versions) const {
+  std::vector<Item> more;
+  for (const auto& [key, item] : items_) {
+    const auto theirs = versions.find(textOf(key));
+    if (theirs != versions.end()) {
+      const auto generation = theirs->at(0).get<std::uint64_t>();
+      if (generation > item.generation.value) continue;
+      if (generation == item.generation.value && theirs->at(1).get<std::uint64_t>() >= printOf(item))
+        continue;
+    }
+    more.push_back(item);
+  }
+  return more;
+}
+
+json Items::standing() const {
+  json services = json::array();
+  json limits;
+  std::map<std::string, json> hosts;
+  for (const auto& [key, item] : items_) {
+    if (item.dropped) continue;
+    if (key.kind == ItemKind::service) services.push_back(item.value);
+    if (key.kind == ItemKind::limits) limits = item.value;
+    if (key.kind == ItemKind::route)
+      hosts.try_emplace(item.hostname, json::array()).first->second.push_back(item.value);
+  }
+  json map = json::array();
+  for (auto& [hostname, routes] : hosts)
+    map.push_back({{"hostname", hostname}, {"path_routes", std::move(routes)}});
+  json out{{"service_list", std::move(services)}, {"host_map", std::move(map)}};
+  if (!limits.is_null()) out["limits"] = std::move(limits);
+  return out;
+}
+
+std::optional<std::string> Items::unknownService(const std::vector<Item>& change) const {
+  std::set<std::string> given;
+  std::set<std::string> taken;
+  for (const Item& item : change) {
+    if (item.key.kind == ItemKind::service) (item.dropped ? taken : given).insert(item.key.name);
+  }
+  for (const Item& route : change) {
+    for (const std::string& service : servicesOf(route)) {
+      if (given.count(service) > 0) continue;
+      const Item* held = find({ItemKind::service, service});
+      if (held == nullptr || held->dropped || taken.count(service) > 0) return service;
+    }
+  }
+  return std::nullopt;
+}
+
+}  // namespace rackroute::mesh
--- /dev/null
+++ b/src/mesh/plan/span_text.cpp
@@ -0,0 +1,44 @@
+#include "mesh/plan/span_text.hpp"
+
+#include <charconv>
+
+namespace rackroute::mesh {
+namespace {
+
+constexpr double kLongestMilliseconds = 1e13;  // some three hundred years; keeps the sum within a Span
+
+}  // namespace
+
+std::optional<Span> readSpan(std::string_view text) {
+  double number = 0;
+  const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), number);
+  if (error != std::errc{}) return std::nullopt;
+  const std::string_view unit = text.substr(static_cast<std::size_t>(end - text.data()));
+  if (unit == "s") {
+    number *= 1000;
+  } else if (unit != "ms") {
+    return std::nullopt;
+  }
+  if (!(number >= 0) || number > kLongestMilliseconds) return std::nullopt;
+  return Span(static_cast<Span::rep>(number * 1000));
+}
+
+std::string writeSpan(Span span) {
+  return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(span).count()) + "ms";
+}
+
+std::optional<Generation> readGeneration(std::string_view text) {
+  if (text.size() < 2 || text[0] != 'r' || text[1] < '0' || text[1] > '9') return std::nullopt;
+  std::uint64_t number = 0;
+  const auto [end, error] = std::from_chars(text.data() + 1, text.data() + text.size(), number);
+  if (error != std::errc{} || end != text.data() + text.size()) return std::nullopt;
+  return Generation{number};
+}
+
+std::string writeGeneration(Generation generation) {
+  std::string text = std::to_string(generation.value);
+  text.insert(text.begin(), 'r');
+  return text;
+}
+
+}  // namespace rackroute::mesh
--- /dev/null
+++ b/src/mesh/roster/words.cpp
@@ -0,0 +1,55 @@
+#include "mesh/roster/words.hpp"
+
+namespace rackroute::mesh {
+namespace {
+
+using nlohmann::json;
+
+constexpr unsigned kDrains = 1;
+constexpr unsigned kGone = 2;
+constexpr unsigned kHeard = 4;
+
+}  // namespace
+
+json toJson(const News& news) {
+  const Served& served = news.served;
+  const unsigned flags =
+      (served.draining ? kDrains : 0) | (served.gone ? kGone : 0) | (news.heard ? kHeard : 0);
+  return json::array({served.id.value, served.service.value, served.at.value, served.node.value, served.zone,
+                      served.life.value, served.seq, served.capacity, flags,
+                      served.coldLeft / std::chrono::milliseconds(1)});
+}
+
+News newsFrom(const json& from) {
+  News news;
+  Served& served = news.served;
+  served.id = {from.at(0).get<std::string>()};
+  served.service = {from.at(1).get<std::string>()};
+  served.at = {from.at(2).get<std::string>()};
+  served.node = {from.at(3).get<std::string>()};
+  served.zone = from.at(4).get<std::string>();
+  served.life = {from.at(5).get<std::uint64_t>()};
+  served.seq = from.at(6).get<std::uint64_t>();
+  served.capacity = from.at(7).get<std::uint32_t>();
+  const auto flags = from.at(8).get<unsigned>();
+  served.draining = (flags & kDrains) != 0;
+  served.gone = (flags & kGone) != 0;
+  news.heard = (flags & kHeard) != 0;
+  served.coldLeft = std::chrono::milliseconds(from.at(9).get<std::int64_t>());
+  return news;
+}
+
+json toJson(const Holder& holder) {
+  return json::array({holder.at.value, holder.life.value, holder.no.value});
+}
+
+Holder holderFrom(const json& from) {
+  return {
+      {from.at(0).get<std::string>()}, {from.at(1).get<std::uint64_t>()}, {from.at(2).get<std::uint64_t>()}};
+}
+
+Address talkAddress(const Address& control, std::uint16_t port) {
+  return {control.value.substr(0, control.value.rfind(':')) + ':' + std::to_string(port)};
+}
+
+}  // namespace rackroute::mesh
--- /dev/null
+++ b/src/mesh/shop/errand.cpp
@@ -0,0 +1,207 @@
+#include "mesh/shop/errand.hpp"
+
+#include <Poco/Exception.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+#include <algorithm>
+#include <charconv>
+#include <utility>
+
+#include "mesh/hop/hop.hpp"
+
+namespace rackroute::mesh {
+namespace {
+
+using namespace std::chrono_literals;
+using http::Progress;
+using sidecar::Reason;
+
+constexpr Span kKeepAliveMargin = 700ms;  // before the end that a peer announced; its clock and a trip
+constexpr int kProbeAfter = 1;            // seconds of silence before the kernel asks whether a peer lives
+
+/// The seconds of Keep-Alive: timeout=N, or of a bare number.
+std::optional<Span> promisedIdle(const http::Message& answer) {
+  const auto field = answer.field("Keep-Alive");
+  if (!field) return std::nullopt;
+  std::string_view text = *field;
+  if (const std::size_t at = text.find("timeout="); at != text.npos) text.remove_prefix(at + 8);
+  int seconds = 0;
+  const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), seconds);
+  if (error != std::errc{}) return std::nullopt;
+  return std::chrono::seconds(seconds);
+}
+
+}  // namespace
+
+class Errands::Way : public sidecar::Connection {
+ public:
+  Way(Errands& errands, Address to)
+      : Connection(errands.loop_, "errand", Poco::Net::StreamSocket(), to.value),
+        errands_(errands),
+        to_(std::move(to)) {}
+
+  void connect() {
+    timer_ = loop_.in(errands_.terms_.dial, [this] {
+      timer_ = {};
+      end(Reason::dialTimeout);
+    });
+    dial(Poco::Net::SocketAddress(to_.value));
+  }
+  void request(http::Gather pieces, std::string attempt, bool headOnly, Span until, Done done) {
+    attempt_ = std::move(attempt);
+    headOnly_ = headOnly;
+    done_ = std::move(done);
+    until_ = until;
+    skipped_ = false;
+    keeps_ = true;
+    reader_ = http::Reader(http::Reader::Kind::answer, errands_.terms_.mostAnswer);
+    send(std::move(pieces));
+    if (!dialing() && !ended()) watch();
+  }
+  void keep(Span idle) {
+    loop_.cancel(timer_);
+    timer_ = loop_.in(idle, [this] {
+      timer_ = {};
+      end(Reason::idle);
+    });
+  }
+  [[nodiscard]] const Address& to() const { return to_; }
+  [[nodiscard]] Span idle() const { return idle_; }
+
+ protected:
+  void opened() override {
+    up_ = true;
+    loop_.cancel(timer_);
+    if (errands_.terms_.unread > Span{0}) {
+      const int milliseconds = static_cast<int>(errands_.terms_.unread / 1ms);
+      const int one = 1;
+      const int seconds = kProbeAfter;
+      ::setsockopt(descriptor(), IPPROTO_TCP, TCP_USER_TIMEOUT, &milliseconds, sizeof(milliseconds));
+      ::setsockopt(descriptor(), SOL_SOCKET, SO_KEEPALIVE, &one, sizeof(one));
+      ::setsockopt(descriptor(), IPPROTO_TCP, TCP_KEEPIDLE, &seconds, sizeof(seconds));
+      ::setsockopt(descriptor(), IPPROTO_TCP, TCP_KEEPINTVL, &seconds, sizeof(seconds));
+    }
+    if (done_) watch();
+  }
+  void received() override {
+    if (!done_) return end(Reason::unreadAnswer);  // bytes that nobody asked for
+    for (;;) {
+      const Progress progress = headOnly_ ? reader_.readHead(in_) : reader_.read(in_);
+      if (progress == Progress::more) return;
+      if (progress != Progress::done) {
+        why_ = "answer";
+        spoilt_ = true;
+        return end(Reason::badMessage);
+      }
+      auto answer =
+          std::make_shared<const http::Message>(headOnly_ ? reader_.takeHead(in_) : reader_.take(in_));
+      if (answer->status() < 200) continue;  // word that an answer will come
+      // Guards against an answer to an earlier request that comes in this one's place.
+      if (!attempt_.empty() && answer->field(kAttempt) != std::string_view(attempt_)) {
+        skipped_ = true;
+        if (!answer->keepsOpen()) {
+          spoilt_ = true;
+          return end(Reason::badMessage);
+        }
+        continue;
+      }
+      ++messages_;
+      keeps_ = answer->keepsOpen() && in_.empty() && !skipped_;
+      idle_ = errands_.terms_.idle;
+      if (const auto promised = promisedIdle(*answer)) idle_ = std::min(idle_, *promised - kKeepAliveMargin);
+      if (idle_ <= Span{0}) keeps_ = false;
+      loop_.cancel(timer_);
+      tell(Errand::answered, std::move(answer));
+      if (keeps_) return errands_.release(std::static_pointer_cast<Way>(shared_from_this()));
+      return end(Reason::closeAsked);
+    }
+  }
+  void gone(Reason reason) override {
+    loop_.cancel(timer_);
+    if (done_) {
+      Errand how = Errand::broken;
+      if (!up_) how = Errand::notSent;
+      if (spoilt_) how = Errand::spoilt;
+      if (up_ && reason == Reason::executionTimeout) how = Errand::silent;
+      tell(how, nullptr);
+    }
+    errands_.forget(this);
+  }
+
+ private:
+  void watch() {
+    loop_.cancel(timer_);
+    timer_ = loop_.at(std::max(until_, loop_.now()), [this] {
+      timer_ = {};
+      end(Reason::executionTimeout);
+    });
+  }
+  void tell(Errand how, std::shared_ptr<const http::Message> answer) {
+    loop_.soon(
+        [done = std::exchange(done_, nullptr), how, answer = std::move(answer)] { done(how, answer); });
+  }
+
+  Errands& errands_;
+  Address to_;
+  http::Reader reader_{http::Reader::Kind::answer};
+  Done done_;
+  std::string attempt_;
+  sidecar::Loop::TimerId timer_;
+  Span until_{};
+  Span idle_{};
+  bool up_ = false;
+  bool headOnly_ = false;
+  bool skipped_ = false;
+  bool spoilt_ = false;
+  bool keeps_ = true;
+};
+
+Errands::~Errands() = default;
+
+void Errands::send(const Address& to, http::Gather request, std::string attempt, bool headOnly, Span until,
+                   Done done) {
+  for (;;) {
+    const auto kept = idle_.find(to);
+    if (kept == idle_.end() || kept->second.empty()) break;
+    const std::shared_ptr<Way> way =
+        kept->second.back();  // the one used last: the others may end of idleness
+    kept->second.pop_back();
+    if (way->ended()) continue;
+    busy_[way.get()] = way;
+    if (way->stale()) {
+      way->end(Reason::idle);
+      continue;
+    }
+    way->request(std::move(request), std::move(attempt), headOnly, until, std::move(done));
+    return;
+  }
+  ++dialled_;
+  const auto way = std::make_shared<Way>(*this, to);
+  busy_[way.get()] = way;
+  way->connect();
+  way->request(std::move(request), std::move(attempt), headOnly, until, std::move(done));
+}
+
+void Errands::release(const std::shared_ptr<Way>& way) {
+  auto& kept = idle_[way->to()];
+  if (kept.size() >= terms_.mostIdle) return way->end(Reason::crowded);
+  busy_.erase(way.get());
+  kept.push_back(way);
+  way->keep(way->idle());
+}
+
+void Errands::forget(const Way* way) {
+  const auto kept = idle_.find(way->to());
+  if (kept != idle_.end()) {
+    auto& list = kept->second;
+    list.erase(
+        std::remove_if(list.begin(), list.end(), [&](const auto& other) { return other.get() == way; }),
+        list.end());
+    if (list.empty()) idle_.erase(kept);
+  }
+  busy_.erase(way);
+}
+
+}  // namespace rackroute::mesh
--- /dev/null
+++ b/src/mesh/shop/errand.hpp
@@ -0,0 +1,56 @@
+#pragma once
+
+// Requests sent over HTTP to other processes and to the server here, over connections that are kept. It owns
+// the connections; it must never give an answer to a request that it does not belong to, and never say that
+// something was not sent when a byte of it may have been.
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "http/gather.hpp"
+#include "http/message.hpp"
+#include "mesh/names.hpp"
+#include "sidecar/connection.hpp"
+
+namespace rackroute::mesh {
+
+enum class Errand { answered, notSent, broken, silent, spoilt };
+
+class Errands {
+ public:
+  struct Terms {
+    Span dial{};    // for a connection to come up
+    Span idle{};    // a connection is kept unused, unless its peer says less
+    Span unread{};  // without word of a peer's kernel, a connection is over; 0: as the kernel has it
+    std::size_t mostAnswer = 0;  // bytes of a body
+    std::size_t mostIdle = 0;    // connections kept for one address
+  };
+  using Done = std::function<void(Errand, std::shared_ptr<const http::Message>)>;
+
+  Errands(sidecar::Loop& loop, Terms terms) : loop_(loop), terms_(terms) {}
+  Errands(const Errands&) = delete;
+  Errands& operator=(const Errands&) = delete;
+  ~Errands();
+
+  /// attempt: what an answer must name to be this request's; empty: any does. done is called exactly once, in
+  /// a later turn; until: silence is the end of it then.
+  void send(const Address& to, http::Gather request, std::string attempt, bool headOnly, Span until,
+            Done done);
+  [[nodiscard]] std::size_t dialled() const { return dialled_; }
+
+ private:
+  class Way;
+  void release(const std::shared_ptr<Way>& way);
+  void forget(const Way* way);
+
+  sidecar::Loop& loop_;
+  Terms terms_;
+  std::map<Address, std::vector<std::shared_ptr<Way>>> idle_;
+  std::map<const Way*, std::shared_ptr<Way>> busy_;
+  std::size_t dialled_ = 0;
+};
+
+}  // namespace rackroute::mesh
--- /dev/null
+++ b/src/mesh/shop/start.cpp
@@ -0,0 +1,58 @@
+#include "mesh/shop/start.hpp"
+
+#include <Poco/Exception.h>
+#include <sys/resource.h>
+
+#include <algorithm>
+#include <cstdlib>
+#include <exception>
+#include <fstream>
+#include <iostream>
+#include <iterator>
+
+namespace rackroute::mesh {
+namespace {
+
+constexpr const char* kUsualPlace = "/etc/rackroute/node.json";
+
+}  // namespace
+
+std::string sheetPath(const std::string& given) {
+  if (!given.empty()) return given;
+  const char* told = std::getenv("RACKROUTE_CONFIG");
+  return told != nullptr && *told != '\0' ? told : kUsualPlace;
+}
+
+Result<JobSheet> readSheetFile(const std::string& path) {
+  std::ifstream file(path);
+  if (!file) return mishap("settings", "can't be read", path);
+  const std::string text{std::istreambuf_iterator<char>(file), std::istreambuf_iterator<char>()};
+  Result<JobSheet> sheet = readJobSheet(text);
+  if (!sheet) {
+    Mishap wrong = sheet.error();
+    wrong.peer = path;
+    return wrong;
+  }
+  return sheet;
+}
+
+void limitDescriptors(const JobSheet& sheet) {
+  if (sheet.descriptors == 0) return;
+  rlimit limit{};
+  if (::getrlimit(RLIMIT_NOFILE, &limit) != 0) return;
+  limit.rlim_cur = std::min<rlim_t>(limit.rlim_max, sheet.descriptors);
+  ::setrlimit(RLIMIT_NOFILE, &limit);
+}
+
+int guardedMain(const char* program, const std::function<int()>& body) {
+  try {
+    return body();
+  } catch (const Poco::Exception& error) {
+    std::cerr << program << ": " << error.displayText() << '\n';
+  } catch (const std::exception& error) {
+    std::cerr << program << ": " << error.what() << '\n';
+  }
+  return 1;
+}
+
+}  // namespace rackroute::mesh
--- /dev/null
+++ b/src/mesh/shop/store.cpp
@@ -0,0 +1,110 @@
+#include "mesh/shop/store.hpp"
+
+#include <leveldb/db.h>
+#include <leveldb/write_batch.h>
+
+#include <chrono>
+#include <utility>
+
+namespace rackroute::mesh {
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr std::size_t kWriteBuffer = 1 << 20;  // bytes held twice at the worst; what is live is far less
+constexpr int kOpenFiles = 64;                 // LevelDB's floor; the descriptors are for connections
+constexpr auto kReopenPause = 250ms;           // after a failed write; a full disk stays full for a while
+constexpr const char* kMark = "version";       // of what the folder holds
+constexpr const char* kVersion = "1";
+constexpr const char* kFolder = "/held";  // within the data folder, so that other files there do no harm
+
+}  // namespace
+
+Store::Store(std::string folder) : folder_(std::move(folder)) {}
+
+Store::~Store() {
+  {
+    const std::lock_guard guard(mutex_);
+    over_ = true;
+  }
+  more_.notify_one();
+  if (thread_.joinable()) thread_.join();
+}
+
+Result<void> Store::openDatabase() {
+  leveldb::Options options;
+  options.create_if_missing = true;
+  options.write_buffer_size = kWriteBuffer;
+  options.max_open_files = kOpenFiles;
+  options.compression = leveldb::kNoCompression;
+  leveldb::DB* database = nullptr;
+  const leveldb::Status status = leveldb::DB::Open(options, folder_ + kFolder, &database);
+  if (!status.ok()) return mishap("store", status.ToString(), folder_);
+  database_.reset(database);
+  return boost::outcome_v2::success();
+}
+
+Result<std::map<std::string, std::string>> Store::open(bool& foreign) {
+  foreign = false;
+  if (auto opened = openDatabase(); !opened) return std::move(opened).error();
+  std::map<std::string, std::string> all;
+  const std::unique_ptr<leveldb::Iterator> at(database_->NewIterator(leveldb::ReadOptions()));
+  for (at->SeekToFirst(); at->Valid(); at->Next()) all[at->key().ToString()] = at->value().ToString();
+  if (!at->status().ok()) return mishap("store", at->status().ToString(), folder_);
+  const auto mark = all.find(kMark);
+  if (!all.empty() && (mark == all.end() || mark->second != kVersion)) {
+    foreign = true;
+    return mishap("store", "it holds something else, or was written by a newer version", folder_);
+  }
+  all.erase(kMark);
+  return all;
+}
+
+void Store::start(Told told) {
+  told_ = std::move(told);
+  thread_ = std::thread([this] { run(); });
+}
+
+void Store::write(std::uint64_t batch, Entries entries) {
+  {
+    const std::lock_guard guard(mutex_);
+    waiting_.push_back({batch, std::move(entries)});
+  }
+  more_.notify_one();
+}
+
+void Store::run() {
+  for (;;) {
+    std::vector<Batch> batches;
+    {
+      std::unique_lock lock(mutex_);
+      more_.wait(lock, [this] { return over_ || !waiting_.empty(); });
+      if (over_ && waiting_.empty()) return;
+      batches.swap(waiting_);
+    }
+    bool done = false;
+    if (database_ || openDatabase()) {
+      leveldb::WriteBatch all;
+      all.Put(kMark, kVersion);
+      for (const Batch& batch : batches) {
+        for (const auto& [key, value] : batch.entries) {
+          if (value) {
+            all.Put(key, *value);
+          } else {
+            all.Delete(key);
+          }
+        }
+      }
+      leveldb::WriteOptions synced;
+      synced.sync = true;
+      done = database_->Write(synced, &all).ok();
+      // Guards against a log that a refused write left half written: what came after it would be lost with
+      // it.
+      if (!done) database_.reset();
+    }
+    for (const Batch& batch : batches) told_(batch.no, done);
+    if (!done) std::this_thread::sleep_for(kReopenPause);
+  }
+}
+
+}  // namespace rackroute::mesh
--- /dev/null
+++ b/src/mesh/shop/store.hpp
@@ -0,0 +1,60 @@
+#pragma once
+
+// The control process's disk: a LevelDB and the one thread that waits for it. Batches that come while one is
+// being synced go together with the next. It owns the database; it must never tell of a batch as written that
+// a loss of power could take.
+
+#include <condition_variable>
+#include <functional>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <optional>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "mesh/plan/mishap.hpp"
+
+namespace leveldb {
+class DB;
+}
+
+namespace rackroute::mesh {
+
+using Entries = std::vector<std::pair<std::string, std::optional<std::string>>>;  // none: removed
+
+class Store {
+ public:
+  /// told: called from the store's thread for each batch, in their order.
+  using Told = std::function<void(std::uint64_t batch, bool done)>;
+
+  explicit Store(std::string folder);
+  Store(const Store&) = delete;
+  Store& operator=(const Store&) = delete;
+  ~Store();
+
+  /// Opens the folder and reads all that it holds. foreign: it is no store of ours, and waiting won't help.
+  Result<std::map<std::string, std::string>> open(bool& foreign);
+  void start(Told told);
+  void write(std::uint64_t batch, Entries entries);
+
+ private:
+  struct Batch {
+    std::uint64_t no = 0;
+    Entries entries;
+  };
+  Result<void> openDatabase();
+  void run();
+
+  std::string folder_;
+  std::unique_ptr<leveldb::DB> database_;
+  Told told_;
+  std::mutex mutex_;
+  std::condition_variable more_;
+  std::vector<Batch> waiting_;
+  bool over_ = false;
+  std::thread thread_;
+};
+
+}  // namespace rackroute::mesh
--- /dev/null
+++ b/src/mesh/shop/talk.hpp
@@ -0,0 +1,43 @@
+#pragma once
+
+// One session of the mesh's own talk: words as JSON, a line each. It owns what is read and not yet a whole
+// line; it must never hand on half a word, nor take one without end.
+
+#include <functional>
+#include <memory>
+#include <nlohmann/json.hpp>
+#include <string>
+
+#include "mesh/names.hpp"
+#include "sidecar/connection.hpp"
+
+namespace rackroute::mesh {
+
+class Talk : public sidecar::Connection {
+ public:
+  struct Ends {
+    std::function<void()> up;
+    std::function<void(const nlohmann::json&)> heard;
+    std::function<void()> over;  // once, also for a dial that failed
+  };
+  Talk(sidecar::Loop& loop, Poco::Net::StreamSocket socket, std::string peer)
+      : Connection(loop, "talk", std::move(socket), peer), name_(std::move(peer)) {}
+
+  void accepted(Ends ends);
+  void connect(const Address& to, Span within, Ends ends);
+  void say(const nlohmann::json& word);
+  [[nodiscard]] const std::string& name() const { return name_; }
+
+ protected:
+  void opened() override;
+  void received() override;
+  void gone(sidecar::Reason reason) override;
+
+ private:
+  std::string name_;
+  Ends ends_;
+  sidecar::Loop::TimerId dialTimer_;
+  std::size_t scanned_ = 0;
+};
+
+}  // namespace rackroute::mesh
--- /dev/null
+++ b/src/mesh/shuttle/feed.cpp
@@ -0,0 +1,246 @@
+#include "mesh/shuttle/feed.hpp"
+
+#include <xxhash.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace rackroute::mesh {
+namespace {
+
+using nlohmann::json;
+using namespace std::chrono_literals;
+
+constexpr Span kTick = 250ms;       // the finest step of all times below
+constexpr Span kPulse = 500ms;      // between words on an idle session
+constexpr Span kSilent = 1700ms;    // without a word, a session is over; three pulses and a delay
+constexpr Span kDialTime = 1000ms;  // for a dial; a hung one is given up
+constexpr Span kRedial = 300ms;     // after a dial that failed or a session that ended
+constexpr Span kDiffers = 200ms;    // with another digest than a control process's, before items are fetched
+constexpr Span kFewest = 1500ms;    // then what few control processes told must do; the others are down
+constexpr std::size_t kMostControls = 32;  // addresses; far above any core
+
+}  // namespace
+
+Span Feed::tickEvery() { return kTick; }
+
+Feed::Feed(Built built) : built_(std::move(built)) {
+  for (const Address& seed : built_.seeds) controls_[seed];
+}
+
+void Feed::seeds(std::vector<Address> seeds) {
+  built_.seeds = std::move(seeds);
+  for (const Address& seed : built_.seeds) {
+    if (controls_.size() < kMostControls) controls_[seed];
+  }
+}
+
+void Feed::learn(const json& list) {
+  for (const json& address : list) {
+    if (controls_.size() < kMostControls) controls_[{address.get<std::string>()}];
+  }
+}
+
+void Feed::say(const Address& to, json word, FeedActs& acts) {
+  controls_.at(to).lastSaid = now_;
+  FeedAct act;
+  act.kind = FeedAct::Kind::say;
+  act.at = to;
+  act.word = std::move(word);
+  acts.push_back(std::move(act));
+}
+
+FeedActs Feed::sayAll(const json& word) {
+  FeedActs acts;
+  for (const auto& [at, control] : controls_) {
+    if (control.up) say(at, word, acts);
+  }
+  return acts;
+}
+
+FeedActs Feed::reached(Span now, const Address& at) {
+  now_ = now;
+  FeedActs acts;
+  Control& control = controls_[at];
+  control = Control{};
+  control.up = true;
+  control.lastHeard = now;
+  say(at,
+      {{"t", "hello"},
+       {"kind", "side"},
+       {"node", built_.node.value},
+       {"life", built_.life.value},
+       {"at", built_.at.value}},
+      acts);
+  say(at, {{"t", "want"}, {"versions", items_.versions()}}, acts);
+  FeedAct act;
+  act.kind = FeedAct::Kind::standing;
+  act.at = at;
+  acts.push_back(std::move(act));
+  return acts;
+}
+
+FeedActs Feed::ended(Span now, const Address& at) {
+  now_ = now;
+  FeedActs acts;
+  Control& control = controls_[at];
+  const bool was = control.up;
+  control.up = false;
+  control.next = now + kRedial;
+  control.followed.clear();
+  if (was) assign(acts);
+  return acts;
+}
+
+FeedActs Feed::heard(Span now, const Address& at, const json& word) {
+  now_ = now;
+  FeedActs acts;
+  const auto found = controls_.find(at);
+  if (found == controls_.end() || !found->second.up) return acts;
+  Control& control = found->second;
+  control.lastHeard = now;
+  const std::string kind = word.at("t").get<std::string>();
+  if (kind == "welcome") {
+    control.zone = word.at("zone").get<std::string>();
+    voters_ = word.at("voters").get<std::size_t>();
+    quorum_ = word.at("quorum").get<std::size_t>();
+    learn(word.at("core"));
+    FeedAct act;
+    act.kind = FeedAct::Kind::told;
+    acts.push_back(std::move(act));
+  } else if (kind == "core") {
+    learn(word.at("list"));
+  } else if (kind == "beat") {
+    const bool before = control.whole && control.settled;
+    control.whole = word.at("whole").get<bool>();
+    control.settled = word.at("settled").get<bool>();
+    const auto members = word.at("members").get<std::size_t>();
+    if (members != members_) {
+      // The largest of what is told is the careful one: more processes, a smaller part for each.
+      members_ = std::max(members, controls_.size() > 1 ? members_ : 0);
+      FeedAct act;
+      act.kind = FeedAct::Kind::told;
+      acts.push_back(std::move(act));
+    }
+    if (before != (control.whole && control.settled)) assign(acts);
+    if (word.at("digest").get<std::uint64_t>() == items_.digest()) {
+      control.differsSince = Span::max();
+      control.answered = control.answered || control.whole;
+      if (control.answered && !items_.all().empty() && !firstItems_) firstItems_ = now;
+    } else if (control.differsSince == Span::max()) {
+      control.differsSince = now;
+    } else if (control.differsSince + kDiffers <= now && control.whole) {
+      control.differsSince = now;
+      say(at, {{"t", "want"}, {"versions", items_.versions()}}, acts);
+    }
+  } else if (kind == "items") {
+    if (word.contains("whole")) control.answered = control.answered || word["whole"].get<bool>();
+    bool changed = false;
+    for (const json& item : word.at("list")) changed = items_.merge(itemFrom(item)) || changed;
+    if (!items_.all().empty() && !firstItems_) firstItems_ = now;
+    if (changed) {
+      FeedAct act;
+      act.kind = FeedAct::Kind::configured;
+      acts.push_back(std::move(act));
+    }
+  } else if (kind == "servers") {
+    for (const json& entry : word.at("list")) {
+      FeedAct act;
+      act.kind = FeedAct::Kind::server;
+      act.news = newsFrom(entry);
+      acts.push_back(std::move(act));
+    }
+  } else if (kind == "votes") {
+    for (const json& vote : word.at("list")) {
+      FeedAct act;
+      act.kind = FeedAct::Kind::vote;
+      act.at = at;
+      act.claim = {vote.at(0).get<std::uint64_t>()};
+      act.granted = vote.size() == 1;
+      if (vote.size() > 1) act.holder = holderFrom(vote[1]);
+      acts.push_back(std::move(act));
+    }
+  }
+  return acts;
+}
+
+FeedActs Feed::follow(const std::vector<ServiceName>& services) {
+  services_ = services;
+  FeedActs acts;
+  assign(acts);
+  return acts;
+}
+
+// Each service has a home in the zone, a control process there that stands; where there is none, one further
+// away. All in the zone choose alike, so news crosses between zones once.
+void Feed::assign(FeedActs& acts) {
+  std::map<Address, std::set<ServiceName>> homes;
+  for (const ServiceName& service : services_) {
+    const Address* best = nullptr;
+    std::pair<int, std::uint64_t> rank{-1, 0};
+    for (const auto& [at, control] : controls_) {
+      if (!control.up) continue;
+      const std::string pair = service.value + '/' + at.value;
+      const int fitness = (control.whole && control.settled ? 2 : 0) + (control.zone == built_.zone ? 1 : 0);
+      const std::pair<int, std::uint64_t> mine{fitness, XXH3_64bits(pair.data(), pair.size())};
+      if (best == nullptr || mine > rank) {
+        best = &at;
+        rank = mine;
+      }
+    }
+    if (best != nullptr) homes[*best].insert(service);
+  }
+  for (auto& [at, control] : controls_) {
+    if (!control.up) continue;
+    const std::set<ServiceName>& wanted = homes[at];
+    if (wanted == control.followed) continue;
+    control.followed = wanted;
+    json names = json::array();
+    for (const ServiceName& service : wanted) names.push_back(service.value);
+    say(at, {{"t", "follow"}, {"services", std::move(names)}}, acts);
+  }
+}
+
+bool Feed::ready(Span now) const {
+  if (!firstItems_) return false;
+  const auto answered = static_cast<std::size_t>(std::count_if(
+      controls_.begin(), controls_.end(), [](const auto& entry) { return entry.second.answered; }));
+  return (quorum_ > 0 && answered >= quorum_) || *firstItems_ + kFewest <= now;
+}
+
+std::size_t Feed::sessions() const {
+  return static_cast<std::size_t>(
+      std::count_if(controls_.begin(), controls_.end(), [](const auto& entry) { return entry.second.up; }));
+}
+
+FeedActs Feed::tick(Span now) {
+  now_ = now;
+  FeedActs acts;
+  std::vector<Address> silent;
+  for (auto& [at, control] : controls_) {
+    if (control.up) {
+      if (control.lastHeard + kSilent <= now) {
+        silent.push_back(at);
+      } else if (control.lastSaid + kPulse <= now) {
+        say(at, {{"t", "beat"}}, acts);
+      }
+    } else if (control.next <= now) {
+      control.next = now + kDialTime;
+      FeedAct act;
+      act.kind = FeedAct::Kind::dial;
+      act.at = at;
+      acts.push_back(std::move(act));
+    }
+  }
+  for (const Address& at : silent) {
+    FeedAct act;
+    act.kind = FeedAct::Kind::hangUp;
+    act.at = at;
+    acts.push_back(std::move(act));
+    const FeedActs more = ended(now, at);
+    acts.insert(acts.end(), more.begin(), more.end());
+  }
+  return acts;
+}
+
+}  // namespace rackroute::mesh
--- /dev/null
+++ b/src/mesh/shuttle/feed.hpp
@@ -0,0 +1,91 @@
+#pragma once
+
+// What a data-plane process hears from the control plane: its sessions, the configuration as it comes, news
+// of servers from each service's home. It owns the sessions' state and the items in force here; it takes
+// inputs and returns what to say, with no I/O and no clock. It must never let go of what it holds because
+// nobody tells it anything.
+
+#include <cstdint>
+#include <map>
+#include <nlohmann/json.hpp>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "mesh/latch/latches.hpp"
+#include "mesh/plan/items.hpp"
+#include "mesh/roster/words.hpp"
+
+namespace rackroute::mesh {
+
+struct FeedAct {
+  enum class Kind { say, dial, hangUp, server, configured, vote, standing, told };
+  Kind kind = Kind::say;
+  Address at{};                    // say, dial, hangUp, standing: the control process
+  nlohmann::json word{};           // say
+  News news{};                     // server
+  ClaimNo claim{};                 // vote
+  bool granted = false;            // vote
+  std::optional<Holder> holder{};  // vote
+};
+using FeedActs = std::vector<FeedAct>;
+
+class Feed {
+ public:
+  struct Built {
+    NodeName node;
+    Address at;  // where others of the mesh reach this process
+    std::string zone;
+    LifeNo life;
+    std::vector<Address> seeds;  // of the control plane's own talk
+  };
+  explicit Feed(Built built);
+
+  FeedActs reached(Span now, const Address& at);
+  FeedActs ended(Span now, const Address& at);  // a session, or a dial that failed
+  FeedActs heard(Span now, const Address& at, const nlohmann::json& word);
+  FeedActs tick(Span now);
+  void seeds(std::vector<Address> seeds);
+  /// The services whose servers are wanted.
+  FeedActs follow(const std::vector<ServiceName>& services);
+  /// The same word to every control process that is reached.
+  FeedActs sayAll(const nlohmann::json& word);
+  [[nodiscard]] static Span tickEvery();
+  [[nodiscard]] const Items& items() const { return items_; }
+  /// Whether what is in force came from as many control processes as are needed to know the newest.
+  [[nodiscard]] bool ready(Span now) const;
+  [[nodiscard]] std::size_t sessions() const;
+  [[nodiscard]] std::size_t voters() const { return voters_; }
+  [[nodiscard]] std::size_t quorum() const { return quorum_; }
+  [[nodiscard]] std::size_t members() const { return members_; }
+
+ private:
+  struct Control {
+    bool up = false;
+    Span next{};  // when it may be dialled
+    Span lastHeard{};
+    Span lastSaid{};
+    std::string zone;
+    bool whole = false;
+    bool settled = false;
+    bool answered = false;  // it gave all the items that it holds
+    Span differsSince = Span::max();
+    std::set<ServiceName> followed;
+  };
+  void say(const Address& to, nlohmann::json word, FeedActs& acts);
+  void learn(const nlohmann::json& list);
+  void assign(FeedActs& acts);
+
+  Built built_;
+  Items items_;
+  std::map<Address, Control> controls_;
+  std::vector<ServiceName> services_;
+  std::size_t voters_ = 0;
+  std::size_t quorum_ = 0;
+  std::size_t members_ = 0;
+  std::optional<Span> firstItems_;
+  Span now_{};
+};
+
+}  // namespace rackroute::mesh
--- /dev/null
+++ b/src/mesh/vise/vise.cpp
@@ -0,0 +1,655 @@
+#include "mesh/vise/vise.hpp"
+
+#include <algorithm>
+#include <cassert>
+#include <utility>
+
+#include "mesh/plan/span_text.hpp"
+
+namespace rackroute::mesh {
+namespace {
+
+using nlohmann::json;
+using namespace std::chrono_literals;
+
+constexpr Span kTick = 100ms;          // the finest step of all times below
+constexpr Span kPulse = 500ms;         // between words on an idle session
+constexpr Span kSilent = 1700ms;       // without a word, a session is over; three pulses and a delay
+constexpr Span kRedial = 400ms;        // after a dial that failed or a session that ended
+constexpr Span kDialTime = 1000ms;     // for a dial; a hung one is given up
+constexpr Span kCallTime = 850ms;      // for a call's copies; its caller waits a second
+constexpr Span kDiffers = 300ms;       // with another digest, before the items are fetched
+constexpr Span kSweep = 1s;            // between sweeps over ended promises and silent members
+constexpr Span kPromiseSpare = 15s;    // beyond the keys' window, for clocks and late starts
+constexpr std::size_t kCoreSpare = 8;  // addresses of control processes beyond the voters, for replaced ones
+constexpr std::size_t kPromisesAWord = 500;  // that one word carries to a process that lost its own
+constexpr const char* kItem = "i/";
+constexpr const char* kPromise = "k/";
+constexpr const char* kCore = "c";
+
+std::string promiseText(const Holder& holder, Span wall) {
+  json text = toJson(holder);
+  text.push_back(wall.count());
+  return text.dump();
+}
+
+}  // namespace
+
+Span Vise::tickEvery() { return kTick; }
+
+Vise::Vise(Built built)
+    : built_(std::move(built)), quorum_(built_.voters / 2 + 1), latches_(built_.keyWindow + kPromiseSpare) {
+  core_.insert(built_.at);
+  for (const Address& seed : built_.seeds) core_.insert(seed);
+}
+
+void Vise::seeds(std::vector<Address> seeds) {
+  built_.seeds = std::move(seeds);
+  for (const Address& seed : built_.seeds) {
+    if (core_.size() < built_.voters + kCoreSpare) core_.insert(seed);
+  }
+}
+
+void Vise::read(const std::map<std::string, std::string>& stored) {
+  whole_ = built_.firstBoot || !stored.empty();
+  for (const auto& [key, value] : stored) {
+    if (key == kCore) {
+      for (const json& address : json::parse(value)) core_.insert({address.get<std::string>()});
+    } else if (key.rfind(kItem, 0) == 0) {
+      items_.merge(itemFrom(json::parse(value)));
+    } else if (key.rfind(kPromise, 0) == 0) {
+      const json promise = json::parse(value);
+      const auto print = printFrom(std::string_view(key).substr(2));
+      if (print)
+        latches_.learn(Span(promise.at(3).get<std::int64_t>()) - built_.wallAtStart, *print,
+                       holderFrom(promise));
+    }
+  }
+}
+
+ViseAct& Vise::write(ViseActs& acts) {
+  ViseAct act;
+  act.kind = ViseAct::Kind::write;
+  act.batch = {++lastBatch_};
+  batches_[act.batch];
+  acts.push_back(std::move(act));
+  return acts.back();
+}
+
+ViseActs Vise::start(Span now) {
+  ViseActs acts;
+  // A mark on the disk, so that a later start tells an empty one from one that was lost.
+  if (whole_) write(acts).entries.emplace_back(kCore, json::array({built_.at.value}).dump());
+  dialCore(now, acts);
+  return acts;
+}
+
+void Vise::say(SessionNo to, json word, ViseActs& acts) {
+  ViseAct act;
+  act.kind = ViseAct::Kind::say;
+  act.session = to;
+  act.word = std::move(word);
+  acts.push_back(std::move(act));
+}
+
+void Vise::sayCore(const json& word, ViseActs& acts) {
+  for (const auto& [at, session] : reached_) say(session, word, acts);
+}
+
+void Vise::dialCore(Span now, ViseActs& acts) {
+  for (const Address& at : core_) {
+    if (at == built_.at || reached_.count(at) > 0) continue;
+    Span& next = dialling_[at];
+    if (next > now) continue;
+    next = now + kDialTime;
+    ViseAct act;
+    act.kind = ViseAct::Kind::dial;
+    act.at = at;
+    acts.push_back(std::move(act));
+  }
+}
+
+void Vise::learnCore(Span now, const json& list, ViseActs& acts) {
+  bool more = false;
+  for (const json& address : list) {
+    if (core_.size() >= built_.voters + kCoreSpare) break;
+    more = core_.insert({address.get<std::string>()}).second || more;
+  }
+  if (!more) return;
+  json all = json::array();
+  for (const Address& at : core_) all.push_back(at.value);
+  if (whole_) write(acts).entries.emplace_back(kCore, all.dump());
+  for (const auto& [no, session] : sessions_) {
+    if (session.greeted || session.mine) say(no, {{"t", "core"}, {"list", all}}, acts);
+  }
+  dialCore(now, acts);
+}
+
+ViseActs Vise::came(Span now, SessionNo session) {
+  sessions_[session].lastHeard = now;
+  return {};
+}
+
+ViseActs Vise::reached(Span now, SessionNo no, const Address& at) {
+  ViseActs acts;
+  if (const auto old = reached_.find(at); old != reached_.end()) drop(now, SessionNo(old->second), acts);
+  Session& session = sessions_[no];
+  session.mine = session.core = true;
+  session.at = at;
+  session.lastHeard = now;
+  reached_[at] = no;
+  say(no,
+      {{"t", "hello"},
+       {"kind", "core"},
+       {"node", built_.node.value},
+       {"life", built_.life.value},
+       {"at", built_.at.value}},
+      acts);
+  // What this process hears, for one that does not hear it itself.
+  json list = json::array();
+  json nodes = json::array();
+  for (const NodeName& node : roster_.here()) {
+    nodes.push_back({node.value, true});
+    for (const News& news : roster_.on(node)) list.push_back(toJson(news));
+  }
+  say(no, {{"t", "roster"}, {"nodes", nodes}, {"list", list}}, acts);
+  say(no, {{"t", "want"}, {"versions", items_.versions()}}, acts);
+  if (!whole_) say(no, {{"t", "promises"}}, acts);
+  for (auto& [call, change] : changes_) {
+    if (change.reading) {
+      say(no, {{"t", "want"}, {"versions", items_.versions()}, {"call", call.value}}, acts);
+    } else {
+      json copies = json::array();
+      for (const Item& item : change.items) copies.push_back(toJson(item));
+      say(no, {{"t", "store"}, {"call", call.value}, {"list", copies}}, acts);
+    }
+  }
+  return acts;
+}
+
+ViseActs Vise::unreached(Span now, const Address& at) {
+  dialling_[at] = now + kRedial;
+  return {};
+}
+
+void Vise::drop(Span now, SessionNo no, ViseActs& acts) {
+  ViseAct act;
+  act.kind = ViseAct::Kind::hangUp;
+  act.session = no;
+  acts.push_back(std::move(act));
+  const ViseActs more = ended(now, no);
+  acts.insert(acts.end(), more.begin(), more.end());
+}
+
+ViseActs Vise::ended(Span now, SessionNo no) {
+  ViseActs acts;
+  const auto found = sessions_.find(no);
+  if (found == sessions_.end()) return acts;
+  const Session session = found->second;
+  sessions_.erase(found);
+  if (session.mine) {
+    if (reached_[session.at] == no) reached_.erase(session.at);
+    dialling_[session.at] = now + kRedial;
+    return acts;
+  }
+  if (!session.greeted) return acts;
+  if (session.core) {
+    for (const NodeName& node : roster_.forgetTeller(now, session.at)) newsOf(node, acts);
+    return acts;
+  }
+  if (roster_.heardHere(now, session.node, false)) newsOf(session.node, acts);
+  sayCore({{"t", "roster"},
+           {"nodes", json::array({json::array({session.node.value, false})})},
+           {"list", json::array()}},
+          acts);
+  return acts;
+}
+
+void Vise::greet(Span now, SessionNo no, Session& session, const json& word, ViseActs& acts) {
+  session.core = word.at("kind") == "core";
+  session.node = {word.at("node").get<std::string>()};
+  session.life = {word.at("life").get<std::uint64_t>()};
+  if (session.core) session.at = {word.at("at").get<std::string>()};
+  // Guards against two sessions of one member: words of the older one that come late must not count.
+  std::vector<SessionNo> older;
+  for (const auto& [other, held] : sessions_) {
+    if (other != no && held.greeted && !held.mine && held.node == session.node) older.push_back(other);
+  }
+  for (const SessionNo other : older) drop(now, other, acts);
+  Session& kept = sessions_.at(no);
+  kept.greeted = true;
+  json core = json::array();
+  for (const Address& at : core_) core.push_back(at.value);
+  say(no,
+      {{"t", "welcome"},
+       {"at", built_.at.value},
+       {"zone", built_.zone},
+       {"core", core},
+       {"voters", built_.voters},
+       {"quorum", quorum_}},
+      acts);
+  say(no, pulse(now), acts);
+  if (kept.core) {
+    learnCore(now, json::array({kept.at.value}), acts);
+    // It hears this process, so a dial back may go at once.
+    dialling_[kept.at] = Span{0};
+    dialCore(now, acts);
+    return;
+  }
+  if (roster_.heardHere(now, kept.node, true)) newsOf(kept.node, acts);
+  sayCore({{"t", "roster"},
+           {"nodes", json::array({json::array({kept.node.value, true})})},
+           {"list", json::array()}},
+          acts);
+}
+
+ViseActs Vise::heard(Span now, SessionNo no, const json& word) {
+  ViseActs acts;
+  const auto found = sessions_.find(no);
+  if (found == sessions_.end()) return acts;
+  Session& session = found->second;
+  session.lastHeard = now;
+  const std::string kind = word.at("t").get<std::string>();
+  if (kind == "hello") {
+    greet(now, no, session, word, acts);
+  } else if (!session.greeted && !session.mine) {
+    drop(now, no, acts);
+  } else if (kind == "beat") {
+    if (!session.mine) return acts;
+    session.digest = word.at("digest").get<std::uint64_t>();
+    session.whole = word.at("whole").get<bool>();
+    if (session.digest == items_.digest()) {
+      session.differsSince = Span::max();
+    } else if (session.differsSince == Span::max()) {
+      session.differsSince = now;
+    } else if (session.differsSince + kDiffers <= now) {
+      session.differsSince = now;
+      say(no, {{"t", "want"}, {"versions", items_.versions()}}, acts);
+    }
+  } else if (kind == "welcome" || kind == "core") {
+    learnCore(now, word.at(kind == "core" ? "list" : "core"), acts);
+  } else if (kind == "servers") {
+    std::vector<News> fresh;
+    json list = json::array();
+    for (const json& entry : word.at("list")) {
+      News told = newsFrom(entry);
+      if (!roster_.told(told.served)) continue;
+      told.heard = roster_.heard(told.served.node);
+      list.push_back(toJson(told));
+      fresh.push_back(std::move(told));
+    }
+    if (fresh.empty()) return acts;
+    news(fresh, acts);
+    sayCore({{"t", "roster"}, {"nodes", json::array()}, {"list", list}}, acts);
+  } else if (kind == "roster") {
+    std::vector<News> fresh;
+    for (const json& entry : word.at("list")) {
+      News told = newsFrom(entry);
+      if (roster_.told(told.served)) fresh.push_back(std::move(told));
+    }
+    for (const json& node : word.at("nodes")) {
+      const NodeName name{node.at(0).get<std::string>()};
+      if (roster_.heardThere(now, session.at, name, node.at(1).get<bool>())) newsOf(name, acts);
+    }
+    for (News& told : fresh) told.heard = roster_.heard(told.served.node);
+    news(fresh, acts);
+  } else if (kind == "follow") {
+    follow(no, session, word, acts);
+  } else if (kind == "want") {
+    // A side gets nothing from one that may know less than it once did.
+    if (!whole_ && !session.core) return acts;
+    json list = json::array();
+    for (const Item& item : items_.beyond(word.at("versions"))) list.push_back(toJson(item));
+    json reply{{"t", "items"}, {"list", std::move(list)}, {"whole", whole_}};
+    if (word.contains("call")) reply["call"] = word["call"];
+    say(no, std::move(reply), acts);
+  } else if (kind == "items") {
+    std::vector<Item> items;
+    for (const json& item : word.at("list")) items.push_back(itemFrom(item));
+    merge(items, acts);
+    if (word.contains("call")) {
+      const CallerNo call{word["call"].get<std::uint64_t>()};
+      const auto change = changes_.find(call);
+      if (change != changes_.end() && word.at("whole").get<bool>()) {
+        change->second.read.insert(session.at);
+        decide(now, call, acts);
+      }
+    }
+  } else if (kind == "store") {
+    std::vector<Item> items;
+    for (const json& item : word.at("list")) items.push_back(itemFrom(item));
+    std::vector<Item> newer;
+    ViseAct act;
+    {
+      ViseActs own;
+      ViseAct& written = write(own);
+      for (const Item& item : items) {
+        if (items_.merge(item)) newer.push_back(item);
+        const Item& held = *items_.find(item.key);
+        written.entries.emplace_back(kItem + textOf(held.key), toJson(held).dump());
+      }
+      act = std::move(own.back());
+    }
+    batches_[act.batch].words.emplace_back(no, json{{"t", "stored"}, {"call", word.at("call")}});
+    acts.push_back(std::move(act));
+    pushItems(newer, acts);
+  } else if (kind == "stored") {
+    const CallerNo call{word.at("call").get<std::uint64_t>()};
+    const auto change = changes_.find(call);
+    if (change != changes_.end()) {
+      change->second.copies.insert(session.at);
+      decide(now, call, acts);
+    }
+  } else if (kind == "claim" || kind == "free") {
+    claims(now, no, session, word, acts);
+  } else if (kind == "promises") {
+    // For a control process that lost its disk; in parts, so that votes go on in between.
+    json list = json::array();
+    for (const auto& [key, promise] : latches_.all()) {
+      list.push_back({textOf(key), toJson(promise.holder), (promise.at + built_.wallAtStart).count()});
+      if (list.size() < kPromisesAWord) continue;
+      say(no, {{"t", "promised"}, {"list", std::move(list)}, {"last", false}, {"whole", whole_}}, acts);
+      list = json::array();
+    }
+    say(no, {{"t", "promised"}, {"list", std::move(list)}, {"last", true}, {"whole", whole_}}, acts);
+  } else if (kind == "promised") {
+    for (const json& entry : word.at("list")) {
+      if (const auto key = printFrom(entry.at(0).get<std::string>()))
+        latches_.learn(Span(entry.at(2).get<std::int64_t>()) - built_.wallAtStart, *key,
+                       holderFrom(entry.at(1)));
+    }
+    if (word.at("last").get<bool>()) {
+      session.whole = word.at("whole").get<bool>();
+      session.helped = true;
+      recover(now, acts);
+    }
+  }
+  return acts;
+}
+
+// An empty disk: this process may have promised anything that any quorum holds, so it must have read from so
+// many others that one of them was in every quorum.
+void Vise::recover(Span, ViseActs& acts) {
+  if (whole_) return;
+  std::size_t helped = 0;
+  std::size_t blank = 0;
+  for (const auto& [no, session] : sessions_) {
+    if (!session.mine || !session.helped) continue;
+    if (session.whole) ++helped;
+    if (!session.whole) ++blank;
+  }
+  const bool allBlank = blank + 1 >= built_.voters;  // nobody has anything left: there is nothing to wait for
+  if (helped < built_.voters - quorum_ + 1 && !allBlank) return;
+  for (const auto& [no, batch] : batches_) {
+    if (batch.makesWhole) return;
+  }
+  ViseAct& act = write(acts);
+  batches_[act.batch].makesWhole = true;
+  for (const auto& [key, item] : items_.all())
+    act.entries.emplace_back(kItem + textOf(key), toJson(item).dump());
+  for (const auto& [key, promise] : latches_.all())
+    act.entries.emplace_back(kPromise + textOf(key),
+                             promiseText(promise.holder, promise.at + built_.wallAtStart));
+  json all = json::array();
+  for (const Address& at : core_) all.push_back(at.value);
+  act.entries.emplace_back(kCore, all.dump());
+}
+
+void Vise::claims(Span now, SessionNo no, const Session& session, const json& word, ViseActs& acts) {
+  if (!whole_) return;
+  const Address at{word.at("at").get<std::string>()};
+  ViseAct act;
+  json votes = json::array();
+  std::vector<std::pair<std::string, std::optional<std::string>>> entries;
+  for (const json& entry : word.at("list")) {
+    const ClaimNo claim{entry.at(0).get<std::uint64_t>()};
+    const auto key = printFrom(entry.at(1).get<std::string>());
+    if (!key) continue;
+    const Holder holder{at, session.life, claim};
+    if (word.at("t") == "free") {
+      if (latches_.giveBack(*key, holder)) entries.emplace_back(kPromise + textOf(*key), std::nullopt);
+      continue;
+    }
+    const Holder& holds = latches_.claim(now, *key, holder);
+    if (holds == holder) {
+      entries.emplace_back(kPromise + textOf(*key), promiseText(holder, now + built_.wallAtStart));
+      votes.push_back({claim.value});
+    } else {
+      votes.push_back({claim.value, toJson(holds)});
+    }
+  }
+  json reply{{"t", "votes"}, {"list", votes}};
+  if (entries.empty()) {
+    if (!votes.empty()) say(no, std::move(reply), acts);
+    return;
+  }
+  ViseAct& written = write(acts);
+  written.entries = std::move(entries);
+  if (!votes.empty()) batches_[written.batch].words.emplace_back(no, std::move(reply));
+}
+
+void Vise::follow(SessionNo no, Session& session, const json& word, ViseActs& acts) {
+  std::set<ServiceName> services;
+  json list = json::array();
+  for (const json& name : word.at("services")) {
+    const ServiceName service{name.get<std::string>()};
+    services.insert(service);
+    if (session.follows.count(service) > 0) continue;
+    for (const News& news : roster_.of(service)) list.push_back(toJson(news));
+  }
+  session.follows = std::move(services);
+  if (!list.empty()) say(no, {{"t", "servers"}, {"list", std::move(list)}}, acts);
+}
+
+void Vise::newsOf(const NodeName& node, ViseActs& acts) { news(roster_.on(node), acts); }
+
+void Vise::news(const std::vector<News>& all, ViseActs& acts) {
+  if (all.empty()) return;
+  for (const auto& [no, session] : sessions_) {
+    json list = json::array();
+    for (const News& news : all) {
+      if (session.follows.count(news.served.service) > 0) list.push_back(toJson(news));
+    }
+    if (!list.empty()) say(no, {{"t", "servers"}, {"list", std::move(list)}}, acts);
+  }
+}
+
+bool Vise::merge(const std::vector<Item>& items, ViseActs& acts) {
+  std::vector<Item> newer;
+  for (const Item& item : items) {
+    if (items_.merge(item)) newer.push_back(item);
+  }
+  if (newer.empty()) return false;
+  if (whole_) {
+    ViseAct& act = write(acts);
+    for (const Item& item : newer) act.entries.emplace_back(kItem + textOf(item.key), toJson(item).dump());
+  }
+  pushItems(newer, acts);
+  return true;
+}
+
+void Vise::pushItems(const std::vector<Item>& items, ViseActs& acts) {
+  if (items.empty() || !whole_) return;
+  json list = json::array();
+  for (const Item& item : items) list.push_back(toJson(item));
+  for (const auto& [no, session] : sessions_) {
+    if (!session.follows.empty()) say(no, {{"t", "items"}, {"list", list}}, acts);
+  }
+}
+
+void Vise::answer(CallerNo call, std::uint32_t status, std::string body, ViseActs& acts) {
+  changes_.erase(call);
+  ViseAct act;
+  act.kind = ViseAct::Kind::answer;
+  act.call = call;
+  act.status = status;
+  act.body = std::move(body);
+  acts.push_back(std::move(act));
+}
+
+void Vise::readRound(CallerNo call, ViseActs& acts) {
+  sayCore({{"t", "want"}, {"versions", items_.versions()}, {"call", call.value}}, acts);
+}
+
+ViseActs Vise::change(Span now, CallerNo call, std::string_view body) {
+  ViseActs acts;
+  Result<std::vector<Item>> read = readChange(body);
+  if (!read) {
+    answer(call, 400, json{{"error", read.error().line()}}.dump(), acts);
+    return acts;
+  }
+  if (!whole_) {
+    answer(call, 503, json{{"error", "change: this process has lost its disk and is catching up"}}.dump(),
+           acts);
+    return acts;
+  }
+  Change& change = changes_[call];
+  change.items = std::move(read).value();
+  change.until = now + kCallTime;
+  if (items_.unknownService(change.items)) {
+    // It may be only this copy that does not know the service yet.
+    change.reading = true;
+    readRound(call, acts);
+    decide(now, call, acts);
+  } else {
+    spread(now, call, change, acts);
+  }
+  return acts;
+}
+
+ViseActs Vise::readBack(Span now, CallerNo call) {
+  ViseActs acts;
+  if (!whole_) {
+    answer(call, 503, json{{"error", "read: this process has lost its disk and is catching up"}}.dump(),
+           acts);
+    return acts;
+  }
+  Change& change = changes_[call];
+  change.until = now + kCallTime;
+  change.reading = change.asksBack = true;
+  readRound(call, acts);
+  decide(now, call, acts);
+  return acts;
+}
+
+// To this disk and to the others; an item that is held in a newer version is acknowledged by that one.
+void Vise::spread(Span now, CallerNo call, Change& change, ViseActs& acts) {
+  change.reading = false;
+  std::vector<Item> newer;
+  json list = json::array();
+  ViseActs own;
+  ViseAct& act = write(own);
+  for (Item& item : change.items) {
+    if (items_.newer(item)) {
+      items_.merge(item);
+      newer.push_back(item);
+    }
+    item = *items_.find(item.key);
+    act.entries.emplace_back(kItem + textOf(item.key), toJson(item).dump());
+    list.push_back(toJson(item));
+  }
+  change.batch = act.batch;
+  batches_[act.batch].call = call;
+  acts.insert(acts.end(), own.begin(), own.end());
+  sayCore({{"t", "store"}, {"call", call.value}, {"list", list}}, acts);
+  pushItems(newer, acts);
+  decide(now, call, acts);
+}
+
+void Vise::decide(Span now, CallerNo call, ViseActs& acts) {
+  const auto found = changes_.find(call);
+  if (found == changes_.end()) return;
+  Change& change = found->second;
+  if (change.reading) {
+    if (change.read.size() + 1 < quorum_) return;
+    if (change.asksBack) return answer(call, 200, items_.standing().dump(), acts);
+    if (const auto unknown = items_.unknownService(change.items))
+      return answer(call, 400,
+                    json{{"error", "change: a route names the unknown service " + *unknown}}.dump(), acts);
+    return spread(now, call, change, acts);
+  }
+  if (!change.own || change.copies.size() + 1 < quorum_) return;
+  answer(call, 200, "{}", acts);
+}
+
+ViseActs Vise::written(Span now, BatchNo no, bool done) {
+  ViseActs acts;
+  const auto found = batches_.find(no);
+  if (found == batches_.end()) return acts;
+  const Batch batch = std::move(found->second);
+  batches_.erase(found);
+  if (!done) return acts;  // what can't be made durable is not promised; whoever waits gives up in time
+  for (const auto& [session, word] : batch.words) {
+    if (sessions_.count(session) > 0) say(session, word, acts);
+  }
+  if (batch.call) {
+    const auto change = changes_.find(*batch.call);
+    if (change != changes_.end()) {
+      change->second.own = true;
+      decide(now, *batch.call, acts);
+    }
+  }
+  if (batch.makesWhole) {
+    whole_ = true;
+    for (const auto& [session, held] : sessions_) {
+      if (held.greeted || held.mine) say(session, pulse(now), acts);
+    }
+  }
+  return acts;
+}
+
+bool Vise::settled(Span now) const {
+  std::size_t heardNow = 1;
+  for (const auto& [no, session] : sessions_) {
+    if (session.mine && session.lastHeard + kSilent > now) ++heardNow;
+  }
+  return heardNow >= quorum_;
+}
+
+json Vise::pulse(Span now) const {
+  return {{"t", "beat"},
+          {"digest", items_.digest()},
+          {"whole", whole_},
+          {"settled", settled(now)},
+          {"members", roster_.members(now)}};
+}
+
+ViseActs Vise::tick(Span now) {
+  ViseActs acts;
+  std::vector<SessionNo> silent;
+  for (const auto& [no, session] : sessions_) {
+    if (session.lastHeard + kSilent <= now) silent.push_back(no);
+  }
+  for (const SessionNo no : silent) drop(now, no, acts);
+  dialCore(now, acts);
+  if (pulseAt_ <= now) {
+    pulseAt_ = now + kPulse;
+    const json word = pulse(now);
+    for (const auto& [no, session] : sessions_) {
+      if (session.greeted || session.mine) say(no, word, acts);
+    }
+  }
+  std::vector<CallerNo> late;
+  for (const auto& [call, change] : changes_) {
+    if (change.until <= now) late.push_back(call);
+  }
+  for (const CallerNo call : late)
+    answer(call, 503, json{{"error", "change: no quorum of copies in time"}}.dump(), acts);
+  if (sweepAt_ <= now) {
+    sweepAt_ = now + kSweep;
+    roster_.sweep(now);
+    const std::vector<KeyPrint> over = latches_.expire(now);
+    if (!over.empty()) {
+      ViseAct& act = write(acts);
+      for (const KeyPrint& key : over) act.entries.emplace_back(kPromise + textOf(key), std::nullopt);
+    }
+    if (!whole_) {
+      for (const auto& [no, session] : sessions_) {
+        if (session.mine) say(no, {{"t", "promises"}}, acts);
+      }
+    }
+  }
+  return acts;
+}
+
+}  // namespace rackroute::mesh
--- a/src/sidecar/main.cpp
+++ b/src/sidecar/main.cpp
@@ -36,6 +36,7 @@
 #include "sidecar/log.hpp"
 #include "sidecar/loop.hpp"
 #include "sidecar/server_side.hpp"
+#include "sidecar/signals.hpp"
 #include "terms/told.hpp"
 
 namespace rackroute::sidecar {
@@ -52,48 +53,6 @@
 
 constexpr std::size_t kForFleet = 40;  // descriptors; exchanges at a time, two sockets and a margin
 
-int signalEnds[2] = {-1, -1};
-
-void onSignal(int number) {
-  const char byte = static_cast<char>(number);
-  [[maybe_unused]] const auto written = ::write(signalEnds[1], &byte, 1);
-}
-
-/// Signals as bytes on a socket, so that they come in a turn of the loop like all else; what comes before the
-/// loop runs waits there.
-class Signals {
- public:
-  explicit Signals(Loop& loop) : loop_(loop) {
-    if (::socketpair(AF_UNIX, SOCK_STREAM | SOCK_NONBLOCK, 0, signalEnds) != 0)
-      throw std::runtime_error("no socket for signals");
-    socket_ = Poco::Net::StreamSocket(new Poco::Net::StreamSocketImpl(signalEnds[0]));
-    socket_.setBlocking(false);
-    loop_.addEventHandler(socket_,
-                          Poco::Observer<Signals, Poco::Net::ReadableNotification>(*this, &Signals::read));
-    std::signal(SIGPIPE, SIG_IGN);
-  }
-  void on(int number, Loop::Task task) {
-    tasks_[number] = std::move(task);
-    struct sigaction action {};
-    action.sa_handler = onSignal;
-    action.sa_flags = SA_RESTART;
-    ::sigaction(number, &action, nullptr);
-  }
-
- private:
-  void read(Poco::Net::ReadableNotification* event) {
-    event->release();
-    loop_.guarded([this] {
-      char number = 0;
-      if (socket_.receiveBytes(&number, 1) == 1) tasks_.at(number)();
-    });
-  }
-
-  Loop& loop_;
-  std::map<int, Loop::Task> tasks_;
-  Poco::Net::StreamSocket socket_;
-};
-
 void flatten(const std::string& path, const Var& value, told::Pairs& pairs) {
   if (value.isEmpty()) return;
   if (value.type() == typeid(Object::Ptr)) {
