--- a/src/lab/main.cpp
+++ b/src/lab/main.cpp
@@ -15,6 +15,8 @@
 #include "lab/fleet/judge.hpp"
 #include "lab/fleet/process_fleet.hpp"
 #include "lab/fleet/virtual_fleet.hpp"
+#include "lab/mesh/explorer.hpp"
+#include "lab/mesh/world.hpp"
 #include "lab/report.hpp"
 #include "lab/sockets.hpp"
 #include "lab/world.hpp"
@@ -122,6 +124,11 @@
   std::vector<std::string> results;
   std::string html;
   std::string folder = "lab/scenarios";
+  bool drawn = false;
+  bool shrinks = false;
+  unsigned voters = 3;
+  unsigned depth = 14;
+  unsigned wipes = 1;
 };
 
 Result playOnSockets(const Asked& asked, const Scenario& scenario) {
@@ -286,6 +293,41 @@
   return kept ? kAsExpected : late ? kNoVerdict : kMissed;
 }
 
+/// One day of an emulated mesh over several seeds; or days drawn anew for each, of the file's size.
+int playMesh(const Asked& asked) {
+  const mesh::Day day = mesh::readDay(asked.file, overridesOf(asked.sets));
+  Json runs = Json::array();
+  bool kept = true;
+  for (unsigned i = 0; i < asked.drills; ++i) {
+    const std::uint64_t seed = asked.seed + i;
+    const mesh::Day played = asked.drawn ? mesh::drawDay(seed, day) : day;
+    const mesh::Played result = mesh::play(played, seed);
+    for (const mesh::Broken& broken : result.broken)
+      std::cout << "BROKEN " << broken.rule << " at " << broken.at << " s: " << broken.what << '\n';
+    std::cout << played.name << "  seed " << seed << "  " << (result.kept() ? "kept" : "BROKEN")
+              << "  served " << result.figures.at("served").get<double>() << " of "
+              << result.figures.at("tries") << " tries" << std::endl;
+    runs.push_back(
+        {{"day", played.name}, {"seed", seed}, {"kept", result.kept()}, {"figures", result.figures}});
+    if (!result.kept() && asked.shrinks)
+      std::cout << mesh::textOf(mesh::shrunk(played, seed, result.broken.front().rule)) << std::flush;
+    kept = kept && result.kept();
+  }
+  if (!asked.json.empty()) writeWhole(asked.json, runs.dump(1) + '\n');
+  return kept ? kAsExpected : kMissed;
+}
+
+/// Every order of a key's words and losses.
+int exploreKeys(const Asked& asked) {
+  const mesh::Found found = mesh::explore(mesh::Flaw::none, asked.voters, asked.depth, asked.wipes);
+  std::cout << found.states << " states, " << (found.trail ? "a key that runs twice:" : "no key runs twice")
+            << '\n';
+  if (found.trail) {
+    for (const std::string& step : *found.trail) std::cout << "  " << step << '\n';
+  }
+  return found.trail ? kMissed : kAsExpected;
+}
+
 int check(const Asked& asked) {
   const Scenario scenario = readScenario(asked.file, overridesOf(asked.sets));
   std::printf("%s: %u balancers, %u servers in %u zones, %.0f queries a second for %.0f s, %zu troubles\n",
@@ -348,6 +390,16 @@
   drilling->add_option("--json", asked.json, "the result file");
   drilling->add_option("--logs", asked.logs, "a folder for what the processes log");
   drilling->add_option("--plot", asked.plot, "a picture of each member's view over time, as SVG");
+  CLI::App* meshing = scenario(app.add_subcommand("mesh", "plays one day of an emulated mesh"));
+  meshing->add_option("--seed", asked.seed, "the first");
+  meshing->add_option("--seeds", asked.drills, "how many, from --seed on")->check(CLI::Range(1U, 100'000U));
+  meshing->add_flag("--drawn", asked.drawn, "troubles drawn anew for each seed, in place of the file's");
+  meshing->add_flag("--shrink", asked.shrinks, "the fewest troubles of a day that breaks a rule");
+  meshing->add_option("--json", asked.json, "the result file");
+  CLI::App* exploring = app.add_subcommand("keys", "every order of one key's words and losses, to a depth");
+  exploring->add_option("--voters", asked.voters)->check(CLI::Range(3U, 7U));
+  exploring->add_option("--depth", asked.depth)->check(CLI::Range(1U, 40U));
+  exploring->add_option("--wipes", asked.wipes)->check(CLI::Range(0U, 3U));
   CLI::App* comparing = scenario(app.add_subcommand("compare", "plays one scenario with all policies"));
   experiment(comparing);
   CLI::App* sweeping = scenario(app.add_subcommand("sweep", "plays one scenario over values of a key"));
@@ -363,6 +415,8 @@
     app.parse(argc, argv);
     if (*running) return run(asked);
     if (*drilling) return drillFleet(asked);
+    if (*meshing) return playMesh(asked);
+    if (*exploring) return exploreKeys(asked);
     if (*comparing) return compare(asked);
     if (*sweeping) return sweep(asked);
     if (*reporting) return report(asked);
--- /dev/null
+++ b/src/lab/mesh/day.hpp
@@ -0,0 +1,75 @@
+#pragma once
+
+// One day of an emulated mesh: its machines, its requests, its troubles. It is read from a file or drawn from
+// a seed; it plays nothing.
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "lab/scenario.hpp"
+
+namespace rackroute::lab::mesh {
+
+enum class Ill {
+  killShuttle,    // SIGKILL; the process comes back
+  killVise,       // the same
+  powerVise,      // loses power: what was not synced is there, missing or torn
+  wipeVise,       // loses power and its disk
+  freezeShuttle,  // stands still and wakes
+  freezeVise,
+  cutShuttle,     // from all vises
+  cutVise,        // from all other vises
+  cutViseOneWay,  // it hears them, and is not heard
+  diskSlow,
+  diskFull,
+  serverLoses,   // part of the answers, after the run
+  serverSpoils,  // part of the answers are no answers
+  serverSlow,
+  serverCrash,  // ends without a word; another life starts there
+  release,      // drains, signs off, and another life starts there
+  termShuttle,  // SIGTERM; comes back
+  change,       // a valid change of a route's time-out and its service's weights
+  race,         // two operators, two vises, the same version
+  badChange,    // an invalid one
+};
+
+struct Trouble {
+  Ill ill = Ill::change;
+  double at = 0;          // seconds
+  double lasts = 3;       // seconds
+  std::uint32_t who = 0;  // of the kind that it strikes, by number
+  double part = 0.05;     // of answers, or how many times as slow
+};
+
+enum class Closing { none, killAll, powerAll, wipeOne };
+
+struct Day {
+  std::string name = "day";
+  std::uint32_t zones = 4;
+  std::uint32_t vises = 4;
+  std::uint32_t shuttles = 10;  // each with a server; even ones of one service, odd ones of the other
+  double seconds = 30;
+  double perSecond = 150;  // requests of clients
+  double keyed = 0.4;      // part of them
+  double effectful = 0.1;
+  double again = 0.08;       // part of the keyed that come again after a good answer
+  std::uint32_t slots = 12;  // of a server
+  double work = 0.12;        // seconds, in the mean
+  double sync = 0.003;       // seconds
+  double across = 0.0009;    // seconds between zones, one way
+  double keyWindow = 60;
+  double leastServed = 0;  // of all requests, below which the day fails
+  Closing closing = Closing::none;
+  std::vector<Trouble> troubles;
+};
+
+/// Throws BadScenario, naming file, line and key.
+Day readDay(const std::string& file, const std::vector<Override>& overrides = {});
+/// A day of that size with troubles drawn from the seed: never more vises lost at once than can be borne.
+Day drawDay(std::uint64_t seed, const Day& size);
+std::string nameOf(Ill ill);
+/// As a file that readDay reads.
+std::string textOf(const Day& day);
+
+}  // namespace rackroute::lab::mesh
--- a/src/mesh/caller/caller.hpp
+++ b/src/mesh/caller/caller.hpp
@@ -90,8 +90,9 @@
     Span hedgeAt = Span::max();
     std::set<InstanceId> been;  // servers that it was sent to, or tried to be
     std::map<TryNo, Try> out;
-    std::uint32_t reached = 0;  // servers that it may have reached
-    std::uint32_t doors = 0;    // that did not let it in
+    std::uint32_t reached = 0;   // servers that it may have reached
+    std::uint32_t doors = 0;     // that did not let it in
+    std::uint32_t voteless = 0;  // of these, for want of a quorum
     bool mayHaveRun = false;
     Span wait = Span::max();                // the shortest until there may be room, as doors told
     std::shared_ptr<const void> lastBytes;  // a server's answer that it failed, in case nothing better comes
--- a/src/mesh/door/door.cpp
+++ b/src/mesh/door/door.cpp
@@ -9,14 +9,21 @@
 
 using namespace std::chrono_literals;
 
-constexpr Span kDrainMargin = 1200ms;  // before the bound, nothing new is let to a server that drains
-constexpr double kWaitPart = 0.25;     // of the aim, the longest that a request waits here for room
-constexpr Span kLeastWait = 20ms;      // for requests with no aim left: a round of the shortest answers
-constexpr Span kClaimTime = 600ms;     // for a quorum's votes; some slow syncs and a lost packet
-constexpr Span kLeastLeft = 15ms;      // of a client's time; no server answers in less
-constexpr double kRunShare = 0.1;      // of the newest run in the mean
-constexpr Span kNoteSpare = 10s;       // beyond the window that an operation's end is remembered
-constexpr Span kNoServerFor = 60s;     // without a beat, a server that never signed off is forgotten
+constexpr Span kDrainMargin = 1200ms;         // before the bound, nothing new is let to a server that drains
+constexpr double kWaitPart = 0.4;             // of the aim, the longest that a request waits here for room
+constexpr Span kLeastWait = 60ms;             // for the quickest requests, and late ones: a few slots' turns
+constexpr double kUnseenPart = 0.25;          // of a route's aim, its length before one has run
+constexpr double kLateValue = 0.2;            // of its worth, for a request that can't keep its aim any more
+constexpr Span kClaimTime = 600ms;            // for a quorum's votes; some slow syncs and a lost packet
+constexpr Span kLeastLeft = 15ms;             // of a client's time; no server answers in less
+constexpr double kRunShare = 0.1;             // of the newest run in the mean
+constexpr Span kNoteSpare = 10s;              // beyond the window that an operation's end is remembered
+constexpr std::size_t kMostLengths = 10'000;  // routes whose lengths are remembered
+constexpr Span kNoServerFor = 60s;            // without a beat, a server that never signed off is forgotten
+
+Span spanOf(double seconds) {
+  return std::chrono::duration_cast<Span>(std::chrono::duration<double>(seconds));
+}
 
 }  // namespace
 
@@ -78,9 +85,15 @@
 std::uint32_t Door::room(const Server& server) const { return server.told.capacity; }
 
 Span Door::waitAhead(const Server& server) const {
-  const double ahead = static_cast<double>(server.waiting.size()) + 1;
-  return std::chrono::duration_cast<Span>(
-      std::chrono::duration<double>(ahead * server.meanRun / room(server)));
+  double ahead = server.meanRun;
+  for (const AskNo no : server.waiting) ahead += jobs_.at(no).length;
+  return spanOf(ahead / room(server));
+}
+
+double Door::lengthOf(const HopAsk& ask) const {
+  const auto known = lengths_.find(ask.route);
+  if (known != lengths_.end()) return known->second;
+  return std::max(0.01, std::chrono::duration<double>(ask.aim).count() * kUnseenPart);
 }
 
 HopTold Door::toldOf(Verdict verdict, const Server* server) const {
@@ -140,6 +153,10 @@
     answer(toldOf(Verdict::leaving, &server));
     return acts;
   }
+  if (print && !claims_.hopeful(now)) {
+    answer(toldOf(Verdict::voteless, &server));
+    return acts;
+  }
   if (ask.left < kLeastLeft) {
     answer(toldOf(Verdict::full, &server));
     return acts;
@@ -153,6 +170,11 @@
       std::min(ask.left - kLeastLeft,
                std::max<Span>(kLeastWait, std::chrono::duration_cast<Span>(ask.aim * kWaitPart)));
   job.startBy = now + patience;
+  job.length = lengthOf(ask);
+  // What is worth most for the time that it holds a slot goes first (Smith's rule): quick checks that other
+  // work waits for are not starved by long look-ups of the same rank. The rank's worth falls as its inverse.
+  const bool late = std::chrono::duration<double>(ask.aim).count() < job.length;
+  job.value = (late ? kLateValue : 1) / (1.0 + ask.priority) / std::max(job.length, 0.001);
   if (print) {
     Operation operation;
     operation.by = no;
@@ -160,31 +182,52 @@
     operations_.emplace(*print, std::move(operation));
   }
   Job& kept = jobs_.emplace(no, std::move(job)).first->second;
-  if (server.busy < room(server) && server.waiting.empty()) {
-    start(now, kept, server, acts);
+  if (!fits(now, kept, server)) {
+    refuse(no, Verdict::full, &server, acts);
+  } else if (print) {
+    claim(now, kept, acts);
   } else {
-    // The most important first; among equals as they came.
-    const auto place = std::find_if(server.waiting.begin(), server.waiting.end(),
-                                    [&](AskNo other) { return jobs_.at(other).ask.priority > ask.priority; });
-    server.waiting.insert(place, no);
-    // Whoever cannot be started in time, seen from its place, goes at once and not when its time is over.
-    double ahead = 0;
-    std::vector<AskNo> late;
-    for (const AskNo waiting : server.waiting) {
-      ahead += 1;
-      const Span due = now + std::chrono::duration_cast<Span>(
-                                 std::chrono::duration<double>(ahead * server.meanRun / room(server)));
-      if (due > jobs_.at(waiting).startBy) {
-        late.push_back(waiting);
-        ahead -= 1;
-      }
-    }
-    for (const AskNo waiting : late) refuse(waiting, Verdict::full, &server, acts);
+    admit(now, kept, server, acts);
   }
   check();
   return acts;
 }
 
+// Whether it would be started in time, as things stand; asked before anything is spent on it.
+bool Door::fits(Span now, const Job& job, const Server& server) const {
+  if (server.busy < room(server) && server.waiting.empty()) return true;
+  double ahead = server.meanRun;
+  for (const AskNo other : server.waiting) {
+    if (jobs_.at(other).value < job.value) break;
+    ahead += jobs_.at(other).length;
+  }
+  return now + spanOf(ahead / room(server)) <= job.startBy;
+}
+
+// To the server at once, or to its place among those that wait.
+void Door::admit(Span now, Job& job, Server& server, DoorActs& acts) {
+  if (server.busy < room(server) && server.waiting.empty()) {
+    ++server.busy;
+    return run(now, job, server, acts);
+  }
+  job.stage = Stage::waiting;
+  const auto place = std::find_if(server.waiting.begin(), server.waiting.end(),
+                                  [&](AskNo other) { return jobs_.at(other).value < job.value; });
+  server.waiting.insert(place, job.no);
+  // Whoever cannot be started in time, seen from its place, goes at once and not when its time is over.
+  double ahead = server.meanRun;
+  std::vector<AskNo> tooLate;
+  for (const AskNo waiting : server.waiting) {
+    const Job& other = jobs_.at(waiting);
+    if (now + spanOf(ahead / room(server)) > other.startBy) {
+      tooLate.push_back(waiting);
+    } else {
+      ahead += other.length;
+    }
+  }
+  for (const AskNo waiting : tooLate) refuse(waiting, Verdict::full, &server, acts);
+}
+
 // A job that surely never ran ends with a verdict that says so.
 void Door::refuse(AskNo no, Verdict verdict, const Server* server, DoorActs& acts,
                   std::optional<Holder> holder) {
@@ -196,10 +239,16 @@
     if (job.stage == Stage::waiting) {
       auto& waiting = at->second.waiting;
       waiting.erase(std::remove(waiting.begin(), waiting.end(), no), waiting.end());
-    } else {
+    } else if (job.stage == Stage::running) {
       --at->second.busy;
     }
   }
+  if (job.key && job.claim.value > 0) {
+    DoorAct act{DoorAct::Kind::giveBack, no};
+    act.key = *job.key;
+    act.claim = job.claim;
+    acts.push_back(std::move(act));
+  }
   DoorAct act{DoorAct::Kind::answer, no};
   act.told = toldOf(verdict, server);
   act.told.holder = std::move(holder);
@@ -208,10 +257,8 @@
   if (job.key) forgetOperation(*job.key, verdict, acts);
 }
 
-void Door::start(Span now, Job& job, Server& server, DoorActs& acts) {
-  ++server.busy;
-  job.startedAt = now;
-  if (!job.key) return run(now, job, server, acts);
+// Without a slot: votes may take as long as a disk that hangs, and other work need not wait for them.
+void Door::claim(Span now, Job& job, DoorActs& acts) {
   job.stage = Stage::claiming;
   job.claim = claims_.open(now, *job.key, std::min(now + kClaimTime, job.deadline - kLeastLeft));
   operations_.at(*job.key).claim = job.claim;
@@ -240,23 +287,16 @@
   const AskNo no = found->second;
   claiming_.erase(found);
   Job& job = jobs_.at(no);
-  const KeyPrint key = *job.key;
-  const InstanceId instance = job.ask.instance;
-  const auto at = servers_.find(instance);
-  const bool stillOpen = at != servers_.end() && open(now, at->second) && job.deadline - now >= kLeastLeft;
+  const auto at = servers_.find(job.ask.instance);
+  Server* server = at == servers_.end() ? nullptr : &at->second;
+  const bool stillOpen = server != nullptr && open(now, *server) && job.deadline - now >= kLeastLeft;
   if (ended.won && stillOpen) {
-    run(now, job, at->second, acts);
-    return acts;
+    admit(now, job, *server, acts);
+  } else {
+    // It never ran here and never will: whatever was promised to it is given back.
+    const Verdict verdict = ended.won ? Verdict::leaving : ended.holder ? Verdict::held : Verdict::voteless;
+    refuse(no, verdict, server, acts, ended.won ? std::nullopt : ended.holder);
   }
-  // It never ran here and never will: whatever was promised to it is given back.
-  DoorAct act{DoorAct::Kind::giveBack, no};
-  act.key = key;
-  act.claim = ended.no;
-  acts.push_back(act);
-  const Server* server = at == servers_.end() ? nullptr : &at->second;
-  const Verdict verdict = ended.won ? Verdict::leaving : ended.holder ? Verdict::held : Verdict::voteless;
-  refuse(no, verdict, server, acts, ended.won ? std::nullopt : ended.holder);
-  if (at != servers_.end()) next(now, at->second, acts);
   check();
   return acts;
 }
@@ -270,12 +310,6 @@
   Server* server = at == servers_.end() ? nullptr : &at->second;
   const bool sure = how == AtServer::notSent || (how == AtServer::answered && answer.notRun);
   if (sure) {
-    if (job.key) {
-      DoorAct act{DoorAct::Kind::giveBack, no};
-      act.key = *job.key;
-      act.claim = job.claim;
-      acts.push_back(act);
-    }
     refuse(no, how == AtServer::notSent ? Verdict::unreachable : Verdict::turnedAway, server, acts);
   } else {
     jobs_.erase(found);
@@ -283,6 +317,8 @@
       --server->busy;
       const double seconds = std::chrono::duration<double>(now - job.startedAt).count();
       server->meanRun += kRunShare * (seconds - server->meanRun);
+      double& length = lengths_.try_emplace(job.ask.route, seconds).first->second;
+      length += kRunShare * (seconds - length);
     }
     DoorAct act{DoorAct::Kind::answer, no};
     act.told = toldOf(how == AtServer::answered ? Verdict::ran : Verdict::unknown, server);
@@ -346,7 +382,8 @@
       continue;
     }
     server.waiting.pop_front();
-    start(now, job, server, acts);
+    ++server.busy;
+    run(now, job, server, acts);
   }
 }
 
@@ -395,6 +432,8 @@
     const bool over = server.lastBeat + kNoServerFor < now && server.busy == 0 && server.waiting.empty();
     at = over ? servers_.erase(at) : std::next(at);
   }
+  // Guards against routes that come and go without end: what is known of their lengths is soon known anew.
+  if (lengths_.size() > kMostLengths) lengths_.clear();
   return acts;
 }
 
@@ -437,7 +476,7 @@
     assert(server.busy <= room(server));
     std::size_t busy = 0;
     for (const auto& [no, job] : jobs_) {
-      if (job.ask.instance == id && job.stage != Stage::waiting) ++busy;
+      if (job.ask.instance == id && job.stage == Stage::running) ++busy;
     }
     assert(busy == server.busy);
   }
--- a/src/mesh/door/door.hpp
+++ b/src/mesh/door/door.hpp
@@ -101,18 +101,20 @@
     Span drainsSince = Span::max();
     Span coldUntil{};
     std::uint32_t busy = 0;
-    std::deque<AskNo> waiting;  // by priority, then as they came
+    std::deque<AskNo> waiting;  // the most worth for a slot's time first, then as they came
     double meanRun = 0.2;       // seconds
     Span lastBeat{};
   };
-  enum class Stage { waiting, claiming, running };
+  enum class Stage { claiming, waiting, running };
   struct Job {
     AskNo no;
     HopAsk ask;
     Span deadline{};
     Span startBy{};
+    double length = 0;  // seconds that it is expected to hold a slot
+    double value = 0;   // worth for each second of it
     Span startedAt{};
-    Stage stage = Stage::waiting;
+    Stage stage = Stage::claiming;
     std::optional<KeyPrint> key;
     ClaimNo claim;
   };
@@ -127,7 +129,9 @@
     std::vector<std::pair<AskNo, Span>> waiters;  // and when each gives up
   };
 
-  void start(Span now, Job& job, Server& server, DoorActs& acts);
+  [[nodiscard]] bool fits(Span now, const Job& job, const Server& server) const;
+  void admit(Span now, Job& job, Server& server, DoorActs& acts);
+  void claim(Span now, Job& job, DoorActs& acts);
   void run(Span now, Job& job, Server& server, DoorActs& acts);
   void next(Span now, Server& server, DoorActs& acts);
   void refuse(AskNo no, Verdict verdict, const Server* server, DoorActs& acts,
@@ -137,6 +141,7 @@
   void settle(Span now, AskNo no, DoorActs& acts);
   [[nodiscard]] bool open(Span now, const Server& server) const;
   [[nodiscard]] Span waitAhead(const Server& server) const;
+  [[nodiscard]] double lengthOf(const HopAsk& ask) const;
   [[nodiscard]] HopTold toldOf(Verdict verdict, const Server* server) const;
   [[nodiscard]] std::uint32_t room(const Server& server) const;
   void check() const;
@@ -147,6 +152,7 @@
   std::map<AskNo, Job> jobs_;
   std::map<ClaimNo, AskNo> claiming_;
   std::unordered_map<KeyPrint, Operation, HashKeyPrint> operations_;
+  std::map<std::string, double> lengths_;        // seconds, by route
   std::set<KeyPrint> awaited_;                   // operations at work that repeats may wait for
   std::deque<std::pair<Span, KeyPrint>> ended_;  // operations, as they ended
   std::size_t kept_ = 0;
--- a/src/mesh/hop/hop.cpp
+++ b/src/mesh/hop/hop.cpp
@@ -28,13 +28,13 @@
   return ask.instance.value + ';' + ask.service.value + ';' + ask.caller.value + ';' +
          std::to_string(ask.left / std::chrono::milliseconds(1)) + ';' +
          std::to_string(ask.aim / std::chrono::milliseconds(1)) + ';' + std::to_string(ask.priority) + ';' +
-         std::to_string(static_cast<int>(ask.kind)) + ';' +
+         std::to_string(static_cast<int>(ask.kind)) + ';' + ask.route + ';' +
          (ask.holder ? std::to_string(ask.holder->value) : std::string());
 }
 
 std::optional<HopAsk> askFrom(std::string_view text) {
   const auto fields = fieldsOf(text);
-  if (fields.size() != 8) return std::nullopt;
+  if (fields.size() != 9) return std::nullopt;
   HopAsk ask;
   ask.instance = {std::string(fields[0])};
   ask.service = {std::string(fields[1])};
@@ -48,9 +48,10 @@
   ask.left = std::chrono::milliseconds(left);
   ask.aim = std::chrono::milliseconds(aim);
   ask.kind = static_cast<RouteKind>(kind);
-  if (!fields[7].empty()) {
+  ask.route = std::string(fields[7]);
+  if (!fields[8].empty()) {
     LifeNo life;
-    if (!read(fields[7], life.value)) return std::nullopt;
+    if (!read(fields[8], life.value)) return std::nullopt;
     ask.holder = life;
   }
   return ask;
--- a/src/mesh/hop/hop.hpp
+++ b/src/mesh/hop/hop.hpp
@@ -31,6 +31,7 @@
   Span aim{};          // left of the time within which it earns its full worth
   std::uint32_t priority = 0;
   RouteKind kind = RouteKind::effectful;
+  std::string route;             // its name: work of one kind, as far as its length goes
   std::optional<LifeNo> holder;  // set: only for the answer of the operation that this life holds
 };
 
--- a/src/mesh/latch/latches.cpp
+++ b/src/mesh/latch/latches.cpp
@@ -10,6 +10,7 @@
 namespace rackroute::mesh {
 namespace {
 
+constexpr Span kHopeless = std::chrono::milliseconds(250);  // about as long as a claim waits
 constexpr std::size_t kEndedACall = 512;  // promises; some seconds' worth, so that none holds up a vote
 
 }  // namespace
@@ -112,10 +113,14 @@
 std::vector<Claims::Ended> Claims::expire(Span now) {
   std::vector<Ended> ended;
   for (auto at = open_.begin(); at != open_.end();) {
-    if (at->second.until > now) {
+    const bool reachable = quorum_ > 0 && reached_ >= quorum_;
+    if (at->second.until > now && reachable) {
       ++at;
       continue;
     }
+    // Guards against requests that each wait anew for votes of a core that has gone silent: for a while they
+    // are told so at once, and then one finds out.
+    if (at->second.granted.size() + at->second.refused.size() < quorum_) hopelessUntil_ = now + kHopeless;
     Ended end{at->first, false, std::nullopt};
     for (const auto& refusal : at->second.refused) {
       if (refusal.second) end.holder = refusal.second;
--- a/src/mesh/latch/latches.hpp
+++ b/src/mesh/latch/latches.hpp
@@ -73,11 +73,17 @@
 
   /// voters: how many control processes there are in all; quorum: how many must have promised.
   void electorate(std::size_t voters, std::size_t quorum);
+  /// How many voters are within reach now.
+  void reach(std::size_t voters) { reached_ = voters; }
+  /// Whether a claim could be won now.
+  [[nodiscard]] bool hopeful(Span now) const {
+    return quorum_ > 0 && reached_ >= quorum_ && now >= hopelessUntil_;
+  }
   ClaimNo open(Span now, const KeyPrint& key, Span until);
   /// A vote; nothing if the claim is not decided by it, or was before.
   std::optional<Ended> vote(const Address& voter, ClaimNo no, bool granted,
                             const std::optional<Holder>& holder);
-  /// Claims whose time is over without a quorum.
+  /// Claims whose time is over without a quorum; all, where no quorum is within reach.
   std::vector<Ended> expire(Span now);
   [[nodiscard]] std::optional<Span> nextEnd() const;
   /// Those without this voter's vote, to be told to it when its session stands anew.
@@ -92,6 +98,8 @@
   };
   std::size_t voters_ = 0;
   std::size_t quorum_ = 0;  // 0: not told yet
+  std::size_t reached_ = 0;
+  Span hopelessUntil_{};  // after a claim that nobody decided
   std::uint64_t last_ = 0;
   std::map<ClaimNo, Claim> open_;
 };
--- a/src/mesh/shuttle/feed.cpp
+++ b/src/mesh/shuttle/feed.cpp
@@ -11,13 +11,13 @@
 using nlohmann::json;
 using namespace std::chrono_literals;
 
-constexpr Span kTick = 250ms;       // the finest step of all times below
-constexpr Span kPulse = 500ms;      // between words on an idle session
-constexpr Span kSilent = 1700ms;    // without a word, a session is over; three pulses and a delay
-constexpr Span kDialTime = 1000ms;  // for a dial; a hung one is given up
-constexpr Span kRedial = 300ms;     // after a dial that failed or a session that ended
-constexpr Span kDiffers = 200ms;    // with another digest than a control process's, before items are fetched
-constexpr Span kFewest = 1500ms;    // then what few control processes told must do; the others are down
+constexpr Span kTick = 150ms;      // the finest step of all times below
+constexpr Span kPulse = 500ms;     // between words on an idle session
+constexpr Span kSilent = 1700ms;   // without a word, a session is over; three pulses and a delay
+constexpr Span kDialTime = 450ms;  // for a dial; a hung one is given up
+constexpr Span kRedial = 150ms;    // after a dial that failed or a session that ended
+constexpr Span kDiffers = 200ms;   // with another digest than a control process's, before items are fetched
+constexpr Span kFewest = 1500ms;   // then what few control processes told must do; the others are down
 constexpr std::size_t kMostControls = 32;  // addresses; far above any core
 
 }  // namespace
--- a/src/mesh/shuttle/main.cpp
+++ b/src/mesh/shuttle/main.cpp
@@ -37,7 +37,7 @@
 constexpr Span kIdleHop = 20s;    // a connection between processes is kept unused; the other keeps it longer
 constexpr Span kIdleServer = 4s;  // to the server, where it announces nothing
 constexpr Span kUnread = 1500ms;  // without word of another machine's kernel, it is gone
-constexpr Span kDialControl = 900ms;  // for a session; a hung dial is given up before the next is due
+constexpr Span kDialControl = 400ms;  // for a session; a hung dial is given up before the next is due
 constexpr Span kSpare = 250ms;        // beyond the client's deadline, for a server's own word that it is over
 constexpr Span kHopSpare = 300ms;     // beyond that, for the process beside it
 constexpr std::size_t kMostIdle = 64;          // connections for one address
@@ -48,6 +48,7 @@
     2600ms;                     // after the call to stop: two missed looks at the readiness, and a margin
 constexpr Span kQuiet = 300ms;  // without work before it ends
 constexpr Span kBeforeKill = 400ms;  // of the grace, kept to end by itself
+constexpr Span kLastAnswer = 150ms;  // for an answer to leave, before the end
 constexpr Span kLook = 50ms;         // between looks while it ends
 constexpr Span kHopIdle = 60s;       // a connection from another process; that one ends it first
 
@@ -124,6 +125,10 @@
   void asked(const std::shared_ptr<Guest>& guest, std::shared_ptr<const http::Message> request) {
     lastAsked_ = loop_.now();
     if (!shuttle_.feed().ready(loop_.now())) return guest->answer(503, "Retry-After: 0.3\r\n", "");
+    // Guards against a request that this process could not see to its end before it is killed.
+    if (stopAt_ > Span{0} &&
+        loop_.now() + patienceOf(*request).value_or(sheet_.grace) + kLastAnswer > endAt())
+      return guest->answer(503, "Retry-After: 0.1\r\n", "");
     const CallNo no{++lastCall_};
     Asked asked;
     asked.host = request->field("Host").value_or("");
@@ -379,11 +384,12 @@
     look();
   }
 
+  [[nodiscard]] Span endAt() const { return stopAt_ + sheet_.grace - kBeforeKill; }
+
   void look() {
     const Span now = loop_.now();
     const bool quiet = calls_.empty() && asks_.empty() && lastAsked_ + kQuiet <= now;
-    if ((quiet && stopAt_ + kStillComing <= now) || stopAt_ + sheet_.grace - kBeforeKill <= now)
-      return loop_.stop();
+    if ((quiet && stopAt_ + kStillComing <= now) || endAt() <= now) return loop_.stop();
     loop_.in(kLook, [this] { look(); });
   }
 
--- a/src/mesh/shuttle/shuttle.cpp
+++ b/src/mesh/shuttle/shuttle.cpp
@@ -123,13 +123,19 @@
 
 ShuttleActs Shuttle::reached(Span now, const Address& control) {
   ShuttleActs out;
-  take(now, feed_.reached(now, control), out);
+  FeedActs acts = feed_.reached(now, control);
+  door_.claims().reach(feed_.sessions());
+  take(now, std::move(acts), out);
   return out;
 }
 
 ShuttleActs Shuttle::ended(Span now, const Address& control) {
   ShuttleActs out;
-  take(now, feed_.ended(now, control), out);
+  FeedActs acts = feed_.ended(now, control);
+  door_.claims().reach(feed_.sessions());
+  take(now, std::move(acts), out);
+  // Claims that wait for votes which can't come any more hold room at the door.
+  take(now, door_.tick(now), out);
   return out;
 }
 
@@ -145,7 +151,9 @@
   take(now, door_.tick(now), out);
   if (feedTick_ <= now) {
     feedTick_ = now + Feed::tickEvery();
-    take(now, feed_.tick(now), out);
+    FeedActs acts = feed_.tick(now);
+    door_.claims().reach(feed_.sessions());
+    take(now, std::move(acts), out);
   }
   return out;
 }
--- a/src/mesh/vise/main.cpp
+++ b/src/mesh/vise/main.cpp
@@ -7,6 +7,7 @@
 #include <algorithm>
 #include <chrono>
 #include <csignal>
+#include <cstdlib>
 #include <map>
 #include <memory>
 #include <thread>
@@ -29,7 +30,7 @@
 using namespace std::chrono_literals;
 using nlohmann::json;
 
-constexpr Span kDialTime = 900ms;   // for a session; a hung dial is given up before the next is due
+constexpr Span kDialTime = 400ms;   // for a session; a hung dial is given up before the next is due
 constexpr auto kOpenPause = 300ms;  // between tries to open a store on a disk that refuses
 constexpr Span kLastWords = 50ms;   // after the call to stop, for what was just acknowledged to leave
 
@@ -65,7 +66,9 @@
     log(Weight::info, "start", "", "listening", {{"whole", vise_.whole()}});
     loop_.run();
     log(Weight::info, "stop", "", "stopped");
-    return 0;
+    // Guards against a disk that hangs: the store's thread would be waited for past the grace. Nothing is
+    // lost, as nothing is acknowledged before its sync.
+    std::quick_exit(0);
   }
 
  private:
--- a/src/mesh/vise/vise.cpp
+++ b/src/mesh/vise/vise.cpp
@@ -15,8 +15,8 @@
 constexpr Span kTick = 100ms;          // the finest step of all times below
 constexpr Span kPulse = 500ms;         // between words on an idle session
 constexpr Span kSilent = 1700ms;       // without a word, a session is over; three pulses and a delay
-constexpr Span kRedial = 400ms;        // after a dial that failed or a session that ended
-constexpr Span kDialTime = 1000ms;     // for a dial; a hung one is given up
+constexpr Span kRedial = 150ms;        // after a dial that failed or a session that ended
+constexpr Span kDialTime = 450ms;      // for a dial; a hung one is given up
 constexpr Span kCallTime = 850ms;      // for a call's copies; its caller waits a second
 constexpr Span kDiffers = 300ms;       // with another digest, before the items are fetched
 constexpr Span kSweep = 1s;            // between sweeps over ended promises and silent members
