Give a large configuration once: written out once, fetched from one vise, heard while it comes

Ruled out: the keys themselves; without the large configuration the core uses 0.037 of its 0.13 core. Change: a word to many is written once and shared; items keep their print; a start fetches from one vise and goes by the others' digests; bytes of a word that is not whole yet keep a session; a change has 3 ms more for each item.

--- a/src/lab/mesh/world.cpp
+++ b/src/lab/mesh/world.cpp
@@ -500,7 +500,7 @@
     switch (act.kind) {
       case ViseAct::Kind::say: {
         const auto link = sessions_[machine].find(act.session.value);
-        if (link != sessions_[machine].end()) send(link->second, link->second->a == machine, act.word.dump());
+        if (link != sessions_[machine].end()) send(link->second, link->second->a == machine, *act.text);
         break;
       }
       case ViseAct::Kind::dial:
@@ -587,7 +587,7 @@
     auto& all = dialled_[machine];
     const auto link = all.find(act.at.value);
     if (act.kind == FeedAct::Kind::say) {
-      if (link != all.end()) send(link->second, true, act.word.dump());
+      if (link != all.end()) send(link->second, true, *act.text);
     } else if (act.kind == FeedAct::Kind::dial) {
       dial(machine, act.at);
     } else if (link != all.end()) {
--- a/src/mesh/plan/items.cpp
+++ b/src/mesh/plan/items.cpp
@@ -170,11 +170,13 @@
     const Item& held = found->second;
     if (held.generation > item.generation) return false;
     // Guards against two operators who gave one version to two contents: every copy keeps the same one.
-    if (held.generation == item.generation && printOf(held) >= printOf(item)) return false;
-    digest_ ^= printOf(held);
+    if (held.generation == item.generation && held.print >= printOf(item)) return false;
+    digest_ ^= held.print;
   }
-  digest_ ^= printOf(item);
-  items_[item.key] = item;
+  Item& kept = items_[item.key];
+  kept = item;
+  kept.print = printOf(item);
+  digest_ ^= kept.print;
   return true;
 }
 
@@ -185,7 +187,7 @@
 
 json Items::versions() const {
   json versions = json::object();
-  for (const auto& [key, item] : items_) versions[textOf(key)] = {item.generation.value, printOf(item)};
+  for (const auto& [key, item] : items_) versions[textOf(key)] = {item.generation.value, item.print};
   return versions;
 }
 
@@ -196,8 +198,7 @@
     if (theirs != versions.end()) {
       const auto generation = theirs->at(0).get<std::uint64_t>();
       if (generation > item.generation.value) continue;
-      if (generation == item.generation.value && theirs->at(1).get<std::uint64_t>() >= printOf(item))
-        continue;
+      if (generation == item.generation.value && theirs->at(1).get<std::uint64_t>() >= item.print) continue;
     }
     more.push_back(item);
   }
--- a/src/mesh/plan/items.hpp
+++ b/src/mesh/plan/items.hpp
@@ -28,8 +28,9 @@
   ItemKey key;
   Generation generation;
   bool dropped = false;
-  std::string hostname;  // of a route
-  nlohmann::json value;  // as the operator sent it; null if dropped
+  std::string hostname;     // of a route
+  nlohmann::json value;     // as the operator sent it; null if dropped
+  std::uint64_t print = 0;  // of all the above, where it is held; large configurations are compared often
 };
 
 nlohmann::json toJson(const Item& item);
--- a/src/mesh/shop/talk.cpp
+++ b/src/mesh/shop/talk.cpp
@@ -41,12 +41,14 @@
   if (ends_.up) ends_.up();
 }
 
-void Talk::say(const nlohmann::json& word) {
+void Talk::say(std::shared_ptr<const std::string> text) {
   if (ended()) return;
   // Guards against a peer that reads nothing: what waits for it must not eat the memory.
   if (backlog() > kMostBacklog) return end(Reason::stalled);
   http::Gather pieces;
-  pieces.text(word.dump() + '\n');
+  pieces.view(*text);
+  pieces.keep(std::move(text));
+  pieces.view("\n");
   send(std::move(pieces));
 }
 
@@ -73,6 +75,7 @@
   }
   in_.erase(0, from);
   scanned_ = in_.size();
+  if (from == 0 && ends_.some) ends_.some();
   if (in_.size() > kLongestWord) end(Reason::badMessage);
 }
 
--- a/src/mesh/shop/talk.hpp
+++ b/src/mesh/shop/talk.hpp
@@ -18,6 +18,7 @@
   struct Ends {
     std::function<void()> up;
     std::function<void(const nlohmann::json&)> heard;
+    std::function<void()> some;  // bytes of a word that is not whole yet
     std::function<void()> over;  // once, also for a dial that failed
   };
   Talk(sidecar::Loop& loop, Poco::Net::StreamSocket socket, std::string peer)
@@ -25,7 +26,8 @@
 
   void accepted(Ends ends);
   void connect(const Address& to, Span within, Ends ends);
-  void say(const nlohmann::json& word);
+  /// One word, without the end of its line.
+  void say(std::shared_ptr<const std::string> text);
   [[nodiscard]] const std::string& name() const { return name_; }
 
  protected:
--- a/src/mesh/shuttle/feed.cpp
+++ b/src/mesh/shuttle/feed.cpp
@@ -11,13 +11,15 @@
 using nlohmann::json;
 using namespace std::chrono_literals;
 
-constexpr Span kTick = 150ms;      // the finest step of all times below
-constexpr Span kPulse = 500ms;     // between words on an idle session
-constexpr Span kSilent = 1700ms;   // without a word, a session is over; three pulses and a delay
-constexpr Span kDialTime = 450ms;  // for a dial; a hung one is given up
-constexpr Span kRedial = 150ms;    // after a dial that failed or a session that ended
-constexpr Span kDiffers = 200ms;   // with another digest than a control process's, before items are fetched
-constexpr Span kFewest = 1500ms;   // then what few control processes told must do; the others are down
+constexpr Span kTick = 150ms;               // the finest step of all times below
+constexpr Span kPulse = 500ms;              // between words on an idle session
+constexpr Span kSilent = 1700ms;            // without a word, a session is over; three pulses and a delay
+constexpr Span kDialTime = 450ms;           // for a dial; a hung one is given up
+constexpr Span kRedial = 150ms;             // after a dial that failed or a session that ended
+constexpr Span kDiffers = 200ms;            // with another digest than a home's, before items are fetched
+constexpr Span kDiffersElsewhere = 1000ms;  // than another control process's
+constexpr Span kWantAgain = 700ms;          // between two such requests
+constexpr Span kFewest = 1500ms;  // then what few control processes told must do; the others are down
 constexpr std::size_t kMostControls = 32;  // addresses; far above any core
 
 }  // namespace
@@ -41,19 +43,24 @@
   }
 }
 
-void Feed::say(const Address& to, json word, FeedActs& acts) {
+void Feed::say(const Address& to, std::shared_ptr<const std::string> text, FeedActs& acts) {
   controls_.at(to).lastSaid = now_;
   FeedAct act;
   act.kind = FeedAct::Kind::say;
   act.at = to;
-  act.word = std::move(word);
+  act.text = std::move(text);
   acts.push_back(std::move(act));
 }
 
+void Feed::say(const Address& to, const json& word, FeedActs& acts) {
+  say(to, std::make_shared<const std::string>(word.dump()), acts);
+}
+
 FeedActs Feed::sayAll(const json& word) {
+  const auto text = std::make_shared<const std::string>(word.dump());
   FeedActs acts;
   for (const auto& [at, control] : controls_) {
-    if (control.up) say(at, word, acts);
+    if (control.up) say(at, text, acts);
   }
   return acts;
 }
@@ -72,7 +79,12 @@
        {"life", built_.life.value},
        {"at", built_.at.value}},
       acts);
-  say(at, {{"t", "want"}, {"versions", items_.versions()}}, acts);
+  // Guards against a start that fetches a large configuration from every control process at once over a thin
+  // link: the first gives it, the others' digests tell whether they have more.
+  if (wantedAt_ == Span{0} || wantedAt_ + kWantAgain <= now) {
+    wantedAt_ = now;
+    say(at, {{"t", "want"}, {"versions", items_.versions()}}, acts);
+  }
   FeedAct act;
   act.kind = FeedAct::Kind::standing;
   act.at = at;
@@ -92,6 +104,11 @@
   return acts;
 }
 
+void Feed::alive(Span now, const Address& at) {
+  const auto found = controls_.find(at);
+  if (found != controls_.end()) found->second.lastHeard = now;
+}
+
 FeedActs Feed::heard(Span now, const Address& at, const json& word) {
   now_ = now;
   FeedActs acts;
@@ -129,9 +146,15 @@
       if (control.answered && !items_.all().empty() && !firstItems_) firstItems_ = now;
     } else if (control.differsSince == Span::max()) {
       control.differsSince = now;
-    } else if (control.differsSince + kDiffers <= now && control.whole) {
-      control.differsSince = now;
-      say(at, {{"t", "want"}, {"versions", items_.versions()}}, acts);
+    } else if (control.whole) {
+      // A home's news comes ahead of its digest; what the others hold is on its way from the home. One at a
+      // time, as a large configuration takes a while on a thin link.
+      const bool early = !control.followed.empty() || items_.all().empty();
+      const Span patience = early ? kDiffers : kDiffersElsewhere;
+      if (control.differsSince + patience <= now && wantedAt_ + kWantAgain <= now) {
+        control.differsSince = wantedAt_ = now;
+        say(at, {{"t", "want"}, {"versions", items_.versions()}}, acts);
+      }
     }
   } else if (kind == "items") {
     if (word.contains("whole")) control.answered = control.answered || word["whole"].get<bool>();
--- a/src/mesh/shuttle/feed.hpp
+++ b/src/mesh/shuttle/feed.hpp
@@ -7,6 +7,7 @@
 
 #include <cstdint>
 #include <map>
+#include <memory>
 #include <nlohmann/json.hpp>
 #include <optional>
 #include <set>
@@ -22,12 +23,12 @@
 struct FeedAct {
   enum class Kind { say, dial, hangUp, server, configured, vote, standing, told };
   Kind kind = Kind::say;
-  Address at{};                    // say, dial, hangUp, standing: the control process
-  nlohmann::json word{};           // say
-  News news{};                     // server
-  ClaimNo claim{};                 // vote
-  bool granted = false;            // vote
-  std::optional<Holder> holder{};  // vote
+  Address at{};                               // say, dial, hangUp, standing: the control process
+  std::shared_ptr<const std::string> text{};  // say: one word; shared by all whom the same is said to
+  News news{};                                // server
+  ClaimNo claim{};                            // vote
+  bool granted = false;                       // vote
+  std::optional<Holder> holder{};             // vote
 };
 using FeedActs = std::vector<FeedAct>;
 
@@ -45,6 +46,8 @@
   FeedActs reached(Span now, const Address& at);
   FeedActs ended(Span now, const Address& at);  // a session, or a dial that failed
   FeedActs heard(Span now, const Address& at, const nlohmann::json& word);
+  /// Bytes of a word that is not whole yet.
+  void alive(Span now, const Address& at);
   FeedActs tick(Span now);
   void seeds(std::vector<Address> seeds);
   /// The services whose servers are wanted.
@@ -73,7 +76,8 @@
     Span differsSince = Span::max();
     std::set<ServiceName> followed;
   };
-  void say(const Address& to, nlohmann::json word, FeedActs& acts);
+  void say(const Address& to, const nlohmann::json& word, FeedActs& acts);
+  void say(const Address& to, std::shared_ptr<const std::string> text, FeedActs& acts);
   void learn(const nlohmann::json& list);
   void assign(FeedActs& acts);
 
@@ -85,6 +89,7 @@
   std::size_t quorum_ = 0;
   std::size_t members_ = 0;
   std::optional<Span> firstItems_;
+  Span wantedAt_{};  // when the items that differ were last asked for
   Span now_{};
 };
 
--- a/src/mesh/shuttle/main.cpp
+++ b/src/mesh/shuttle/main.cpp
@@ -315,7 +315,7 @@
     const auto found = talks_.find(act.at);
     switch (act.kind) {
       case FeedAct::Kind::say:
-        if (found != talks_.end()) found->second->say(act.word);
+        if (found != talks_.end()) found->second->say(act.text);
         break;
       case FeedAct::Kind::hangUp:
         if (found != talks_.end()) {
@@ -333,6 +333,7 @@
             act.at, kDialControl,
             {[this, at = act.at] { this->act(shuttle_.reached(loop_.now(), at)); },
              [this, at = act.at](const json& word) { this->act(shuttle_.heard(loop_.now(), at, word)); },
+             [this, at = act.at] { shuttle_.alive(loop_.now(), at); },
              [this, at = act.at, talk = talk.get()] {
                const auto held = talks_.find(at);
                if (held == talks_.end() || held->second.get() != talk) return;
--- a/src/mesh/shuttle/shuttle.cpp
+++ b/src/mesh/shuttle/shuttle.cpp
@@ -69,14 +69,16 @@
         FeedAct said;
         said.at = act.at;
         if (!servers.empty()) {
-          said.word = {{"t", "servers"}, {"list", std::move(servers)}};
+          said.text = std::make_shared<const std::string>(
+              json{{"t", "servers"}, {"list", std::move(servers)}}.dump());
           more.push_back(said);
         }
         json claims = json::array();
         for (const Claims::Open& open : door_.claims().without(act.at))
           claims.push_back({open.no.value, textOf(open.key)});
         if (!claims.empty()) {
-          said.word = {{"t", "claim"}, {"at", built_.door.at.value}, {"list", std::move(claims)}};
+          said.text = std::make_shared<const std::string>(
+              json{{"t", "claim"}, {"at", built_.door.at.value}, {"list", std::move(claims)}}.dump());
           more.push_back(said);
         }
         take(now, std::move(more), out);
--- a/src/mesh/shuttle/shuttle.hpp
+++ b/src/mesh/shuttle/shuttle.hpp
@@ -41,6 +41,7 @@
   ShuttleActs reached(Span now, const Address& control);
   ShuttleActs ended(Span now, const Address& control);
   ShuttleActs heard(Span now, const Address& control, const nlohmann::json& word);
+  void alive(Span now, const Address& control) { feed_.alive(now, control); }
   ShuttleActs tick(Span now);
   ShuttleActs leave(Span now);
   void seeds(std::vector<Address> seeds) { feed_.seeds(std::move(seeds)); }
--- a/src/mesh/vise/main.cpp
+++ b/src/mesh/vise/main.cpp
@@ -114,6 +114,7 @@
 
   Talk::Ends endsOf(SessionNo no, std::function<void()> up) {
     return {std::move(up), [this, no](const json& word) { act(vise_.heard(loop_.now(), no, word)); },
+            [this, no] { vise_.alive(loop_.now(), no); },
             [this, no] {
               sessions_.erase(no);
               act(vise_.ended(loop_.now(), no));
@@ -141,7 +142,7 @@
       switch (act.kind) {
         case ViseAct::Kind::say:
           if (const auto found = sessions_.find(act.session); found != sessions_.end())
-            found->second->say(act.word);
+            found->second->say(act.text);
           break;
         case ViseAct::Kind::dial:
           dial(act.at);
--- a/src/mesh/vise/vise.cpp
+++ b/src/mesh/vise/vise.cpp
@@ -18,7 +18,8 @@
 constexpr Span kRedial = 150ms;        // after a dial that failed or a session that ended
 constexpr Span kDialTime = 450ms;      // for a dial; a hung one is given up
 constexpr Span kCallTime = 850ms;      // for a call's copies; its caller waits a second
-constexpr Span kDiffers = 300ms;       // with another digest, before the items are fetched
+constexpr Span kItemTime = 3ms;        // more for each item; callers wait longer for large bodies
+constexpr Span kDiffers = 1000ms;      // with another digest, before the items are fetched
 constexpr Span kSweep = 1s;            // between sweeps over ended promises and silent members
 constexpr Span kPromiseSpare = 15s;    // beyond the keys' window, for clocks and late starts
 constexpr std::size_t kCoreSpare = 8;  // addresses of control processes beyond the voters, for replaced ones
@@ -84,16 +85,21 @@
   return acts;
 }
 
-void Vise::say(SessionNo to, json word, ViseActs& acts) {
+void Vise::say(SessionNo to, std::shared_ptr<const std::string> text, ViseActs& acts) {
   ViseAct act;
   act.kind = ViseAct::Kind::say;
   act.session = to;
-  act.word = std::move(word);
+  act.text = std::move(text);
   acts.push_back(std::move(act));
 }
 
+void Vise::say(SessionNo to, const json& word, ViseActs& acts) {
+  say(to, std::make_shared<const std::string>(word.dump()), acts);
+}
+
 void Vise::sayCore(const json& word, ViseActs& acts) {
-  for (const auto& [at, session] : reached_) say(session, word, acts);
+  const auto text = std::make_shared<const std::string>(word.dump());
+  for (const auto& [at, session] : reached_) say(session, text, acts);
 }
 
 void Vise::dialCore(Span now, ViseActs& acts) {
@@ -243,6 +249,11 @@
           acts);
 }
 
+void Vise::alive(Span now, SessionNo session) {
+  const auto found = sessions_.find(session);
+  if (found != sessions_.end()) found->second.lastHeard = now;
+}
+
 ViseActs Vise::heard(Span now, SessionNo no, const json& word) {
   ViseActs acts;
   const auto found = sessions_.find(no);
@@ -298,11 +309,22 @@
   } else if (kind == "want") {
     // A side gets nothing from one that may know less than it once did.
     if (!whole_ && !session.core) return acts;
+    // Guards against dozens of processes that start at once: what all of them lack is written out once.
+    const bool all = word.at("versions").empty() && !word.contains("call");
+    if (all && allItems_ && allItemsDigest_ == items_.digest() && whole_) {
+      say(no, allItems_, acts);
+      return acts;
+    }
     json list = json::array();
     for (const Item& item : items_.beyond(word.at("versions"))) list.push_back(toJson(item));
     json reply{{"t", "items"}, {"list", std::move(list)}, {"whole", whole_}};
     if (word.contains("call")) reply["call"] = word["call"];
-    say(no, std::move(reply), acts);
+    const auto text = std::make_shared<const std::string>(reply.dump());
+    if (all && whole_) {
+      allItems_ = text;
+      allItemsDigest_ = items_.digest();
+    }
+    say(no, text, acts);
   } else if (kind == "items") {
     std::vector<Item> items;
     for (const json& item : word.at("list")) items.push_back(itemFrom(item));
@@ -472,8 +494,11 @@
   if (items.empty() || !whole_) return;
   json list = json::array();
   for (const Item& item : items) list.push_back(toJson(item));
+  // Written out once: hundreds of routes for dozens of followers are megabytes otherwise.
+  const auto text =
+      std::make_shared<const std::string>(json{{"t", "items"}, {"list", std::move(list)}}.dump());
   for (const auto& [no, session] : sessions_) {
-    if (!session.follows.empty()) say(no, {{"t", "items"}, {"list", list}}, acts);
+    if (!session.follows.empty()) say(no, text, acts);
   }
 }
 
@@ -505,7 +530,7 @@
   }
   Change& change = changes_[call];
   change.items = std::move(read).value();
-  change.until = now + kCallTime;
+  change.until = now + kCallTime + kItemTime * change.items.size();
   if (items_.unknownService(change.items)) {
     // It may be only this copy that does not know the service yet.
     change.reading = true;
@@ -624,7 +649,7 @@
   dialCore(now, acts);
   if (pulseAt_ <= now) {
     pulseAt_ = now + kPulse;
-    const json word = pulse(now);
+    const auto word = std::make_shared<const std::string>(pulse(now).dump());
     for (const auto& [no, session] : sessions_) {
       if (session.greeted || session.mine) say(no, word, acts);
     }
--- a/src/mesh/vise/vise.hpp
+++ b/src/mesh/vise/vise.hpp
@@ -7,6 +7,7 @@
 
 #include <cstdint>
 #include <map>
+#include <memory>
 #include <nlohmann/json.hpp>
 #include <optional>
 #include <set>
@@ -27,10 +28,10 @@
 struct ViseAct {
   enum class Kind { say, dial, hangUp, write, answer };
   Kind kind = Kind::say;
-  SessionNo session{};    // say, hangUp
-  nlohmann::json word{};  // say
-  Address at{};           // dial
-  BatchNo batch{};        // write; told of its end by written()
+  SessionNo session{};                        // say, hangUp
+  std::shared_ptr<const std::string> text{};  // say: one word; shared by all whom the same is said to
+  Address at{};                               // dial
+  BatchNo batch{};                            // write; told of its end by written()
   std::vector<std::pair<std::string, std::optional<std::string>>> entries{};  // write; none: removed
   CallerNo call{};                                                            // answer
   std::uint32_t status = 0;
@@ -62,6 +63,8 @@
   ViseActs unreached(Span now, const Address& at);                   // it did not
   ViseActs ended(Span now, SessionNo session);
   ViseActs heard(Span now, SessionNo session, const nlohmann::json& word);
+  /// Bytes of a word that is not whole yet.
+  void alive(Span now, SessionNo session);
   ViseActs written(Span now, BatchNo batch, bool done);
   ViseActs change(Span now, CallerNo call, std::string_view body);
   ViseActs readBack(Span now, CallerNo call);
@@ -103,7 +106,8 @@
     std::optional<CallerNo> call;
     bool makesWhole = false;
   };
-  void say(SessionNo to, nlohmann::json word, ViseActs& acts);
+  void say(SessionNo to, const nlohmann::json& word, ViseActs& acts);
+  void say(SessionNo to, std::shared_ptr<const std::string> text, ViseActs& acts);
   void sayCore(const nlohmann::json& word, ViseActs& acts);
   void dialCore(Span now, ViseActs& acts);
   void learnCore(Span now, const nlohmann::json& list, ViseActs& acts);
@@ -137,6 +141,8 @@
   std::map<CallerNo, Change> changes_;
   std::map<BatchNo, Batch> batches_;
   std::uint64_t lastBatch_ = 0;
+  std::shared_ptr<const std::string> allItems_;  // as a word, for those that start with nothing
+  std::uint64_t allItemsDigest_ = 0;
   Span pulseAt_{};
   Span sweepAt_{};
 };
--- a/tests/mesh_test.cpp
+++ b/tests/mesh_test.cpp
@@ -504,7 +504,7 @@
     blank.written(0s, write->batch, true);
     const ViseActs vote = blank.heard(0s, {1}, claim);
     REQUIRE(vote.size() == 1);
-    CHECK(vote[0].word.at("list").at(0).size() == 2);  // refused, with the holder
+    CHECK(json::parse(*vote[0].text).at("list").at(0).size() == 2);  // refused, with the holder
   }
 }
 
