--- a/src/lab/fleet/process_fleet.cpp
+++ b/src/lab/fleet/process_fleet.cpp
@@ -1,11 +1,7 @@
 #include "lab/fleet/process_fleet.hpp"
 
-#include <Poco/TemporaryFile.h>
-#include <fcntl.h>
 #include <signal.h>
-#include <sys/prctl.h>
 #include <sys/resource.h>
-#include <sys/wait.h>
 #include <unistd.h>
 
 #include <algorithm>
@@ -16,9 +12,9 @@
 #include <memory>
 #include <sstream>
 #include <stdexcept>
-#include <thread>
 #include <vector>
 
+#include "lab/children.hpp"
 #include "lab/fleet/rig.hpp"
 #include "sidecar/log.hpp"
 #include "sidecar/loop.hpp"
@@ -29,7 +25,6 @@
 using namespace std::chrono_literals;
 
 constexpr std::uint32_t kMostProcesses = 250;  // last numbers of loopback addresses; memory for as many
-constexpr auto kStops = 5s;                    // after TERM; then it is killed
 constexpr Span kTell = 1s;                     // between two words on how far the run is
 
 volatile std::sig_atomic_t brokenOff = 0;
@@ -42,26 +37,10 @@
         plan_(plan),
         rig_(loop_, drill, plan.seed,
              {[this](std::uint32_t place) { start(place); },
-              [this](std::uint32_t place, int number) { signal(place, number); }}),
-        processes_(rig_.places()) {}
+              [this](std::uint32_t place, int number) { children_.signal(place, number); }}),
+        children_(rig_.places()) {}
   ProcessFleet(const ProcessFleet&) = delete;
   ProcessFleet& operator=(const ProcessFleet&) = delete;
-  // Guards against processes that outlive the run, whatever ended it.
-  ~ProcessFleet() {
-    for (const Process& process : processes_) {
-      if (process.id > 0) ::kill(process.id, SIGCONT);
-      if (process.id > 0) ::kill(process.id, SIGTERM);
-    }
-    const auto last = std::chrono::steady_clock::now() + kStops;
-    for (Process& process : processes_) {
-      while (process.id > 0 && ::waitpid(process.id, nullptr, WNOHANG) == 0) {
-        if (std::chrono::steady_clock::now() > last) ::kill(process.id, SIGKILL);
-        std::this_thread::sleep_for(5ms);
-      }
-      process.id = 0;
-    }
-  }
-
   Json run() {
     // Guarded, so that the loop's first poll ends with the first timer.
     loop_.guarded([this] {
@@ -83,18 +62,7 @@
   }
 
  private:
-  struct Process {
-    pid_t id = 0;
-    bool mayEnd = false;
-    std::unique_ptr<Poco::TemporaryFile> file;
-  };
-
   void start(std::uint32_t place) {
-    Process& process = processes_[place];
-    reap(process);
-    // Guards against one that was told to end and still does: the new one would not get its address.
-    if (process.id > 0) ::kill(process.id, SIGKILL);
-    if (process.id > 0) ::waitpid(process.id, nullptr, 0);
     Json told = rig_.told(place);
     told["listen"] = rig_.clientsAt(place);
     told["discovery"] = "127.0.0.1:1";  // nobody is there: lists come with the configuration
@@ -105,54 +73,19 @@
     told["settings"]["use_cases"] = {
         {{"name", "read"}, {"effect", "retryable"}, {"group", "all"}, {"slo_time_ms", 500.0}}};
     told["settings"]["bounds"] = {{"max_executions", 2}, {"dial_timeout_ms", 250.0}};
-    if (!process.file) process.file = std::make_unique<Poco::TemporaryFile>();
-    std::ofstream(process.file->path()) << told.dump();
-    const std::string config = "LB_CONFIG=" + process.file->path();
-    const std::string level = plan_.logs.empty() ? "RACKROUTE_LOG=error" : "RACKROUTE_LOG=info";
-    const std::string log =
-        plan_.logs.empty() ? "/dev/null" : plan_.logs + "/m" + std::to_string(place) + ".log";
-    const pid_t parent = ::getpid();
-    const pid_t id = ::fork();
-    if (id < 0) throw std::runtime_error("no process can be started");
-    if (id == 0) {
-      // Only what may be called between fork and exec.
-      ::prctl(PR_SET_PDEATHSIG, SIGKILL);
-      if (::getppid() != parent) ::_exit(1);
-      const int out = ::open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0644);
-      if (out >= 0) ::dup2(out, STDERR_FILENO);
-      ::signal(SIGINT, SIG_IGN);
-      char* const arguments[] = {const_cast<char*>(plan_.program.c_str()), nullptr};
-      char* const environment[] = {const_cast<char*>(config.c_str()), const_cast<char*>(level.c_str()),
-                                   nullptr};
-      ::execve(plan_.program.c_str(), arguments, environment);
-      ::_exit(1);
-    }
-    process.id = id;
-    process.mayEnd = false;
-  }
-
-  void signal(std::uint32_t place, int number) {
-    Process& process = processes_[place];
-    if (process.id <= 0) return;
-    ::kill(process.id, number);
-    if (number == SIGTERM) process.mayEnd = true;
-    if (number != SIGKILL) return;
-    ::waitpid(process.id, nullptr, 0);
-    process.id = 0;
-  }
-
-  /// True: it has ended.
-  static bool reap(Process& process) {
-    if (process.id <= 0 || ::waitpid(process.id, nullptr, WNOHANG) != process.id) return false;
-    process.id = 0;
-    return true;
+    const bool logs = !plan_.logs.empty();
+    children_.start(place, {plan_.program,
+                            {},
+                            "LB_CONFIG",
+                            told.dump(),
+                            {logs ? "RACKROUTE_LOG=info" : "RACKROUTE_LOG=error"},
+                            logs ? plan_.logs + "/m" + std::to_string(place) + ".log" : std::string()});
   }
 
   void watch() {
-    for (std::uint32_t i = 0; i < processes_.size(); ++i) {
-      if (!reap(processes_[i]) || processes_[i].mayEnd) continue;
+    for (const std::size_t place : children_.endedByThemselves()) {
       ++crashed_;
-      crash_ = i;
+      crash_ = place;
     }
     if (plan_.progress) plan_.progress(std::min(1.0, seconds(rig_.now()) / seconds(drill_.length)));
     if (rig_.now() >= drill_.length || brokenOff != 0) return loop_.stop();
@@ -169,9 +102,9 @@
     std::ifstream up("/proc/uptime");
     double uptime = 0;
     up >> uptime;
-    for (const Process& process : processes_) {
-      if (process.id <= 0) continue;
-      std::ifstream stat("/proc/" + std::to_string(process.id) + "/stat");
+    for (std::size_t place = 0; place < children_.places(); ++place) {
+      if (children_.idAt(place) <= 0) continue;
+      std::ifstream stat("/proc/" + std::to_string(children_.idAt(place)) + "/stat");
       std::string field;
       std::vector<std::string> fields;
       while (stat >> field) fields.push_back(field);
@@ -190,9 +123,9 @@
   const DrillPlan& plan_;
   sidecar::Loop loop_;
   Rig rig_;
-  std::vector<Process> processes_;
+  Children children_;
   std::uint64_t crashed_ = 0;
-  std::uint32_t crash_ = 0;
+  std::size_t crash_ = 0;
 };
 
 /// A rig beside queries: the stage of the queries has the processes in hand.
--- a/src/lab/main.cpp
+++ b/src/lab/main.cpp
@@ -16,6 +16,7 @@
 #include "lab/fleet/process_fleet.hpp"
 #include "lab/fleet/virtual_fleet.hpp"
 #include "lab/mesh/explorer.hpp"
+#include "lab/mesh/processes.hpp"
 #include "lab/mesh/world.hpp"
 #include "lab/report.hpp"
 #include "lab/sockets.hpp"
@@ -110,6 +111,8 @@
   std::string clock = "virtual";
   std::string policy = "module";
   std::string program;
+  std::string shuttle;
+  std::string vise;
   std::uint64_t seed = 1;
   unsigned seeds = 5;
   unsigned jobs = std::max(1U, std::thread::hardware_concurrency());
@@ -126,6 +129,7 @@
   std::string folder = "lab/scenarios";
   bool drawn = false;
   bool shrinks = false;
+  bool tells = false;
   unsigned voters = 3;
   unsigned depth = 11;
   unsigned wipes = 1;
@@ -297,25 +301,43 @@
 /// One day of an emulated mesh over several seeds; or days drawn anew for each, of the file's size.
 int playMesh(const Asked& asked) {
   const mesh::Day day = mesh::readDay(asked.file, overridesOf(asked.sets));
+  const bool sockets = asked.clock == "sockets";
+  if (sockets && asked.shrinks) throw BadInput("--shrink goes with virtual time: processes repeat no run");
   Json runs = Json::array();
   bool kept = true;
+  bool late = false;
   for (unsigned i = 0; i < asked.drills; ++i) {
     const std::uint64_t seed = asked.seed + i;
-    const mesh::Day played = asked.drawn ? mesh::drawDay(seed, day) : day;
-    const mesh::Played result = mesh::play(played, seed);
+    mesh::Day played = asked.drawn ? mesh::drawDay(seed, day) : day;
+    if (asked.drawn && sockets) played = mesh::forProcesses(played);
+    mesh::PlayedProcesses result;
+    if (sockets) {
+      mesh::ProcessPlan plan{asked.shuttle, asked.vise, seed, asked.logs, {}};
+      if (asked.tells) plan.tell = [](const std::string& line) { std::cout << line << std::endl; };
+      result = mesh::playProcesses(played, plan);
+    } else {
+      static_cast<mesh::Played&>(result) = mesh::play(played, seed);
+    }
     for (const mesh::Broken& broken : result.broken)
       std::cout << "BROKEN " << broken.rule << " at " << broken.at << " s: " << broken.what << '\n';
-    std::cout << played.name << "  seed " << seed << "  " << (result.kept() ? "kept" : "BROKEN")
+    std::cout << played.name << "  seed " << seed << "  "
+              << (result.late     ? "no verdict, this machine is too slow"
+                  : result.kept() ? "kept"
+                                  : "BROKEN")
               << "  served " << result.figures.at("served").get<double>() << " of "
               << result.figures.at("tries") << " tries" << std::endl;
-    runs.push_back(
-        {{"day", played.name}, {"seed", seed}, {"kept", result.kept()}, {"figures", result.figures}});
+    runs.push_back({{"day", played.name},
+                    {"seed", seed},
+                    {"kept", result.kept()},
+                    {"late", result.late},
+                    {"figures", result.figures}});
     if (!result.kept() && asked.shrinks)
       std::cout << mesh::textOf(mesh::shrunk(played, seed, result.broken.front().rule)) << std::flush;
-    kept = kept && result.kept();
+    kept = kept && (result.kept() || result.late);
+    late = late || result.late;
   }
   if (!asked.json.empty()) writeWhole(asked.json, runs.dump(1) + '\n');
-  return kept ? kAsExpected : kMissed;
+  return !kept ? kMissed : late ? kNoVerdict : kAsExpected;
 }
 
 /// Every order of a key's words and losses.
@@ -398,6 +420,14 @@
   meshing->add_flag("--drawn", asked.drawn, "troubles drawn anew for each seed, in place of the file's");
   meshing->add_flag("--shrink", asked.shrinks, "the fewest troubles of a day that breaks a rule");
   meshing->add_option("--json", asked.json, "the result file");
+  meshing->add_option("--clock", asked.clock, "virtual, or sockets with real processes on loopback")
+      ->check(CLI::IsMember({"virtual", "sockets"}));
+  asked.shuttle = (fs::path(argv[0]).parent_path() / "rackroute-shuttle").string();
+  asked.vise = (fs::path(argv[0]).parent_path() / "rackroute-vise").string();
+  meshing->add_option("--shuttle", asked.shuttle, "the program that sockets start; else the one beside this");
+  meshing->add_option("--vise", asked.vise, "the program that sockets start; else the one beside this");
+  meshing->add_option("--logs", asked.logs, "a folder for what the processes log");
+  meshing->add_flag("--tell", asked.tells, "with sockets: what happens, a line each");
   CLI::App* exploring = app.add_subcommand("keys", "every order of one key's words and losses, to a depth");
   exploring->add_option("--voters", asked.voters)->check(CLI::Range(3U, 7U));
   exploring->add_option("--depth", asked.depth)->check(CLI::Range(1U, 40U));
--- a/src/lab/mesh/day.cpp
+++ b/src/lab/mesh/day.cpp
@@ -80,6 +80,7 @@
   day.sync = top.number("sync_s", day.sync, 0, 10);
   day.across = top.number("across_s", day.across, 0, 10);
   day.keyWindow = top.number("key_window_s", day.keyWindow, 1, kLongest);
+  day.idleRoutes = top.whole("idle_routes", day.idleRoutes, 0, 100'000);
   day.leastServed = top.number("least_served", 0, 0, 1);
   const std::string closing = top.text("closing", "none");
   const auto ends =
@@ -143,7 +144,7 @@
        << "\nkeyed = " << day.keyed << "\neffectful = " << day.effectful << "\nagain = " << day.again
        << "\nslots = " << day.slots << "\nwork_s = " << day.work << "\nsync_s = " << day.sync
        << "\nacross_s = " << day.across << "\nkey_window_s = " << day.keyWindow
-       << "\nleast_served = " << day.leastServed << "\nclosing = \""
+       << "\nidle_routes = " << day.idleRoutes << "\nleast_served = " << day.leastServed << "\nclosing = \""
        << std::find_if(kClosings.begin(), kClosings.end(),
                        [&](const auto& e) { return e.second == day.closing; })
               ->first
--- a/src/lab/mesh/day.hpp
+++ b/src/lab/mesh/day.hpp
@@ -59,7 +59,8 @@
   double sync = 0.003;       // seconds
   double across = 0.0009;    // seconds between zones, one way
   double keyWindow = 60;
-  double leastServed = 0;  // of all requests, below which the day fails
+  std::uint32_t idleRoutes = 0;  // further routes that nobody asks for
+  double leastServed = 0;        // of all requests, below which the day fails
   Closing closing = Closing::none;
   std::vector<Trouble> troubles;
 };
--- /dev/null
+++ b/src/lab/mesh/emulated.hpp
@@ -0,0 +1,224 @@
+#pragma once
+
+// The parts of an emulated mesh: machines, disks, links, servers and the queue of events that moves them. It
+// owns all of them. Its members stand in a file for each concern: the talk between processes, the processes
+// and their disks, requests, operators, troubles.
+
+#include <algorithm>
+#include <cmath>
+#include <deque>
+#include <functional>
+#include <map>
+#include <optional>
+#include <queue>
+#include <set>
+#include <utility>
+
+#include "lab/draws.hpp"
+#include "lab/mesh/wares.hpp"
+#include "lab/mesh/world.hpp"
+#include "mesh/shuttle/shuttle.hpp"
+#include "mesh/vise/vise.hpp"
+
+namespace rackroute::lab::mesh::emulated {
+
+using namespace std::chrono_literals;
+using namespace rackroute::mesh;
+using nlohmann::json;
+
+inline constexpr Span kContact = 3s;      // without trouble before rules with a time bound hold
+inline constexpr Span kDead = 300ms;      // until a killed process starts again
+inline constexpr Span kUnread = 1500ms;   // after which a way that is cut or dark breaks
+inline constexpr Span kDialHung = 900ms;  // after which a dial into the dark fails
+inline constexpr Span kSpare = 250ms;     // beyond a deadline, as the program waits
+inline constexpr Span kSettle = 20s;      // after the last request, until the configuration is read back
+inline constexpr Span kCallHeard = 1s;    // an operator waits for an answer
+inline constexpr Span kLead = 4s;         // before the first request
+
+class World {
+ public:
+  World(const Day& day, std::uint64_t seed)
+      : day_(day),
+        seed_(seed),
+        network_(chanceOf(seed, Purpose::network)),
+        arrivals_(chanceOf(seed, Purpose::arrivals)),
+        clients_(chanceOf(seed, Purpose::clients)),
+        judge_({kDrain, kApply, span(day.keyWindow), 10s, kRetryRatio, kRetrySlack}) {}
+
+  Played run();
+
+ private:
+  // --- time
+  struct Event {
+    Span at;
+    std::uint64_t no;
+    std::function<void()> task;
+    bool operator>(const Event& other) const { return std::pair(at, no) > std::pair(other.at, other.no); }
+  };
+  void at(Span when, std::function<void()> task) {
+    events_.push({std::max(when, now_), ++eventNo_, std::move(task)});
+  }
+  void in(Span wait, std::function<void()> task) { at(now_ + wait, std::move(task)); }
+
+  // --- machines
+  struct Machine {
+    bool core = false;
+    std::uint32_t number = 0;  // of its kind
+    std::uint32_t zone = 0;
+    std::string name;
+    std::uint64_t life = 0;  // 0: no process
+    std::uint64_t lives = 0;
+    bool dark = false;  // without power: silent, not refusing
+    Span frozenUntil{};
+    bool leaving = false;
+  };
+  struct Disk {
+    std::map<std::string, std::string> synced;
+    std::deque<std::pair<std::uint64_t, std::vector<std::pair<std::string, std::optional<std::string>>>>>
+        waiting;
+    std::size_t syncing = 0;
+    double slow = 1;
+    bool full = false;
+    bool lost = false;
+    bool used = false;
+  };
+  struct Server {
+    std::string id;
+    int service = 0;
+    bool up = true;
+    bool draining = false;
+    Span drainAcked{-1};
+    std::uint64_t seq = 0;
+    std::uint32_t busy = 0;
+    double slow = 1;
+    double loses = 0;
+    double spoils = 0;
+    Span coldUntil{};
+    std::uint64_t lives = 0;
+    std::deque<std::function<void()>> queue;
+  };
+  struct Side {
+    std::unique_ptr<Shuttle> shuttle;
+    Server server;
+    Span wakes = Span::max();
+    std::uint64_t nextCall = 0;
+    std::uint64_t nextAsk = 0;
+    std::map<std::uint64_t, std::uint64_t> attemptOf;  // by call
+    struct Inside {
+      std::uint64_t attempt;
+      std::function<void(HopTold, std::uint32_t, std::uint64_t, std::shared_ptr<const void>)> reply;
+    };
+    std::map<std::uint64_t, Inside> asks;
+  };
+  struct Core {
+    std::unique_ptr<Vise> vise;
+    Disk disk;
+    std::map<std::uint64_t, std::function<void(std::uint32_t, std::string)>> calls;
+    std::uint64_t nextCall = 0;
+  };
+  // A session between two lives of two processes; each way in order.
+  struct Link {
+    std::size_t a, b;  // machines; a dialled
+    std::uint64_t lifeA, lifeB;
+    bool open = true;
+    Span last[2]{};  // delivery, each way
+    std::vector<std::string> held[2];
+    std::uint64_t noA = 0, noB = 0;  // session numbers at vises
+  };
+  using LinkPtr = std::shared_ptr<Link>;
+
+  [[nodiscard]] std::size_t coreAt(std::uint32_t number) const { return number; }
+  [[nodiscard]] std::size_t sideAt(std::uint32_t number) const { return day_.vises + number; }
+  [[nodiscard]] Side& side(std::size_t machine) { return sides_[machine - day_.vises]; }
+  [[nodiscard]] Core& core(std::size_t machine) { return cores_[machine]; }
+  [[nodiscard]] std::string address(std::size_t machine) const { return machines_[machine].name + ":1"; }
+  [[nodiscard]] std::optional<std::size_t> machineAt(const std::string& address) const {
+    const auto found = byAddress_.find(address);
+    return found == byAddress_.end() ? std::nullopt : std::optional(found->second);
+  }
+  [[nodiscard]] Span delay(std::size_t a, std::size_t b) {
+    const double base = machines_[a].zone == machines_[b].zone ? day_.across / 4 : day_.across;
+    return span(base * (1 + 0.5 * fraction(network_)) + 0.00002);
+  }
+  [[nodiscard]] bool isCut(std::size_t from, std::size_t to) const { return cuts_.count({from, to}) > 0; }
+
+  /// Runs it at the process if that life still stands, once it is awake.
+  void atProcess(Span when, std::size_t machine, std::uint64_t life, std::function<void()> task) {
+    at(when, [this, machine, life, task = std::move(task)] {
+      const Machine& m = machines_[machine];
+      if (m.life != life || m.dark) return;
+      if (m.frozenUntil > now_) return atProcess(m.frozenUntil, machine, life, task);
+      task();
+    });
+  }
+
+  // --- sessions
+  void dial(std::size_t from, const Address& to);
+  void send(const LinkPtr& link, bool fromA, std::string text);
+  void deliver(const LinkPtr& link, bool fromA, Span when, std::string text);
+  void close(const LinkPtr& link, std::optional<std::size_t> by);
+  void sessionEnded(std::size_t machine, const LinkPtr& link);
+  void heard(std::size_t machine, const LinkPtr& link, const std::string& text);
+
+  // --- processes
+  void startVise(std::size_t machine);
+  void startShuttle(std::size_t machine);
+  void kill(std::size_t machine, bool dark);
+  void act(std::size_t machine, const ViseActs& acts);
+  void act(std::size_t machine, const ShuttleActs& acts);
+  void tickVise(std::size_t machine, std::uint64_t life);
+  void wake(std::size_t machine);
+  void sync(std::size_t machine);
+  void loseDiskTail(std::size_t machine);
+
+  // --- requests
+  void arrive();
+  void ask(std::size_t machine, const Wanted& wanted);
+  void answered(std::size_t machine, const Wanted& wanted, std::uint64_t attempt, std::uint32_t status,
+                std::uint64_t seal, Span comeBack);
+  void hop(std::size_t machine, const CallAct& act);
+  void serve(std::size_t machine, const DoorAct& act);
+  void beat(std::size_t machine, std::uint64_t serverLife);
+  void newServer(std::size_t machine);
+
+  // --- operators
+  void change(std::uint32_t who, bool race, bool bad);
+  void patch(std::size_t machine, const std::string& body, int tries,
+             std::function<void(std::uint32_t)> done);
+  void readBack(std::size_t machine, int tries);
+
+  void strike(const Trouble& trouble);
+  void closeDay();
+  void disturb(Span until) { calmFrom_ = std::max(calmFrom_, until); }
+  [[nodiscard]] bool calm() const { return now_ >= calmFrom_ + kContact; }
+
+  Day day_;
+  std::uint64_t seed_;
+  Chance network_, arrivals_, clients_;
+  Judge judge_;
+  Span now_{};
+  std::uint64_t eventNo_ = 0;
+  std::priority_queue<Event, std::vector<Event>, std::greater<>> events_;
+  std::vector<Machine> machines_;
+  std::vector<Side> sides_;
+  std::vector<Core> cores_;
+  std::map<std::string, std::size_t> byAddress_;
+  std::set<std::pair<std::size_t, std::size_t>> cuts_;
+  std::vector<LinkPtr> links_;
+  std::map<std::size_t, std::map<std::string, LinkPtr>> dialled_;     // by shuttle, then address
+  std::map<std::size_t, std::map<std::uint64_t, LinkPtr>> sessions_;  // by vise, then number
+  std::uint64_t sessionNo_ = 0;
+  std::uint64_t attemptNo_ = 0;
+  std::uint64_t sealNo_ = 0;
+  std::uint64_t keyNo_ = 0;
+  std::map<std::uint64_t, std::string> keyOf_;                    // by attempt
+  std::map<std::uint64_t, std::pair<std::size_t, Wanted>> open_;  // attempts without an answer
+  Span calmFrom_{};
+  Span end_{};
+  OperatorBook book_;
+  std::map<std::string, std::pair<std::uint64_t, std::uint64_t>> talk_;  // words and bytes by kind
+  std::uint64_t syncs_ = 0;
+  bool readBackDone_ = false;
+};
+
+}  // namespace rackroute::lab::mesh::emulated
--- /dev/null
+++ b/src/lab/mesh/world_processes.cpp
@@ -0,0 +1,238 @@
+#include "lab/mesh/emulated.hpp"
+
+namespace rackroute::lab::mesh::emulated {
+
+void World::startVise(std::size_t machine) {
+  Machine& m = machines_[machine];
+  m.life = ++m.lives;
+  m.dark = false;
+  Core& here = core(machine);
+  here.calls.clear();
+  here.disk.waiting.clear();
+  here.disk.syncing = 0;
+  Vise::Built built;
+  built.node = {m.name};
+  built.at = {address(machine)};
+  built.zone = "z" + std::to_string(m.zone);
+  built.life = {m.life};
+  for (std::size_t i = 0; i < std::min<std::size_t>(3, day_.vises); ++i)
+    built.seeds.push_back({address(coreAt(static_cast<std::uint32_t>(i)))});
+  built.voters = day_.vises;
+  built.losses = 1;
+  built.firstBoot = !here.disk.used;
+  built.keyWindow = span(day_.keyWindow);
+  built.wallAtStart = Span{0};  // spans here are the world's, whatever process counts them
+  here.disk.used = true;
+  here.vise = std::make_unique<Vise>(std::move(built));
+  here.vise->read(here.disk.synced);
+  act(machine, here.vise->start(now_));
+  tickVise(machine, m.life);
+}
+
+void World::tickVise(std::size_t machine, std::uint64_t life) {
+  act(machine, core(machine).vise->tick(now_));
+  atProcess(now_ + Vise::tickEvery(), machine, life, [this, machine, life] { tickVise(machine, life); });
+}
+
+void World::startShuttle(std::size_t machine) {
+  Machine& m = machines_[machine];
+  m.life = ++m.lives;
+  m.dark = m.leaving = false;
+  Side& here = side(machine);
+  Shuttle::Built built;
+  built.caller.node = {m.name};
+  built.caller.zone = "z" + std::to_string(m.zone);
+  built.caller.service = {serviceName(here.server.service)};
+  built.caller.allowance = {kRetryRatio, kRetrySlack, 10s};
+  built.caller.seed = seed_ * 1000 + machine * 31 + m.life;
+  built.door = {{m.name}, {address(machine)},   built.caller.zone,
+                {m.life}, built.caller.service, {m.name + ":app"},
+                kDrain,   span(day_.keyWindow), 32 << 20};
+  built.feed = {{m.name}, {address(machine)}, built.caller.zone, {m.life}, {}};
+  for (std::size_t i = 0; i < std::min<std::size_t>(3, day_.vises); ++i)
+    built.feed.seeds.push_back({address(coreAt(static_cast<std::uint32_t>(i)))});
+  here.shuttle = std::make_unique<Shuttle>(std::move(built));
+  here.asks.clear();
+  here.attemptOf.clear();
+  here.wakes = Span::max();
+  act(machine, here.shuttle->tick(now_));
+}
+
+void World::kill(std::size_t machine, bool dark) {
+  Machine& m = machines_[machine];
+  if (m.life == 0) return;
+  m.life = 0;
+  m.dark = dark;
+  if (m.core) loseDiskTail(machine);
+  for (const LinkPtr& link : links_) {
+    if (link->open && (link->a == machine || link->b == machine)) close(link, machine);
+  }
+  links_.erase(std::remove_if(links_.begin(), links_.end(), [](const LinkPtr& link) { return !link->open; }),
+               links_.end());
+  sessions_[machine].clear();
+  dialled_[machine].clear();
+  if (!m.core) {
+    // Its clients' connections close; they try again elsewhere, as their requests allow.
+    std::vector<std::uint64_t> cut;
+    for (const auto& [attempt, held] : open_) {
+      if (held.first == machine) cut.push_back(attempt);
+    }
+    for (const std::uint64_t attempt : cut) {
+      const Wanted wanted = open_.at(attempt).second;
+      answered(machine, wanted, attempt, 0, 0, Span{0});
+    }
+  }
+}
+
+// What was written and not yet synced: each later batch is there or not, and nothing after a missing one.
+void World::loseDiskTail(std::size_t machine) {
+  Disk& disk = core(machine).disk;
+  std::size_t stays = 0;
+  while (stays < disk.waiting.size() && fraction(network_) < 0.5) ++stays;
+  for (std::size_t i = 0; i < stays; ++i) {
+    for (const auto& [key, value] : disk.waiting[i].second) {
+      if (value) {
+        disk.synced[key] = *value;
+      } else {
+        disk.synced.erase(key);
+      }
+    }
+  }
+  disk.waiting.clear();
+  disk.syncing = 0;
+}
+
+void World::sync(std::size_t machine) {
+  Disk& disk = core(machine).disk;
+  if (disk.syncing > 0 || disk.waiting.empty()) return;
+  disk.syncing = disk.waiting.size();
+  ++syncs_;
+  const std::uint64_t life = machines_[machine].life;
+  atProcess(now_ + span(day_.sync * disk.slow), machine, life, [this, machine] {
+    Disk& there = core(machine).disk;
+    std::vector<std::uint64_t> done;
+    const bool full = there.full;
+    for (; there.syncing > 0; --there.syncing) {
+      if (!full) {
+        for (const auto& [key, value] : there.waiting.front().second) {
+          if (value) {
+            there.synced[key] = *value;
+          } else {
+            there.synced.erase(key);
+          }
+        }
+      }
+      done.push_back(there.waiting.front().first);
+      there.waiting.pop_front();
+    }
+    sync(machine);
+    for (const std::uint64_t batch : done) act(machine, core(machine).vise->written(now_, {batch}, !full));
+  });
+}
+
+void World::act(std::size_t machine, const ViseActs& acts) {
+  Core& here = core(machine);
+  for (const ViseAct& act : acts) {
+    switch (act.kind) {
+      case ViseAct::Kind::say: {
+        const auto link = sessions_[machine].find(act.session.value);
+        if (link != sessions_[machine].end()) send(link->second, link->second->a == machine, *act.text);
+        break;
+      }
+      case ViseAct::Kind::dial:
+        dial(machine, act.at);
+        break;
+      case ViseAct::Kind::hangUp: {
+        const auto link = sessions_[machine].find(act.session.value);
+        if (link == sessions_[machine].end()) break;
+        const LinkPtr held = link->second;
+        sessions_[machine].erase(link);
+        close(held, machine);
+        break;
+      }
+      case ViseAct::Kind::write:
+        here.disk.waiting.emplace_back(act.batch.value, act.entries);
+        sync(machine);
+        break;
+      case ViseAct::Kind::answer:
+        if (const auto call = here.calls.find(act.call.value); call != here.calls.end()) {
+          const auto done = std::move(call->second);
+          here.calls.erase(call);
+          in(span(day_.across), [done, status = act.status, body = act.body] { done(status, body); });
+        }
+        break;
+    }
+  }
+}
+
+void World::wake(std::size_t machine) {
+  Side& here = side(machine);
+  const Span next = here.shuttle->nextTick(now_);
+  if (next >= here.wakes) return;
+  here.wakes = next;
+  atProcess(next, machine, machines_[machine].life, [this, machine, next] {
+    Side& there = side(machine);
+    if (there.wakes != next) return;
+    there.wakes = Span::max();
+    act(machine, there.shuttle->tick(now_));
+  });
+}
+
+void World::act(std::size_t machine, const ShuttleActs& acts) {
+  Side& here = side(machine);
+  for (const CallAct& act : acts.calls) {
+    const auto found = here.attemptOf.find(act.call.value);
+    if (found == here.attemptOf.end()) continue;
+    if (act.kind == CallAct::Kind::send) {
+      hop(machine, act);
+      continue;
+    }
+    const std::uint64_t attempt = found->second;
+    here.attemptOf.erase(found);
+    const auto open = open_.find(attempt);
+    if (open == open_.end()) continue;
+    std::uint32_t status = act.status;
+    std::uint64_t seal = 0;
+    if (act.kind == CallAct::Kind::pass) {
+      const auto answer = std::static_pointer_cast<const std::pair<std::uint32_t, std::uint64_t>>(act.bytes);
+      status = answer->first;
+      seal = answer->second;
+    }
+    const Wanted wanted = open->second.second;
+    answered(machine, wanted, attempt, status, seal, act.comeBack);
+  }
+  for (const DoorAct& act : acts.door) {
+    const auto found = here.asks.find(act.ask.value);
+    if (found == here.asks.end()) continue;
+    if (act.kind == DoorAct::Kind::run) {
+      serve(machine, act);
+      continue;
+    }
+    const auto reply = found->second.reply;
+    here.asks.erase(found);
+    std::uint32_t status = 503;
+    std::uint64_t seal = 0;
+    if (act.bytes) {
+      const auto answer = std::static_pointer_cast<const std::pair<std::uint32_t, std::uint64_t>>(act.bytes);
+      status = answer->first;
+      seal = answer->second;
+    }
+    reply(act.told, status, seal, act.bytes);
+  }
+  for (const FeedAct& act : acts.feed) {
+    auto& all = dialled_[machine];
+    const auto link = all.find(act.at.value);
+    if (act.kind == FeedAct::Kind::say) {
+      if (link != all.end()) send(link->second, true, *act.text);
+    } else if (act.kind == FeedAct::Kind::dial) {
+      dial(machine, act.at);
+    } else if (link != all.end()) {
+      const LinkPtr held = link->second;
+      all.erase(link);
+      close(held, machine);
+    }
+  }
+  wake(machine);
+}
+
+}  // namespace rackroute::lab::mesh::emulated
--- /dev/null
+++ b/src/lab/mesh/world_requests.cpp
@@ -0,0 +1,260 @@
+#include "lab/mesh/emulated.hpp"
+
+namespace rackroute::lab::mesh::emulated {
+
+void World::arrive() {
+  if (now_ >= end_) return;
+  in(span(-std::log(1 - fraction(arrivals_)) / std::max(day_.perSecond, 0.001)), [this] { arrive(); });
+  Wanted wanted;
+  const double kind = fraction(arrivals_);
+  const bool other = fraction(arrivals_) < 0.4;
+  if (kind < day_.keyed) {
+    wanted.route = other ? 2 : 1;
+    wanted.key = "k" + std::to_string(++keyNo_);
+  } else if (kind < day_.keyed + day_.effectful) {
+    wanted.route = 4;
+  } else {
+    wanted.route = other ? 3 : 0;
+  }
+  wanted.until = now_ + span(kRoutes[wanted.route].deadline);
+  const auto machine = sideAt(static_cast<std::uint32_t>(fraction(arrivals_) * day_.shuttles));
+  ask(machine, wanted);
+}
+
+void World::ask(std::size_t machine, const Wanted& wanted) {
+  Machine& m = machines_[machine];
+  if (m.life == 0 || m.leaving) {
+    // A client goes where its platform sends it: to a machine whose process is ready.
+    for (std::uint32_t i = 0; i < day_.shuttles; ++i) {
+      const std::size_t next = sideAt((static_cast<std::uint32_t>(machine) + i) % day_.shuttles);
+      if (machines_[next].life != 0 && !machines_[next].leaving) {
+        machine = next;
+        break;
+      }
+    }
+    if (machines_[machine].life == 0) return;
+  }
+  const RouteTold& route = kRoutes[wanted.route];
+  const std::uint64_t attempt = ++attemptNo_;
+  judge_.sent(now_, attempt, route.sort, wanted.key, route.service);
+  open_[attempt] = {machine, wanted};
+  if (!wanted.key.empty()) keyOf_[attempt] = wanted.key;
+  const Span deadline = wanted.until;
+  // A client that gets no answer until its deadline is gone.
+  at(deadline + 50ms, [this, attempt] { open_.erase(attempt); });
+  atProcess(now_ + 1ms, machine, machines_[machine].life, [this, machine, wanted, attempt, deadline] {
+    Side& here = side(machine);
+    const RouteTold& asked = kRoutes[wanted.route];
+    if (!here.shuttle->feed().ready(now_)) return answered(machine, wanted, attempt, 503, 0, 300ms);
+    const auto known = here.shuttle->caller().book().find(kHost, asked.prefix);
+    const auto* acked = book_.newest(asked.name);
+    const std::uint64_t least =
+        acked != nullptr && calm() && now_ > acked->second + kApply ? acked->first : 0;
+    judge_.used(now_, static_cast<std::uint32_t>(machine * 100 + wanted.route), machines_[machine].life,
+                known ? known->generation.value : 0, least);
+    const std::uint64_t call = ++here.nextCall;
+    here.attemptOf[call] = attempt;
+    Asked told;
+    told.host = kHost;
+    told.path = asked.prefix;
+    told.patience = deadline - now_;
+    act(machine, here.shuttle->asked(now_, {call}, told));
+  });
+}
+
+void World::answered(std::size_t machine, const Wanted& wanted, std::uint64_t attempt, std::uint32_t status,
+                     std::uint64_t seal, Span comeBack) {
+  if (open_.erase(attempt) == 0) return;
+  if (status > 0) judge_.answered(now_, attempt, status, seal);
+  const RouteTold& route = kRoutes[wanted.route];
+  Wanted next = wanted;
+  if (status == 200) {
+    if (route.sort == Sort::keyed && !wanted.again && fraction(clients_) < day_.again) {
+      next.again = true;
+      next.until = now_ + span(route.deadline) + 1s;
+      const auto elsewhere = sideAt(static_cast<std::uint32_t>(fraction(clients_) * day_.shuttles));
+      in(span(fraction(clients_)), [this, elsewhere, next] { ask(elsewhere, next); });
+    }
+    return;
+  }
+  const bool promise = status == 503;
+  if (status >= 400 && status < 500 && status != 409) return;
+  if (route.sort == Sort::effectful && !promise) return;
+  if (++next.tries > 2 || next.until - now_ < 100ms) return;
+  const Span wait = std::min<Span>(comeBack, (next.until - now_) / 3) + 5ms;
+  const std::size_t again =
+      status == 0 ? sideAt(static_cast<std::uint32_t>(fraction(clients_) * day_.shuttles)) : machine;
+  in(wait, [this, again, next] { ask(again, next); });
+}
+
+// A request from one process to the one beside a server, and the answer back.
+void World::hop(std::size_t machine, const CallAct& act) {
+  const std::uint64_t lifeA = machines_[machine].life;
+  const std::uint64_t attempt = side(machine).attemptOf.at(act.call.value);
+  const auto ended = [this, machine, call = act.call, sent = act.sent](Hopped how, const HopTold& told,
+                                                                       std::uint32_t status,
+                                                                       std::shared_ptr<const void> bytes) {
+    this->act(machine, side(machine).shuttle->hopped(now_, call, sent, how, told, status, std::move(bytes)));
+  };
+  const auto target = machineAt(act.at.value);
+  const Span until = now_ + act.ask.left + 2 * kSpare;
+  const auto fails = [=, this](Span when, Hopped how) {
+    atProcess(when, machine, lifeA, [=] { ended(how, {}, 0, nullptr); });
+  };
+  if (!target || machines_[*target].dark || isCut(machine, *target))
+    return fails(now_ + 300ms, Hopped::notSent);
+  if (machines_[*target].life == 0) return fails(now_ + delay(machine, *target), Hopped::notSent);
+  const std::size_t to = *target;
+  const std::uint64_t lifeB = machines_[to].life;
+  const auto over = std::make_shared<bool>(false);
+  const auto finish = [=, this](Span when, Hopped how, const HopTold& told, std::uint32_t status,
+                                const std::shared_ptr<const void>& bytes) {
+    atProcess(when, machine, lifeA, [=] {
+      if (std::exchange(*over, true)) return;
+      ended(how, told, status, bytes);
+    });
+  };
+  // Word of the other's end, of silence in the dark, and of the time that is over.
+  const auto watch = std::make_shared<std::function<void()>>();
+  *watch = [=, this, weak = std::weak_ptr(watch)] {
+    if (*over) return;
+    if (machines_[to].life != lifeB)
+      return finish(now_ + (machines_[to].dark ? kUnread : delay(machine, to)), Hopped::broken, {}, 0,
+                    nullptr);
+    if (now_ >= until) return finish(now_, Hopped::silent, {}, 0, nullptr);
+    if (const auto self = weak.lock()) in(20ms, [self] { (*self)(); });
+  };
+  in(20ms, [watch] { (*watch)(); });
+  atProcess(now_ + delay(machine, to), to, lifeB, [=, this, act = act] {
+    Side& there = side(to);
+    const std::uint64_t no = ++there.nextAsk;
+    there.asks[no] = {attempt, [=, this](const HopTold& told, std::uint32_t status, std::uint64_t,
+                                         const std::shared_ptr<const void>& bytes) {
+                        if (isCut(to, machine)) return finish(now_ + kUnread, Hopped::broken, {}, 0, nullptr);
+                        // As bytes: what the header can't carry must not be known at the other end.
+                        const auto read = toldFrom(rackroute::mesh::textOf(told));
+                        finish(now_ + delay(to, machine), read ? Hopped::told : Hopped::broken,
+                               read.value_or(HopTold{}), status, bytes);
+                      }};
+    const auto heardAsk = askFrom(rackroute::mesh::textOf(act.ask));
+    std::optional<std::string> key;
+    if (act.ask.kind == RouteKind::keyed) {
+      const auto open = keyOf_.find(attempt);
+      if (open != keyOf_.end()) key = open->second;
+    }
+    this->act(to, there.shuttle->hopAsked(now_, {no}, *heardAsk, key));
+  });
+}
+
+void World::serve(std::size_t machine, const DoorAct& act) {
+  Side& here = side(machine);
+  Server& server = here.server;
+  const std::uint64_t life = machines_[machine].life;
+  const std::uint64_t attempt = here.asks.at(act.ask.value).attempt;
+  const auto ends = [this, machine, life, ask = act.ask](Span when, AtServer how, ServerAnswer answer) {
+    atProcess(when, machine, life,
+              [=, this] { this->act(machine, side(machine).shuttle->ran(now_, ask, how, answer)); });
+  };
+  if (!server.up) return ends(now_ + 100us, AtServer::notSent, {});
+  const Span until = now_ + act.left + kSpare;
+  const auto bytesOf = [](std::uint32_t status, std::uint64_t seal) {
+    return std::make_shared<const std::pair<std::uint32_t, std::uint64_t>>(status, seal);
+  };
+  judge_.arrived(now_, attempt, server.service);
+  if (server.id != act.instance.value)
+    return ends(now_ + 200us, AtServer::answered, {421, true, bytesOf(421, 0), 0});
+  const std::uint64_t serverLife = server.lives;
+  const Span giveUp = now_ + act.left;
+  auto run = [=, this, left = act.left] {
+    Server& there = side(machine).server;
+    if (there.lives != serverLife) return;
+    if (now_ >= giveUp) {
+      --there.busy;
+      return ends(now_, AtServer::answered, {503, true, bytesOf(503, 0), 0});
+    }
+    const std::uint64_t seal = ++sealNo_;
+    judge_.ran(now_, attempt, there.service, seal, there.drainAcked);
+    Distribution work{Shape::lognormal, day_.work, 0.6};
+    double takes = work.draw(clients_) * there.slow;
+    if (there.coldUntil > now_) takes *= 2;
+    const double luck = fraction(clients_);
+    const double loses = there.loses;
+    const double spoils = there.spoils;
+    const Span done = now_ + span(takes);
+    at(done, [this, machine, serverLife] {
+      Server& then = side(machine).server;
+      if (then.lives != serverLife) return;
+      if (then.queue.empty()) {
+        --then.busy;
+      } else {
+        const auto nextRun = std::move(then.queue.front());
+        then.queue.pop_front();
+        nextRun();
+      }
+    });
+    at(std::min(done, until), [=, this] {
+      if (side(machine).server.lives != serverLife) return ends(now_, AtServer::broken, {});
+      if (done > until) return ends(now_, AtServer::timedOut, {});
+      if (luck < loses)
+        return ends(luck < loses / 2 ? now_ : until, luck < loses / 2 ? AtServer::broken : AtServer::timedOut,
+                    {});
+      if (luck < loses + spoils) return ends(now_, AtServer::spoilt, {});
+      ends(now_, AtServer::answered, {200, false, bytesOf(200, seal), 5000});
+    });
+  };
+  if (server.busy < day_.slots) {
+    ++server.busy;
+    in(100us, run);
+  } else if (server.queue.size() < 4 * day_.slots) {
+    server.queue.push_back(run);
+  } else {
+    ends(now_ + 200us, AtServer::answered, {503, true, bytesOf(503, 0), 0});
+  }
+}
+
+void World::beat(std::size_t machine, std::uint64_t serverLife) {
+  Side& here = side(machine);
+  Server& server = here.server;
+  if (server.lives != serverLife || !server.up) return;
+  in(kBeat, [this, machine, serverLife] { beat(machine, serverLife); });
+  const Machine& m = machines_[machine];
+  if (m.life == 0 || m.dark || m.frozenUntil > now_) return;
+  Beat told;
+  told.id = {server.id};
+  told.service = {serviceName(server.service)};
+  told.address = {m.name + ":app"};
+  told.zone = "z" + std::to_string(m.zone);
+  told.capacity = day_.slots;
+  told.draining = server.draining;
+  told.seq = ++server.seq;
+  told.coldLeft = std::max(Span{0}, server.coldUntil - now_);
+  act(machine, here.shuttle->beat(now_, told));
+  if (server.draining && server.drainAcked < Span{0}) {
+    server.drainAcked = now_;
+    in(kDrain + 500ms, [this, machine, serverLife] {
+      Side& then = side(machine);
+      if (then.server.lives != serverLife) return;
+      if (machines_[machine].life != 0 && machines_[machine].frozenUntil <= now_) {
+        Beat gone;
+        gone.id = {then.server.id};
+        gone.gone = true;
+        act(machine, then.shuttle->beat(now_, gone));
+      }
+      newServer(machine);
+    });
+  }
+}
+
+void World::newServer(std::size_t machine) {
+  Server& server = side(machine).server;
+  const int service = server.service;
+  const std::uint64_t lives = server.lives + 1;
+  server = Server{};
+  server.service = service;
+  server.lives = lives;
+  server.id = "i-" + machines_[machine].name + "-" + std::to_string(lives);
+  server.coldUntil = now_ + 2s;
+  in(span(0.3 * fraction(network_)), [this, machine, lives] { beat(machine, lives); });
+}
+
+}  // namespace rackroute::lab::mesh::emulated
--- a/src/mesh/door/door.cpp
+++ b/src/mesh/door/door.cpp
@@ -19,7 +19,8 @@
 constexpr double kRunShare = 0.1;             // of the newest run in the mean
 constexpr Span kNoteSpare = 10s;              // beyond the window that an operation's end is remembered
 constexpr std::size_t kMostLengths = 10'000;  // routes whose lengths are remembered
-constexpr Span kNoServerFor = 60s;            // without a beat, a server that never signed off is forgotten
+constexpr std::uint32_t kNotThatServer = 421;
+constexpr Span kNoServerFor = 60s;  // without a beat, a server that never signed off is forgotten
 
 Span spanOf(double seconds) {
   return std::chrono::duration_cast<Span>(std::chrono::duration<double>(seconds));
@@ -31,6 +32,14 @@
 
 DoorActs Door::beat(Span now, const Beat& beat) {
   DoorActs acts;
+  beaten_ = true;
+  if (!beat.gone) {
+    // Guards against work for a server that crashed, where another listens now; and against an adopted one
+    // that ended unseen.
+    for (auto& [id, other] : servers_) {
+      if (id != beat.id && other.address == beat.address) over(other, acts);
+    }
+  }
   auto found = servers_.find(beat.id);
   if (found == servers_.end()) {
     if (beat.gone) return acts;
@@ -63,17 +72,55 @@
   plain.coldLeft = before.coldLeft;
   // Told when something changed that others act on; how cold it is they count down themselves.
   if (!(plain == before) || before.seq == 0) {
-    server.told.seq = ++said_;
-    DoorAct act{DoorAct::Kind::tell, {}};
-    act.served = server.told;
-    acts.push_back(std::move(act));
+    tell(server, acts);
   }
-  if (server.told.gone) {
-    while (!server.waiting.empty()) {
-      const AskNo no = server.waiting.front();
-      refuse(no, Verdict::leaving, &server, acts);
-    }
+  if (server.told.gone) turnAwayAll(server, acts);
+  return acts;
+}
+
+void Door::turnAwayAll(Server& server, DoorActs& acts) {
+  while (!server.waiting.empty()) {
+    const AskNo no = server.waiting.front();
+    refuse(no, Verdict::leaving, &server, acts);
   }
+}
+
+// It has ended without a word.
+void Door::over(Server& server, DoorActs& acts) {
+  if (server.told.gone) return;
+  server.told.gone = true;
+  tell(server, acts);
+  turnAwayAll(server, acts);
+}
+
+void Door::tell(Server& server, DoorActs& acts) {
+  server.told.seq = ++said_;
+  DoorAct act{DoorAct::Kind::tell, {}};
+  act.served = server.told;
+  acts.push_back(std::move(act));
+}
+
+// Guards against a server that stands idle for a beat after its process was killed and came back: what the
+// others know of it is enough to send it work, as it refuses what is meant for another.
+DoorActs Door::adopt(Span now, const Served& served) {
+  DoorActs acts;
+  const bool same = served.node == built_.node && served.service == built_.service;
+  if (beaten_ || leaving_ || built_.server.value.empty() || !same || served.life == built_.life) return acts;
+  if (served.gone || served.draining || servers_.count(served.id) > 0) return acts;
+  // Of two that stand by what others know, the one that was told of last.
+  const std::pair told{served.life, served.seq};
+  if (!servers_.empty() && told <= adopted_) return acts;
+  for (auto& [id, other] : servers_) over(other, acts);
+  adopted_ = told;
+  Server& server = servers_[served.id];
+  server.told = served;
+  server.told.at = built_.at;
+  server.told.life = built_.life;
+  server.told.leaving = false;
+  server.address = built_.server;
+  server.coldUntil = now + served.coldLeft;
+  server.lastBeat = now;
+  tell(server, acts);
   return acts;
 }
 
@@ -311,6 +358,9 @@
   const bool sure = how == AtServer::notSent || (how == AtServer::answered && answer.notRun);
   if (sure) {
     refuse(no, how == AtServer::notSent ? Verdict::unreachable : Verdict::turnedAway, server, acts);
+    // Another server answered: the one that was meant is no more.
+    if (server != nullptr && how == AtServer::answered && answer.status == kNotThatServer)
+      over(*server, acts);
   } else {
     jobs_.erase(found);
     if (server != nullptr) {
@@ -455,11 +505,8 @@
   leaving_ = true;
   DoorActs acts = tick(now);
   for (auto& [id, server] : servers_) {
-    server.told.draining = true;
-    server.told.seq = ++said_;
-    DoorAct act{DoorAct::Kind::tell, {}};
-    act.served = server.told;
-    acts.push_back(std::move(act));
+    server.told.leaving = true;
+    tell(server, acts);
   }
   return acts;
 }
--- a/src/mesh/door/door.hpp
+++ b/src/mesh/door/door.hpp
@@ -14,6 +14,7 @@
 #include <set>
 #include <string>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 #include "mesh/hop/hop.hpp"
@@ -72,6 +73,7 @@
     std::string zone;
     LifeNo life;
     ServiceName service;  // of the server on this machine, as the settings tell
+    Address server;       // where it listens, as they tell; empty: only its beats tell
     Span drain{};
     Span keyWindow{};
     std::size_t mostKept = 0;  // bytes of answers that are kept for repeats
@@ -79,6 +81,8 @@
   explicit Door(Built built);
 
   DoorActs beat(Span now, const Beat& beat);
+  /// What others know of a server here from an earlier life of this process. It counts until the first beat.
+  DoorActs adopt(Span now, const Served& served);
   /// A request from another process; key: of its operation, if its route is keyed.
   DoorActs asked(Span now, AskNo no, const HopAsk& ask, const std::optional<std::string>& key);
   DoorActs claimEnded(Span now, const Claims::Ended& ended);
@@ -130,6 +134,9 @@
   };
 
   [[nodiscard]] bool fits(Span now, const Job& job, const Server& server) const;
+  void tell(Server& server, DoorActs& acts);
+  void over(Server& server, DoorActs& acts);
+  void turnAwayAll(Server& server, DoorActs& acts);
   void admit(Span now, Job& job, Server& server, DoorActs& acts);
   void claim(Span now, Job& job, DoorActs& acts);
   void run(Span now, Job& job, Server& server, DoorActs& acts);
@@ -157,6 +164,8 @@
   std::deque<std::pair<Span, KeyPrint>> ended_;  // operations, as they ended
   std::size_t kept_ = 0;
   std::uint64_t said_ = 0;
+  std::pair<LifeNo, std::uint64_t> adopted_{};  // what was told of it last, before this life
+  bool beaten_ = false;                         // a server has called here in this life
   bool leaving_ = false;
 };
 
--- a/src/mesh/names.hpp
+++ b/src/mesh/names.hpp
@@ -37,6 +37,7 @@
   std::uint32_t capacity = 1;  // requests at once
   bool draining = false;
   bool gone = false;
+  bool leaving = false;  // not the server, but that process, in that life
   Span coldLeft{};
   bool operator==(const Served&) const = default;
 };
--- a/src/mesh/plan/job_sheet.cpp
+++ b/src/mesh/plan/job_sheet.cpp
@@ -52,6 +52,7 @@
     sheet.descriptors = limits->value("max_fds", std::uint64_t{0});
   }
   sheet.target = {textOf(all, "target")};
+  sheet.server = {textOf(all, "app_addr")};
   if (const auto borne = all.find("tolerance"); borne != all.end())
     sheet.bearableLosses = borne->value("machine_losses", 0U);
   const json& bounds = all["bound_map"];
--- a/src/mesh/plan/job_sheet.hpp
+++ b/src/mesh/plan/job_sheet.hpp
@@ -27,6 +27,7 @@
   std::uint64_t memoryMb = 0;        // 0: not told
   std::uint64_t descriptors = 0;     // 0: not told
   ServiceName target;                // of the server on this machine
+  Address server;                    // where that server listens; empty: not told
   std::uint32_t bearableLosses = 0;  // control machines that may be lost at one time
   Span drain{}, grace{}, apply{}, keyWindow{}, retryWindow{};
   double retryRatio = 0;
--- a/src/mesh/rack/rack.cpp
+++ b/src/mesh/rack/rack.cpp
@@ -19,7 +19,8 @@
 constexpr double kFloor = 0.05;              // of weight
 constexpr std::uint32_t kSpareInFlight = 2;  // beyond twice the mean, before a server is skipped
 constexpr double kColdPart = 0.3;            // of its chance while a server is cold
-constexpr double kElsewhere = 0.35;  // chance of a server in another zone beside one here with equal room
+constexpr double kElsewhere = 0.1;   // chance of a server in another zone beside one here with equal room
+constexpr double kAmpleRoom = 0.5;   // of the own zone's slots; with less the others' chance rises
 constexpr double kLeastRoom = 0.02;  // a full server is still picked now and then, to see it empty
 constexpr Span kVoteless = 700ms;    // without keyed work for a process that reached no quorum
 constexpr Span kUnheardKept = 120s;  // a season of cuts is shorter; afterwards a silent server is gone
@@ -64,13 +65,31 @@
   held.heard = heard;
 }
 
-double Rack::chance(Span now, const Server& server) const {
-  const double slots = std::max<std::uint32_t>(server.told.capacity, 1);
+double Rack::slotsOf(const Server& server) { return std::max<std::uint32_t>(server.told.capacity, 1); }
+
+// Free slots as its door told last, less what was sent from here since.
+double Rack::roomOf(const Server& server) {
   const double since = static_cast<double>(server.mine) - static_cast<double>(server.mineThen);
-  const double busy = std::max(0.0, server.load.busy + server.load.queued + since);
-  const double room = std::max(kLeastRoom, (slots - busy) / slots);
-  double chance = server.weight * room * slots;
-  if (server.told.zone != ownZone_) chance *= kElsewhere;
+  return slotsOf(server) - std::max(0.0, server.load.busy + server.load.queued + since);
+}
+
+// Bytes between zones are dear, waiting is dearer: the fuller the own zone, the more goes elsewhere.
+double Rack::elsewhere(const Group& group) const {
+  double slots = 0;
+  double room = 0;
+  for (const auto& [id, server] : group) {
+    if (server.told.zone != ownZone_ || !usable(server) || server.out || !server.heard) continue;
+    slots += slotsOf(server);
+    room += std::max(0.0, roomOf(server)) * server.weight;
+  }
+  if (slots <= 0) return 1;
+  return 1 - (1 - kElsewhere) * std::min(1.0, room / slots / kAmpleRoom);
+}
+
+double Rack::chance(Span now, const Server& server, double elsewhere) const {
+  const double slots = slotsOf(server);
+  double chance = server.weight * std::max(kLeastRoom * slots, roomOf(server));
+  if (server.told.zone != ownZone_) chance *= elsewhere;
   if (server.coldUntil > now) chance *= kColdPart;
   return chance;
 }
@@ -94,6 +113,7 @@
   // Guards against a detector that is deaf itself: when it misses half of the servers at once, it is doubted.
   const bool doubted = 2 * unheard >= usableCount;
   const double mean = inFlight / static_cast<double>(usableCount);
+  const double others = elsewhere(group);
   std::vector<std::pair<double, Server*>> open;
   // First with all that advises against a server, then without, then with servers whose failures ejected
   // them long enough for a trial.
@@ -104,7 +124,7 @@
       if (strict > 0 && !server.heard && !doubted) continue;
       if (strict > 0 && keyed && server.votelessUntil > now) continue;
       if (strict > 1 && server.mine > 2 * mean + kSpareInFlight) continue;
-      open.emplace_back(chance(now, server), &server);
+      open.emplace_back(chance(now, server, others), &server);
     }
   }
   if (open.empty()) return std::nullopt;
--- a/src/mesh/rack/rack.hpp
+++ b/src/mesh/rack/rack.hpp
@@ -74,9 +74,12 @@
   };
   using Group = std::map<InstanceId, Server>;
   [[nodiscard]] static bool usable(const Server& server) {
-    return !server.told.draining && !server.told.gone && !server.leaving;
+    return !server.told.draining && !server.told.gone && !server.told.leaving && !server.leaving;
   }
-  [[nodiscard]] double chance(Span now, const Server& server) const;
+  [[nodiscard]] static double slotsOf(const Server& server);
+  [[nodiscard]] static double roomOf(const Server& server);
+  [[nodiscard]] double elsewhere(const Group& group) const;
+  [[nodiscard]] double chance(Span now, const Server& server, double elsewhere) const;
   void failed(Span now, Server& server, Group& group);
   Server* find(const InstanceId& id, Group** group);
   void check(const Group& group) const;
--- a/src/mesh/shop/talk.cpp
+++ b/src/mesh/shop/talk.cpp
@@ -5,6 +5,9 @@
 #include <netinet/tcp.h>
 #include <sys/socket.h>
 
+#include <algorithm>
+#include <charconv>
+#include <string_view>
 #include <utility>
 
 #include "mesh/shop/log.hpp"
@@ -17,6 +20,7 @@
 constexpr std::size_t kLongestWord = 16 << 20;  // bytes; the largest configuration whole
 constexpr std::size_t kMostBacklog = 24 << 20;  // bytes that a peer may leave unread
 constexpr int kUnread = 2500;                   // milliseconds without a word of a peer's kernel
+constexpr std::string_view kPacked = "z";       // begins the line before a packed word; JSON begins with {
 
 }  // namespace
 
@@ -46,35 +50,82 @@
   // Guards against a peer that reads nothing: what waits for it must not eat the memory.
   if (backlog() > kMostBacklog) return end(Reason::stalled);
   http::Gather pieces;
+  if (worthPacking(*text)) {
+    if (auto packed = packer_.packed(text)) {
+      pieces.text(std::string(kPacked) + std::to_string(packed->size()) + ' ' + std::to_string(text->size()) +
+                  '\n');
+      pieces.view(*packed);
+      pieces.keep(std::move(packed));
+      return send(std::move(pieces));
+    }
+  }
   pieces.view(*text);
   pieces.keep(std::move(text));
   pieces.view("\n");
   send(std::move(pieces));
 }
 
+bool Talk::hear(std::string_view text) {
+  const nlohmann::json word = nlohmann::json::parse(text, nullptr, false);
+  if (word.is_discarded() || !word.is_object()) {
+    log(Weight::warning, "talk", name_, "a word that can't be read");
+    end(Reason::badMessage);
+    return false;
+  }
+  try {
+    ends_.heard(word);
+  } catch (const nlohmann::json::exception& error) {
+    log(Weight::warning, "talk", name_, error.what());
+    end(Reason::badMessage);
+  }
+  return !ended();
+}
+
+// The line with the sizes ends at line; the packed bytes follow it.
+Talk::Piece Talk::packedWord(std::size_t& from, std::size_t line) {
+  const char* const last = in_.data() + line;
+  std::size_t packed = 0;
+  std::size_t plain = 0;
+  const auto first = std::from_chars(in_.data() + from + kPacked.size(), last, packed);
+  const auto second =
+      first.ec == std::errc{} && first.ptr != last ? std::from_chars(first.ptr + 1, last, plain) : first;
+  if (second.ec != std::errc{} || second.ptr != last || packed > kLongestWord || plain > kLongestWord)
+    return Piece::bad;
+  if (in_.size() < line + 1 + packed) return Piece::none;
+  const auto word = unpacked(std::string_view(in_).substr(line + 1, packed), plain);
+  if (!word) return Piece::bad;
+  from = line + 1 + packed;
+  return hear(*word) ? Piece::word : Piece::none;
+}
+
 void Talk::received() {
   std::size_t from = 0;
   for (;;) {
     const std::size_t line = in_.find('\n', std::max(from, scanned_));
-    if (line == std::string::npos) break;
-    const nlohmann::json word =
-        nlohmann::json::parse(in_.begin() + static_cast<std::ptrdiff_t>(from),
-                              in_.begin() + static_cast<std::ptrdiff_t>(line), nullptr, false);
-    from = line + 1;
-    if (word.is_discarded() || !word.is_object()) {
-      log(Weight::warning, "talk", name_, "a word that can't be read");
-      return end(Reason::badMessage);
+    if (line == std::string::npos) {
+      scanned_ = in_.size();
+      break;
     }
-    try {
-      ends_.heard(word);
-    } catch (const nlohmann::json::exception& error) {
-      log(Weight::warning, "talk", name_, error.what());
-      return end(Reason::badMessage);
+    if (in_.compare(from, kPacked.size(), kPacked) == 0) {
+      const Piece piece = packedWord(from, line);
+      if (piece == Piece::bad) {
+        log(Weight::warning, "talk", name_, "a packed word that can't be read");
+        return end(Reason::badMessage);
+      }
+      if (ended()) return;
+      if (piece == Piece::none) {
+        scanned_ = line;  // its sizes are read anew when more has come
+        break;
+      }
+    } else {
+      const std::string_view text = std::string_view(in_).substr(from, line - from);
+      from = line + 1;
+      if (!hear(text)) return;
     }
-    if (ended()) return;
+    scanned_ = from;
   }
   in_.erase(0, from);
-  scanned_ = in_.size();
+  scanned_ -= std::min(scanned_, from);
   if (from == 0 && ends_.some) ends_.some();
   if (in_.size() > kLongestWord) end(Reason::badMessage);
 }
--- a/src/mesh/shop/talk.hpp
+++ b/src/mesh/shop/talk.hpp
@@ -1,7 +1,8 @@
 #pragma once
 
-// One session of the mesh's own talk: words as JSON, a line each. It owns what is read and not yet a whole
-// line; it must never hand on half a word, nor take one without end.
+// One session of the mesh's own talk: words as JSON, a line each; long ones packed, behind a line with their
+// sizes. It owns what is read and not yet a whole word; it must never hand on half a word, nor take one
+// without end.
 
 #include <functional>
 #include <memory>
@@ -9,6 +10,7 @@
 #include <string>
 
 #include "mesh/names.hpp"
+#include "mesh/shop/pack.hpp"
 #include "sidecar/connection.hpp"
 
 namespace rackroute::mesh {
@@ -21,8 +23,9 @@
     std::function<void()> some;  // bytes of a word that is not whole yet
     std::function<void()> over;  // once, also for a dial that failed
   };
-  Talk(sidecar::Loop& loop, Poco::Net::StreamSocket socket, std::string peer)
-      : Connection(loop, "talk", std::move(socket), peer), name_(std::move(peer)) {}
+  /// packer: of the whole process; it must outlive the talk.
+  Talk(sidecar::Loop& loop, Packer& packer, Poco::Net::StreamSocket socket, std::string peer)
+      : Connection(loop, "talk", std::move(socket), peer), packer_(packer), name_(std::move(peer)) {}
 
   void accepted(Ends ends);
   void connect(const Address& to, Span within, Ends ends);
@@ -36,6 +39,12 @@
   void gone(sidecar::Reason reason) override;
 
  private:
+  /// The bytes up to its end, taken as a word; false: the session is over.
+  bool hear(std::string_view text);
+  enum class Piece { none, word, bad };
+  Piece packedWord(std::size_t& from, std::size_t line);
+
+  Packer& packer_;
   std::string name_;
   Ends ends_;
   sidecar::Loop::TimerId dialTimer_;
--- a/src/mesh/shuttle/feed.cpp
+++ b/src/mesh/shuttle/feed.cpp
@@ -140,10 +140,10 @@
       acts.push_back(std::move(act));
     }
     if (before != (control.whole && control.settled)) assign(acts);
-    if (word.at("digest").get<std::uint64_t>() == items_.digest()) {
+    control.digest = word.at("digest").get<std::uint64_t>();
+    compare(control);
+    if (control.digest == items_.digest()) {
       control.differsSince = Span::max();
-      control.answered = control.answered || control.whole;
-      if (control.answered && !items_.all().empty() && !firstItems_) firstItems_ = now;
     } else if (control.differsSince == Span::max()) {
       control.differsSince = now;
     } else if (control.whole) {
@@ -161,6 +161,8 @@
     bool changed = false;
     for (const json& item : word.at("list")) changed = items_.merge(itemFrom(item)) || changed;
     if (!items_.all().empty() && !firstItems_) firstItems_ = now;
+    // Others may have told already that they hold just this; their next word of it is half a second away.
+    for (auto& entry : controls_) compare(entry.second);
     if (changed) {
       FeedAct act;
       act.kind = FeedAct::Kind::configured;
@@ -187,6 +189,13 @@
   return acts;
 }
 
+// What it told of its items is what is held here: it has nothing more to give.
+void Feed::compare(Control& control) {
+  if (!control.up || !control.whole || control.digest != items_.digest()) return;
+  control.answered = true;
+  if (!items_.all().empty() && !firstItems_) firstItems_ = now_;
+}
+
 FeedActs Feed::follow(const std::vector<ServiceName>& services) {
   services_ = services;
   FeedActs acts;
--- a/src/mesh/shuttle/feed.hpp
+++ b/src/mesh/shuttle/feed.hpp
@@ -72,13 +72,15 @@
     std::string zone;
     bool whole = false;
     bool settled = false;
-    bool answered = false;  // it gave all the items that it holds
+    std::uint64_t digest = 0;  // of its items, as last told in this session; 0: not yet
+    bool answered = false;     // it gave all the items that it holds
     Span differsSince = Span::max();
     std::set<ServiceName> followed;
   };
   void say(const Address& to, const nlohmann::json& word, FeedActs& acts);
   void say(const Address& to, std::shared_ptr<const std::string> text, FeedActs& acts);
   void learn(const nlohmann::json& list);
+  void compare(Control& control);
   void assign(FeedActs& acts);
 
   Built built_;
--- a/src/mesh/shuttle/main.cpp
+++ b/src/mesh/shuttle/main.cpp
@@ -8,6 +8,7 @@
 #include <charconv>
 #include <chrono>
 #include <csignal>
+#include <cstdlib>
 #include <map>
 #include <memory>
 #include <nlohmann/json.hpp>
@@ -99,7 +100,9 @@
     log(Weight::info, "start", "", "listening");
     loop_.run();
     log(Weight::info, "stop", "", "stopped");
-    return 0;
+    // Guards against a slow machine that takes hundreds of connections apart one by one past the grace. All
+    // answers are written; the kernel sees them off.
+    std::quick_exit(0);
   }
 
  private:
@@ -327,7 +330,7 @@
         break;
       case FeedAct::Kind::dial: {
         if (found != talks_.end()) return;
-        const auto talk = std::make_shared<Talk>(loop_, Poco::Net::StreamSocket(), act.at.value);
+        const auto talk = std::make_shared<Talk>(loop_, packer_, Poco::Net::StreamSocket(), act.at.value);
         talks_[act.at] = talk;
         talk->connect(
             act.at, kDialControl,
@@ -395,6 +398,7 @@
   }
 
   MeshLoop loop_;
+  Packer packer_;
   JobSheet sheet_;
   std::string sheetFile_;
   sidecar::Signals signals_;
@@ -449,6 +453,7 @@
   built.door.zone = sheet.zone;
   built.door.life = life;
   built.door.service = sheet.target;
+  built.door.server = sheet.server;
   built.door.drain = sheet.drain;
   built.door.keyWindow = sheet.keyWindow;
   built.door.mostKept = (std::max<std::size_t>(sheet.memoryMb, 64) << 20) / kKeptPart;
--- a/src/mesh/shuttle/shuttle.cpp
+++ b/src/mesh/shuttle/shuttle.cpp
@@ -8,6 +8,11 @@
 namespace {
 
 using nlohmann::json;
+using namespace std::chrono_literals;
+
+// The platform sends clients for two seconds more in any case. Guards against a fleet that is restarted
+// machine by machine and has the servers of all that wait stand idle.
+constexpr Span kServesOn = 1200ms;
 
 }  // namespace
 
@@ -53,6 +58,7 @@
         break;
       case FeedAct::Kind::server:
         caller_.told(now, act.news.served, act.news.heard);
+        take(now, door_.adopt(now, act.news.served), out);
         break;
       case FeedAct::Kind::configured:
         caller_.configured(feed_.items());
@@ -150,6 +156,10 @@
 ShuttleActs Shuttle::tick(Span now) {
   ShuttleActs out;
   out.calls = caller_.tick(now);
+  if (doorLeaves_ && *doorLeaves_ <= now) {
+    doorLeaves_ = Span::max();
+    take(now, door_.leave(now), out);
+  }
   take(now, door_.tick(now), out);
   if (feedTick_ <= now) {
     feedTick_ = now + Feed::tickEvery();
@@ -162,13 +172,13 @@
 
 ShuttleActs Shuttle::leave(Span now) {
   leaving_ = true;
-  ShuttleActs out;
-  take(now, door_.leave(now), out);
-  return out;
+  if (!doorLeaves_) doorLeaves_ = now + kServesOn;
+  return tick(now);
 }
 
 Span Shuttle::nextTick(Span now) const {
   Span next = feedTick_;
+  if (doorLeaves_) next = std::min(next, *doorLeaves_);
   if (const auto at = caller_.nextTick()) next = std::min(next, *at);
   if (const auto at = door_.nextTick()) next = std::min(next, *at);
   return std::max(next, now);
--- a/src/mesh/shuttle/shuttle.hpp
+++ b/src/mesh/shuttle/shuttle.hpp
@@ -43,6 +43,7 @@
   ShuttleActs heard(Span now, const Address& control, const nlohmann::json& word);
   void alive(Span now, const Address& control) { feed_.alive(now, control); }
   ShuttleActs tick(Span now);
+  /// The process leaves: not ready from now on; its server gets new work for a while yet.
   ShuttleActs leave(Span now);
   void seeds(std::vector<Address> seeds) { feed_.seeds(std::move(seeds)); }
   /// When tick() is to be called at the latest.
@@ -62,6 +63,7 @@
   Door door_;
   Feed feed_;
   Span feedTick_{};
+  std::optional<Span> doorLeaves_;  // when the door is to shut
   bool leaving_ = false;
 };
 
--- a/src/mesh/vise/main.cpp
+++ b/src/mesh/vise/main.cpp
@@ -107,7 +107,7 @@
 
   void came(Poco::Net::StreamSocket socket, std::string peer) {
     const SessionNo no{++lastSession_};
-    const auto talk = std::make_shared<Talk>(loop_, std::move(socket), std::move(peer));
+    const auto talk = std::make_shared<Talk>(loop_, packer_, std::move(socket), std::move(peer));
     sessions_[no] = talk;
     talk->accepted(endsOf(no, [this, no] { act(vise_.came(loop_.now(), no)); }));
   }
@@ -123,7 +123,7 @@
 
   void dial(const Address& at) {
     const SessionNo no{++lastSession_};
-    const auto talk = std::make_shared<Talk>(loop_, Poco::Net::StreamSocket(), at.value);
+    const auto talk = std::make_shared<Talk>(loop_, packer_, Poco::Net::StreamSocket(), at.value);
     sessions_[no] = talk;
     const auto up = std::make_shared<bool>(false);
     Talk::Ends ends = endsOf(no, [this, no, at, up] {
@@ -187,6 +187,7 @@
   }
 
   MeshLoop loop_;
+  Packer packer_;
   std::string sheetFile_;
   std::uint16_t port_;
   sidecar::Signals signals_;
--- a/src/mesh/vise/vise.cpp
+++ b/src/mesh/vise/vise.cpp
@@ -52,7 +52,9 @@
 }
 
 void Vise::read(const std::map<std::string, std::string>& stored) {
-  whole_ = built_.firstBoot || !stored.empty();
+  // Guards against a disk that was lost and got copies of a change before this process had caught up: they
+  // say nothing of the promises that were lost with it. Only the mark is written by a process that is whole.
+  whole_ = built_.firstBoot || stored.count(kCore) > 0;
   for (const auto& [key, value] : stored) {
     if (key == kCore) {
       for (const json& address : json::parse(value)) core_.insert({address.get<std::string>()});
--- a/tests/mesh_test.cpp
+++ b/tests/mesh_test.cpp
@@ -11,7 +11,9 @@
 #include "mesh/gauge/explain.hpp"
 #include "mesh/plan/job_sheet.hpp"
 #include "mesh/shop/calls.hpp"
+#include "mesh/shop/pack.hpp"
 #include "mesh/shop/store.hpp"
+#include "mesh/shuttle/feed.hpp"
 #include "mesh/vise/vise.hpp"
 
 using namespace rackroute;
@@ -70,7 +72,7 @@
 }
 
 Door door() {
-  Door made({{"n"}, {"here:1"}, "z", {7}, {"desk"}, 2500ms, 60s, 1 << 20});
+  Door made({{"n"}, {"here:1"}, "z", {7}, {"desk"}, {"app"}, 2500ms, 60s, 1 << 20});
   made.claims().electorate(3, 2);
   made.claims().reach(3);
   return made;
@@ -486,6 +488,11 @@
     blank.came(0s, {1});
     blank.heard(0s, {1}, side);
     CHECK(blank.heard(0s, {1}, claim).empty());
+    // A copy that it keeps for another's change makes it no witness of its promises after one more start.
+    Vise again(built);
+    again.read({{"i/route/look", toJson(route("look", 4)).dump()}});
+    CHECK_FALSE(again.whole());
+    CHECK(again.items().find({ItemKind::route, "look"}) != nullptr);
     // It learns from both others what it may have promised, and keeps to it.
     const json promised{
         {"t", "promised"},
@@ -548,6 +555,91 @@
   std::filesystem::remove_all(folder);
 }
 
+TEST_CASE("a long word is packed once for all who get it, and a spoilt one is no word") {
+  json routes = json::array();
+  for (int i = 0; i < 300; ++i) routes.push_back(route("r" + std::to_string(i), 1).value);
+  const auto word = std::make_shared<const std::string>(routes.dump());
+  REQUIRE(worthPacking(*word));
+  CHECK_FALSE(worthPacking("{}"));
+  Packer packer;
+  const auto packed = packer.packed(word);
+  REQUIRE(packed);
+  CHECK(packed->size() * 8 < word->size());
+  CHECK(packer.packed(word) == packed);
+  CHECK(unpacked(*packed, word->size()) == *word);
+  // More bytes than were said, fewer, and others than were sent.
+  CHECK_FALSE(unpacked(*packed, word->size() - 1));
+  CHECK_FALSE(unpacked(*packed, word->size() + 1));
+  std::string spoilt = *packed;
+  spoilt[spoilt.size() / 2] = static_cast<char>(spoilt[spoilt.size() / 2] ^ 4);
+  CHECK_FALSE(unpacked(spoilt, word->size()));
+  CHECK_FALSE(unpacked(std::string_view(*packed).substr(0, packed->size() / 2), word->size()));
+}
+
+TEST_CASE("a process that came back serves its server at once, and none that another has replaced") {
+  Served known = served("i1", 4);
+  known.node = {"n"};
+  known.life = {6};
+  known.leaving = true;  // the process that told of it did
+  Door here = door();
+  const DoorActs told = here.adopt(0s, known);
+  REQUIRE(countOf(told, DoorAct::Kind::tell) == 1);
+  CHECK(told[0].served.life == LifeNo{7});
+  CHECK_FALSE(told[0].served.leaving);
+  const DoorActs run = here.asked(0s, {1}, ask(RouteKind::pure), std::nullopt);
+  REQUIRE(countOf(run, DoorAct::Kind::run) == 1);
+  CHECK(run[0].server.value == "app");
+  // Its first beat changes nothing; one of another server at its address ends it.
+  CHECK(here.beat(1s, beat("i1", 9, 10)).empty());
+  const DoorActs replaced = here.beat(2s, beat("i2", 1));
+  REQUIRE(countOf(replaced, DoorAct::Kind::tell) == 2);
+  CHECK(replaced[0].served.gone);
+  CHECK(here.asked(2s, {2}, ask(RouteKind::pure), std::nullopt).back().told.verdict == Verdict::leaving);
+  CHECK(here.adopt(3s, served("i3")).empty());
+
+  // Not one that leaves, not another's; of two, the one told of last; and 421 is word of its end.
+  Door there = door();
+  Served drains = known;
+  drains.draining = true;
+  CHECK(there.adopt(0s, drains).empty());
+  CHECK(there.adopt(0s, served("i1")).empty());
+  there.adopt(0s, known);
+  Served older = known;
+  older.id = {"i0"};
+  older.seq = 3;
+  CHECK(there.adopt(0s, older).empty());
+  there.asked(0s, {1}, ask(RouteKind::pure), std::nullopt);
+  const DoorActs other = there.ran(0s, {1}, AtServer::answered, {421, true, nullptr, 0});
+  REQUIRE(countOf(other, DoorAct::Kind::tell) == 1);
+  CHECK(there.servers()[0].gone);
+}
+
+TEST_CASE("a process that starts is ready once the first items are what a quorum has told of") {
+  Feed feed({{"s"}, {"s:1"}, "z", {1}, {{"v0"}, {"v1"}, {"v2"}}});
+  Items items;
+  items.merge(route("look", 4));
+  const json welcome{{"t", "welcome"},        {"at", "v0"},  {"zone", "z"},
+                     {"core", json::array()}, {"voters", 3}, {"quorum", 2}};
+  const auto pulse = [](std::uint64_t digest) {
+    return json{{"t", "beat"}, {"digest", digest}, {"whole", true}, {"settled", true}, {"members", 1}};
+  };
+  for (const char* at : {"v0", "v1"}) {
+    feed.reached(0s, {at});
+    feed.heard(0s, {at}, welcome);
+  }
+  feed.heard(0s, {"v1"}, pulse(items.digest()));
+  CHECK_FALSE(feed.ready(0s));
+  const json whole{{"t", "items"}, {"list", json::array({toJson(route("look", 4))})}, {"whole", true}};
+  SECTION("the same") { feed.heard(1ms, {"v0"}, whole); }
+  SECTION("not with another") {
+    feed.heard(0s, {"v1"}, pulse(items.digest() + 1));
+    feed.heard(1ms, {"v0"}, whole);
+    CHECK_FALSE(feed.ready(1ms));
+    feed.heard(2ms, {"v1"}, pulse(items.digest()));
+  }
+  CHECK(feed.ready(2ms));
+}
+
 TEST_CASE("settings are checked whole, and unknown fields ignored") {
   json sheet{{"node_name", "n"},
              {"ip", "10.0.0.1"},
