Send large configurations in parts, and wait a little for vises that are only slow

Change: items keep their text and print, written out once and never hashed again where they come; words carry at most 150 of them, and what else has come goes between two; routes are read anew for all that came within 60 ms; a claim waits 450 ms, and where the voters are there its client is told 250 ms.

--- a/src/mesh/caller/caller.cpp
+++ b/src/mesh/caller/caller.cpp
@@ -15,7 +15,6 @@
 constexpr Span kLeastComeBack = 50ms;          // for a client that is turned away; a queue's shortest time
 constexpr Span kMostComeBack = 400ms;          // clients heed a third of what time they have
 constexpr Span kNoServers = 300ms;             // to come back when none is known; news takes about that long
-constexpr Span kNoQuorum = 700ms;              // to come back when no quorum is within reach; a core's start
 constexpr double kHedgeMean = 3;               // times the mean answer, before another server is asked too
 constexpr double kHedgeAim = 0.5;              // of the aim, before which no other server is asked
 constexpr double kAnswerShare = 0.05;          // of the newest answer in the mean
@@ -162,7 +161,11 @@
     case Verdict::unreachable:
     case Verdict::voteless:
       ++call.doors;
-      if (told.wait > Span{0}) call.wait = std::min(call.wait, told.wait);
+      if (verdict == Verdict::voteless) {
+        call.quorumBack = std::max(call.quorumBack, told.wait);
+      } else if (told.wait > Span{0}) {
+        call.wait = std::min(call.wait, told.wait);
+      }
       // One process may be cut off from the quorum; two are a sign that there is none.
       if (verdict == Verdict::voteless && ++call.voteless > 1) call.doors = kMostDoors;
       if (!call.out.empty()) return acts;
@@ -238,7 +241,7 @@
     const bool known = rack_.standing(call.service) > 0;
     Span wait = call.wait == Span::max() ? (known ? kLeastComeBack : kNoServers) : call.wait;
     wait = std::clamp(wait, kLeastComeBack, kMostComeBack);
-    if (call.voteless > 0) wait = kNoQuorum;
+    wait = std::max(wait, call.quorumBack);
     answer(no, kBusy, wait, acts);
   }
   calls_.erase(no);
--- a/src/mesh/caller/caller.hpp
+++ b/src/mesh/caller/caller.hpp
@@ -94,6 +94,7 @@
     std::uint32_t doors = 0;     // that did not let it in
     std::uint32_t voteless = 0;  // of these, for want of a quorum
     bool mayHaveRun = false;
+    Span quorumBack{};                      // until there may be a quorum, as doors told
     Span wait = Span::max();                // the shortest until there may be room, as doors told
     std::shared_ptr<const void> lastBytes;  // a server's answer that it failed, in case nothing better comes
   };
--- a/src/mesh/door/door.cpp
+++ b/src/mesh/door/door.cpp
@@ -14,7 +14,7 @@
 constexpr Span kLeastWait = 60ms;             // for the quickest requests, and late ones: a few slots' turns
 constexpr double kUnseenPart = 0.25;          // of a route's aim, its length before one has run
 constexpr double kLateValue = 0.2;            // of its worth, for a request that can't keep its aim any more
-constexpr Span kClaimTime = 300ms;            // for a quorum's votes; a slow sync, or a packet sent again
+constexpr Span kClaimTime = 450ms;            // for a quorum's votes: a slow sync, or a large configuration
 constexpr Span kLeastLeft = 15ms;             // of a client's time; no server answers in less
 constexpr double kRunShare = 0.1;             // of the newest run in the mean
 constexpr Span kNoteSpare = 10s;              // beyond the window that an operation's end is remembered
@@ -150,6 +150,7 @@
     told.load = Load{server->busy, static_cast<std::uint32_t>(server->waiting.size())};
     told.wait = waitAhead(*server);
   }
+  if (verdict == Verdict::voteless) told.wait = claims_.comeBack();
   return told;
 }
 
--- a/src/mesh/latch/latches.cpp
+++ b/src/mesh/latch/latches.cpp
@@ -11,6 +11,8 @@
 namespace {
 
 constexpr Span kHopeless = std::chrono::milliseconds(250);  // about as long as a claim waits
+constexpr Span kNoQuorum =
+    std::chrono::milliseconds(700);       // a control process's start, or a cut's first repair
 constexpr std::size_t kEndedACall = 512;  // promises; some seconds' worth, so that none holds up a vote
 
 }  // namespace
@@ -79,6 +81,8 @@
   quorum_ = quorum;
 }
 
+Span Claims::comeBack() const { return quorum_ > 0 && reached_ >= quorum_ ? kHopeless : kNoQuorum; }
+
 ClaimNo Claims::open(Span, const KeyPrint& key, Span until) {
   const ClaimNo no{++last_};
   open_[no] = Claim{key, until, {}, {}};
--- a/src/mesh/latch/latches.hpp
+++ b/src/mesh/latch/latches.hpp
@@ -79,6 +79,8 @@
   [[nodiscard]] bool hopeful(Span now) const {
     return quorum_ > 0 && reached_ >= quorum_ && now >= hopelessUntil_;
   }
+  /// When one that could not be won may be tried again: soon, where the voters are there and only slow.
+  [[nodiscard]] Span comeBack() const;
   ClaimNo open(Span now, const KeyPrint& key, Span until);
   /// A vote; nothing if the claim is not decided by it, or was before.
   std::optional<Ended> vote(const Address& voter, ClaimNo no, bool granted,
--- a/src/mesh/plan/items.cpp
+++ b/src/mesh/plan/items.cpp
@@ -15,7 +15,8 @@
 using nlohmann::json;
 using namespace std::chrono_literals;
 
-constexpr Span kLongestTimeout = 10min;  // of a route, as the protocol has it
+constexpr std::size_t kItemsAWord = 150;  // some milliseconds' work on a slow machine
+constexpr Span kLongestTimeout = 10min;   // of a route, as the protocol has it
 
 std::uint64_t hashOf(std::string_view text) { return XXH3_64bits(text.data(), text.size()); }
 
@@ -78,6 +79,7 @@
 
 json toJson(const Item& item) {
   json out{{"k", textOf(item.key)}, {"g", item.generation.value}};
+  if (item.print != 0) out["p"] = item.print;
   if (item.dropped) return out;
   out["v"] = item.value;
   if (!item.hostname.empty()) out["h"] = item.hostname;
@@ -91,9 +93,38 @@
   item.dropped = !from.contains("v");
   if (!item.dropped) item.value = from["v"];
   item.hostname = from.value("h", std::string());
+  item.print = from.value("p", std::uint64_t{0});
   return item;
 }
 
+const std::string& wireOf(const Item& item) {
+  if (!item.wire) item.wire = std::make_shared<const std::string>(toJson(item).dump());
+  return *item.wire;
+}
+
+std::vector<std::shared_ptr<const std::string>> wordsOf(const json& head, const std::vector<Item>& items) {
+  const std::size_t parts = std::max<std::size_t>(1, (items.size() + kItemsAWord - 1) / kItemsAWord);
+  std::vector<std::shared_ptr<const std::string>> words;
+  for (std::size_t part = 0; part < parts; ++part) {
+    json numbered = head;
+    numbered["part"] = part;
+    numbered["parts"] = parts;
+    std::string word = numbered.dump();
+    word.back() = ',';
+    word += "\"list\":[";
+    const std::size_t end = std::min(items.size(), (part + 1) * kItemsAWord);
+    for (std::size_t i = part * kItemsAWord; i < end; ++i) word += wireOf(items[i]) + ',';
+    if (word.back() == ',') word.pop_back();
+    word += "]}";
+    words.push_back(std::make_shared<const std::string>(std::move(word)));
+  }
+  return words;
+}
+
+bool lastOf(const json& word) {
+  return word.value("part", std::size_t{0}) + 1 >= word.value("parts", std::size_t{1});
+}
+
 std::vector<std::string> servicesOf(const Item& route) {
   std::vector<std::string> services;
   if (route.dropped || route.key.kind != ItemKind::route) return services;
@@ -166,16 +197,18 @@
 
 bool Items::merge(const Item& item) {
   const auto found = items_.find(item.key);
+  if (found != items_.end() && found->second.generation > item.generation) return false;
+  const std::uint64_t print = item.print != 0 ? item.print : printOf(item);
   if (found != items_.end()) {
     const Item& held = found->second;
-    if (held.generation > item.generation) return false;
     // Guards against two operators who gave one version to two contents: every copy keeps the same one.
-    if (held.generation == item.generation && held.print >= printOf(item)) return false;
+    if (held.generation == item.generation && held.print >= print) return false;
     digest_ ^= held.print;
   }
   Item& kept = items_[item.key];
   kept = item;
-  kept.print = printOf(item);
+  if (kept.print == 0) kept.wire.reset();  // it lacks the print
+  kept.print = print;
   digest_ ^= kept.print;
   return true;
 }
--- a/src/mesh/plan/items.hpp
+++ b/src/mesh/plan/items.hpp
@@ -5,6 +5,7 @@
 
 #include <cstdint>
 #include <map>
+#include <memory>
 #include <nlohmann/json.hpp>
 #include <optional>
 #include <string>
@@ -31,9 +32,18 @@
   std::string hostname;     // of a route
   nlohmann::json value;     // as the operator sent it; null if dropped
   std::uint64_t print = 0;  // of all the above, where it is held; large configurations are compared often
+  mutable std::shared_ptr<const std::string> wire{};  // see wireOf
 };
 
 nlohmann::json toJson(const Item& item);
+/// As toJson, in text; written out once, whatever it goes into, and shared by copies of the item.
+const std::string& wireOf(const Item& item);
+/// The words that carry these items, a bounded number each, so that none holds up who reads it: the head's
+/// fields, part and parts, and the list. One word without items, if there are none.
+std::vector<std::shared_ptr<const std::string>> wordsOf(const nlohmann::json& head,
+                                                        const std::vector<Item>& items);
+/// Whether a word is the last of such a row.
+bool lastOf(const nlohmann::json& word);
 /// Throws nlohmann's exceptions for what no process of the mesh sends.
 Item itemFrom(const nlohmann::json& from);
 std::string textOf(const ItemKey& key);
--- a/src/mesh/shop/talk.cpp
+++ b/src/mesh/shop/talk.cpp
@@ -17,10 +17,11 @@
 
 using sidecar::Reason;
 
-constexpr std::size_t kLongestWord = 16 << 20;  // bytes; the largest configuration whole
-constexpr std::size_t kMostBacklog = 24 << 20;  // bytes that a peer may leave unread
-constexpr int kUnread = 2500;                   // milliseconds without a word of a peer's kernel
-constexpr std::string_view kPacked = "z";       // begins the line before a packed word; JSON begins with {
+constexpr std::size_t kLongestWord = 16 << 20;           // bytes; the largest configuration whole
+constexpr std::size_t kMostBacklog = 24 << 20;           // bytes that a peer may leave unread
+constexpr int kUnread = 2500;                            // milliseconds without a word of a peer's kernel
+constexpr Span kBetween = std::chrono::milliseconds(1);  // from one packed word to the next
+constexpr std::string_view kPacked = "z";  // begins the line before a packed word; JSON begins with {
 
 }  // namespace
 
@@ -106,7 +107,8 @@
       scanned_ = in_.size();
       break;
     }
-    if (in_.compare(from, kPacked.size(), kPacked) == 0) {
+    const bool packedNow = in_.compare(from, kPacked.size(), kPacked) == 0;
+    if (packedNow) {
       const Piece piece = packedWord(from, line);
       if (piece == Piece::bad) {
         log(Weight::warning, "talk", name_, "a packed word that can't be read");
@@ -123,6 +125,14 @@
       if (!hear(text)) return;
     }
     scanned_ = from;
+    // Guards against a large configuration that holds up a slow machine's requests: what else has come goes
+    // between two of its parts.
+    if (packedNow && from < in_.size()) {
+      loop_.in(kBetween, [self = std::static_pointer_cast<Talk>(shared_from_this())] {
+        if (!self->ended()) self->received();
+      });
+      break;
+    }
   }
   in_.erase(0, from);
   scanned_ -= std::min(scanned_, from);
--- a/src/mesh/shuttle/feed.cpp
+++ b/src/mesh/shuttle/feed.cpp
@@ -157,10 +157,11 @@
       }
     }
   } else if (kind == "items") {
-    if (word.contains("whole")) control.answered = control.answered || word["whole"].get<bool>();
+    if (word.contains("whole") && lastOf(word))
+      control.answered = control.answered || word["whole"].get<bool>();
     bool changed = false;
     for (const json& item : word.at("list")) changed = items_.merge(itemFrom(item)) || changed;
-    if (!items_.all().empty() && !firstItems_) firstItems_ = now;
+    if (!items_.all().empty() && lastOf(word) && !firstItems_) firstItems_ = now;
     // Others may have told already that they hold just this; their next word of it is half a second away.
     for (auto& entry : controls_) compare(entry.second);
     if (changed) {
--- a/src/mesh/shuttle/main.cpp
+++ b/src/mesh/shuttle/main.cpp
@@ -127,7 +127,7 @@
   // A request of a client here.
   void asked(const std::shared_ptr<Guest>& guest, std::shared_ptr<const http::Message> request) {
     lastAsked_ = loop_.now();
-    if (!shuttle_.feed().ready(loop_.now())) return guest->answer(503, "Retry-After: 0.3\r\n", "");
+    if (!shuttle_.serving(loop_.now())) return guest->answer(503, "Retry-After: 0.3\r\n", "");
     // Guards against a request that this process could not see to its end before it is killed.
     if (stopAt_ > Span{0} &&
         loop_.now() + patienceOf(*request).value_or(sheet_.grace) + kLastAnswer > endAt())
--- a/src/mesh/shuttle/shuttle.cpp
+++ b/src/mesh/shuttle/shuttle.cpp
@@ -13,6 +13,8 @@
 // The platform sends clients for two seconds more in any case. Guards against a fleet that is restarted
 // machine by machine and has the servers of all that wait stand idle.
 constexpr Span kServesOn = 1200ms;
+// Guards against a large configuration, or a storm of changes, whose routes are all read anew for each part.
+constexpr Span kGather = 60ms;
 
 }  // namespace
 
@@ -61,8 +63,11 @@
         take(now, door_.adopt(now, act.news.served), out);
         break;
       case FeedAct::Kind::configured:
-        caller_.configured(feed_.items());
-        take(now, feed_.follow(caller_.book().services()), out);
+        if (caller_.book().services().empty()) {
+          configure(now, out);
+        } else if (!readsAt_) {
+          readsAt_ = now + kGather;
+        }
         break;
       case FeedAct::Kind::vote:
         if (const auto ended = door_.claims().vote(act.at, act.claim, act.granted, act.holder))
@@ -98,6 +103,12 @@
   }
 }
 
+void Shuttle::configure(Span now, ShuttleActs& out) {
+  readsAt_.reset();
+  caller_.configured(feed_.items());
+  take(now, feed_.follow(caller_.book().services()), out);
+}
+
 ShuttleActs Shuttle::asked(Span now, CallNo no, const Asked& asked) {
   ShuttleActs out;
   out.calls = caller_.asked(now, no, asked);
@@ -149,6 +160,7 @@
 
 ShuttleActs Shuttle::heard(Span now, const Address& control, const json& word) {
   ShuttleActs out;
+  served_ = served_ || serving(now);
   take(now, feed_.heard(now, control, word), out);
   return out;
 }
@@ -156,6 +168,7 @@
 ShuttleActs Shuttle::tick(Span now) {
   ShuttleActs out;
   out.calls = caller_.tick(now);
+  if (readsAt_ && *readsAt_ <= now) configure(now, out);
   if (doorLeaves_ && *doorLeaves_ <= now) {
     doorLeaves_ = Span::max();
     take(now, door_.leave(now), out);
@@ -179,6 +192,7 @@
 Span Shuttle::nextTick(Span now) const {
   Span next = feedTick_;
   if (doorLeaves_) next = std::min(next, *doorLeaves_);
+  if (readsAt_) next = std::min(next, *readsAt_);
   if (const auto at = caller_.nextTick()) next = std::min(next, *at);
   if (const auto at = door_.nextTick()) next = std::min(next, *at);
   return std::max(next, now);
--- a/src/mesh/shuttle/shuttle.hpp
+++ b/src/mesh/shuttle/shuttle.hpp
@@ -48,7 +48,9 @@
   void seeds(std::vector<Address> seeds) { feed_.seeds(std::move(seeds)); }
   /// When tick() is to be called at the latest.
   [[nodiscard]] Span nextTick(Span now) const;
-  [[nodiscard]] bool ready(Span now) const { return !leaving_ && feed_.ready(now); }
+  /// Whether requests are taken: what is in force is known, and read as routes.
+  [[nodiscard]] bool serving(Span now) const { return feed_.ready(now) && (served_ || !readsAt_); }
+  [[nodiscard]] bool ready(Span now) const { return !leaving_ && serving(now); }
   [[nodiscard]] std::size_t atWork() const { return caller_.atWork() + door_.atWork(); }
   [[nodiscard]] const Caller& caller() const { return caller_; }
   [[nodiscard]] const Door& door() const { return door_; }
@@ -57,13 +59,16 @@
  private:
   void take(Span now, DoorActs acts, ShuttleActs& out);
   void take(Span now, FeedActs acts, ShuttleActs& out);
+  void configure(Span now, ShuttleActs& out);
 
   Built built_;
   Caller caller_;
   Door door_;
   Feed feed_;
   Span feedTick_{};
+  std::optional<Span> readsAt_;     // when the items in force are to be read as routes
   std::optional<Span> doorLeaves_;  // when the door is to shut
+  bool served_ = false;             // requests were taken before
   bool leaving_ = false;
 };
 
--- a/src/mesh/vise/vise.cpp
+++ b/src/mesh/vise/vise.cpp
@@ -99,6 +99,10 @@
   say(to, std::make_shared<const std::string>(word.dump()), acts);
 }
 
+void Vise::sayEach(SessionNo to, const Words& words, ViseActs& acts) {
+  for (const auto& word : words) say(to, word, acts);
+}
+
 void Vise::sayCore(const json& word, ViseActs& acts) {
   const auto text = std::make_shared<const std::string>(word.dump());
   for (const auto& [at, session] : reached_) say(session, text, acts);
@@ -167,9 +171,8 @@
     if (change.reading) {
       say(no, {{"t", "want"}, {"versions", items_.versions()}, {"call", call.value}}, acts);
     } else {
-      json copies = json::array();
-      for (const Item& item : change.items) copies.push_back(toJson(item));
-      say(no, {{"t", "store"}, {"call", call.value}, {"list", copies}}, acts);
+      change.stored.erase(at);
+      sayEach(no, wordsOf({{"t", "store"}, {"call", call.value}}, change.items), acts);
     }
   }
   return acts;
@@ -313,25 +316,23 @@
     if (!whole_ && !session.core) return acts;
     // Guards against dozens of processes that start at once: what all of them lack is written out once.
     const bool all = word.at("versions").empty() && !word.contains("call");
-    if (all && allItems_ && allItemsDigest_ == items_.digest() && whole_) {
-      say(no, allItems_, acts);
+    if (all && !allItems_.empty() && allItemsDigest_ == items_.digest() && whole_) {
+      sayEach(no, allItems_, acts);
       return acts;
     }
-    json list = json::array();
-    for (const Item& item : items_.beyond(word.at("versions"))) list.push_back(toJson(item));
-    json reply{{"t", "items"}, {"list", std::move(list)}, {"whole", whole_}};
-    if (word.contains("call")) reply["call"] = word["call"];
-    const auto text = std::make_shared<const std::string>(reply.dump());
+    json head{{"t", "items"}, {"whole", whole_}};
+    if (word.contains("call")) head["call"] = word["call"];
+    const Words words = wordsOf(head, items_.beyond(word.at("versions")));
     if (all && whole_) {
-      allItems_ = text;
+      allItems_ = words;
       allItemsDigest_ = items_.digest();
     }
-    say(no, text, acts);
+    sayEach(no, words, acts);
   } else if (kind == "items") {
     std::vector<Item> items;
     for (const json& item : word.at("list")) items.push_back(itemFrom(item));
     merge(items, acts);
-    if (word.contains("call")) {
+    if (word.contains("call") && lastOf(word)) {
       const CallerNo call{word["call"].get<std::uint64_t>()};
       const auto change = changes_.find(call);
       if (change != changes_.end() && word.at("whole").get<bool>()) {
@@ -348,19 +349,24 @@
       ViseActs own;
       ViseAct& written = write(own);
       for (const Item& item : items) {
-        if (items_.merge(item)) newer.push_back(item);
+        const bool fresh = items_.merge(item);
         const Item& held = *items_.find(item.key);
-        written.entries.emplace_back(kItem + textOf(held.key), toJson(held).dump());
+        written.entries.emplace_back(kItem + textOf(held.key), wireOf(held));
+        if (fresh) newer.push_back(held);
       }
       act = std::move(own.back());
     }
-    batches_[act.batch].words.emplace_back(no, json{{"t", "stored"}, {"call", word.at("call")}});
+    batches_[act.batch].words.emplace_back(
+        no, json{{"t", "stored"}, {"call", word.at("call")}, {"part", word.value("part", 0U)}});
     acts.push_back(std::move(act));
     pushItems(newer, acts);
   } else if (kind == "stored") {
     const CallerNo call{word.at("call").get<std::uint64_t>()};
     const auto change = changes_.find(call);
     if (change != changes_.end()) {
+      std::set<std::size_t>& stored = change->second.stored[session.at];
+      stored.insert(word.value("part", std::size_t{0}));
+      if (stored.size() < change->second.parts) return acts;
       change->second.copies.insert(session.at);
       decide(now, call, acts);
     }
@@ -409,8 +415,7 @@
   }
   ViseAct& act = write(acts);
   batches_[act.batch].makesWhole = true;
-  for (const auto& [key, item] : items_.all())
-    act.entries.emplace_back(kItem + textOf(key), toJson(item).dump());
+  for (const auto& [key, item] : items_.all()) act.entries.emplace_back(kItem + textOf(key), wireOf(item));
   for (const auto& [key, promise] : latches_.all())
     act.entries.emplace_back(kPromise + textOf(key),
                              promiseText(promise.holder, promise.at + built_.wallAtStart));
@@ -481,12 +486,12 @@
 bool Vise::merge(const std::vector<Item>& items, ViseActs& acts) {
   std::vector<Item> newer;
   for (const Item& item : items) {
-    if (items_.merge(item)) newer.push_back(item);
+    if (items_.merge(item)) newer.push_back(*items_.find(item.key));
   }
   if (newer.empty()) return false;
   if (whole_) {
     ViseAct& act = write(acts);
-    for (const Item& item : newer) act.entries.emplace_back(kItem + textOf(item.key), toJson(item).dump());
+    for (const Item& item : newer) act.entries.emplace_back(kItem + textOf(item.key), wireOf(item));
   }
   pushItems(newer, acts);
   return true;
@@ -494,13 +499,10 @@
 
 void Vise::pushItems(const std::vector<Item>& items, ViseActs& acts) {
   if (items.empty() || !whole_) return;
-  json list = json::array();
-  for (const Item& item : items) list.push_back(toJson(item));
   // Written out once: hundreds of routes for dozens of followers are megabytes otherwise.
-  const auto text =
-      std::make_shared<const std::string>(json{{"t", "items"}, {"list", std::move(list)}}.dump());
+  const Words words = wordsOf({{"t", "items"}}, items);
   for (const auto& [no, session] : sessions_) {
-    if (!session.follows.empty()) say(no, text, acts);
+    if (!session.follows.empty()) sayEach(no, words, acts);
   }
 }
 
@@ -563,22 +565,22 @@
 void Vise::spread(Span now, CallerNo call, Change& change, ViseActs& acts) {
   change.reading = false;
   std::vector<Item> newer;
-  json list = json::array();
   ViseActs own;
   ViseAct& act = write(own);
   for (Item& item : change.items) {
-    if (items_.newer(item)) {
-      items_.merge(item);
-      newer.push_back(item);
-    }
-    item = *items_.find(item.key);
-    act.entries.emplace_back(kItem + textOf(item.key), toJson(item).dump());
-    list.push_back(toJson(item));
+    const bool fresh = items_.newer(item);
+    if (fresh) items_.merge(item);
+    const Item& held = *items_.find(item.key);
+    act.entries.emplace_back(kItem + textOf(item.key), wireOf(held));
+    item = held;
+    if (fresh) newer.push_back(item);
   }
   change.batch = act.batch;
   batches_[act.batch].call = call;
   acts.insert(acts.end(), own.begin(), own.end());
-  sayCore({{"t", "store"}, {"call", call.value}, {"list", list}}, acts);
+  const Words words = wordsOf({{"t", "store"}, {"call", call.value}}, change.items);
+  change.parts = words.size();
+  for (const auto& [at, session] : reached_) sayEach(session, words, acts);
   pushItems(newer, acts);
   decide(now, call, acts);
 }
--- a/src/mesh/vise/vise.hpp
+++ b/src/mesh/vise/vise.hpp
@@ -94,9 +94,11 @@
   struct Change {  // a call that waits for copies or for word of others
     std::vector<Item> items;
     Span until{};
-    std::set<Address> copies;  // control processes that hold them on disk
-    std::set<Address> read;    // that told what they hold
-    bool own = false;          // on this disk
+    std::set<Address> copies;                         // control processes that hold them on disk
+    std::size_t parts = 1;                            // words that carry them
+    std::map<Address, std::set<std::size_t>> stored;  // of these, on whose disk
+    std::set<Address> read;                           // that told what they hold
+    bool own = false;                                 // on this disk
     bool reading = false;
     bool asksBack = false;  // the call wants all that stands
     BatchNo batch;
@@ -106,8 +108,10 @@
     std::optional<CallerNo> call;
     bool makesWhole = false;
   };
-  void say(SessionNo to, const nlohmann::json& word, ViseActs& acts);
-  void say(SessionNo to, std::shared_ptr<const std::string> text, ViseActs& acts);
+  static void say(SessionNo to, const nlohmann::json& word, ViseActs& acts);
+  static void say(SessionNo to, std::shared_ptr<const std::string> text, ViseActs& acts);
+  using Words = std::vector<std::shared_ptr<const std::string>>;
+  static void sayEach(SessionNo to, const Words& words, ViseActs& acts);
   void sayCore(const nlohmann::json& word, ViseActs& acts);
   void dialCore(Span now, ViseActs& acts);
   void learnCore(Span now, const nlohmann::json& list, ViseActs& acts);
@@ -141,7 +145,7 @@
   std::map<CallerNo, Change> changes_;
   std::map<BatchNo, Batch> batches_;
   std::uint64_t lastBatch_ = 0;
-  std::shared_ptr<const std::string> allItems_;  // as a word, for those that start with nothing
+  std::vector<std::shared_ptr<const std::string>> allItems_;  // as words, for those that start with nothing
   std::uint64_t allItemsDigest_ = 0;
   Span pulseAt_{};
   Span sweepAt_{};
