Say when too few vises bear the losses asked for; log readiness; drop what nothing reads

Vise::Built::losses and JobSheet::apply were read by nothing. The first is now what the vise's program holds against the number of voters at its start, in one line of its log; the second is gone.

--- a/src/mesh/plan/job_sheet.cpp
+++ b/src/mesh/plan/job_sheet.cpp
@@ -15,7 +15,6 @@
 // Where a bound is not in force the file leaves it out; these keep the parts that ask for it at work.
 constexpr Span kDrainUntold = 2500ms;
 constexpr Span kGraceUntold = 6s;
-constexpr Span kApplyUntold = 2500ms;
 constexpr Span kKeyWindowUntold = 60s;
 constexpr Span kRetryWindowUntold = 10s;
 constexpr double kRetryRatioUntold = 0.1;
@@ -72,7 +71,6 @@
   };
   sheet.drain = span("drain", kDrainUntold);
   sheet.grace = span("grace", kGraceUntold);
-  sheet.apply = span("apply", kApplyUntold);
   sheet.keyWindow = span("key_window", kKeyWindowUntold);
   sheet.retryWindow = span("retry_window", kRetryWindowUntold);
   sheet.retryRatio = number("retry_ratio", kRetryRatioUntold);
--- a/src/mesh/plan/job_sheet.hpp
+++ b/src/mesh/plan/job_sheet.hpp
@@ -29,7 +29,7 @@
   ServiceName target;                // of the server on this machine
   Address server;                    // where that server listens; empty: not told
   std::uint32_t bearableLosses = 0;  // control machines that may be lost at one time
-  Span drain{}, grace{}, apply{}, keyWindow{}, retryWindow{};
+  Span drain{}, grace{}, keyWindow{}, retryWindow{};
   double retryRatio = 0;
   double retrySlack = 0;
 };
--- a/src/mesh/shuttle/main.cpp
+++ b/src/mesh/shuttle/main.cpp
@@ -369,6 +369,10 @@
       clients_->idle = limits.idle;
     }
     act(shuttle_.tick(loop_.now()));
+    if (const bool ready = shuttle_.ready(loop_.now()); ready != told_) {
+      told_ = ready;
+      log(Weight::info, "ready", "", ready ? "requests are taken" : "clients are to go elsewhere");
+    }
   }
 
   void tellAnew() {
@@ -413,6 +417,7 @@
   sidecar::Loop::TimerId wake_;
   Span wakeAt_{};
   bool wakes_ = false;
+  bool told_ = false;  // whether the log's last word is that it is ready
   Span lastAsked_{};
   Span stopAt_{};
   std::uint64_t lastCall_ = 0;
--- a/src/mesh/vise/main.cpp
+++ b/src/mesh/vise/main.cpp
@@ -230,10 +230,14 @@
   built.life = {static_cast<std::uint64_t>(std::chrono::duration_cast<Span>(wall).count())};
   for (const Address& seed : sheet.seeds) built.seeds.push_back(talkAddress(seed, sheet.firstPort));
   built.voters = perZone * sheet.zones;
-  built.losses = sheet.bearableLosses;
   built.firstBoot = sheet.firstBoot;
   built.keyWindow = sheet.keyWindow;
   built.wallAtStart = std::chrono::duration_cast<Span>(wall);
+  // Of the voters less a quorum any number may be lost; more is to be known before it happens.
+  if (const std::size_t borne = (built.voters - 1) / 2; borne < sheet.bearableLosses) {
+    log(Weight::error, "settings", path, "too few control processes for the losses that are to be borne",
+        {{"voters", built.voters}, {"borne", borne}, {"asked", sheet.bearableLosses}});
+  }
   return ViseProgram(sheet, std::move(built), path).run(sheet);
 }
 
--- a/src/mesh/vise/vise.hpp
+++ b/src/mesh/vise/vise.hpp
@@ -48,7 +48,6 @@
     LifeNo life;
     std::vector<Address> seeds;  // of the mesh's own talk
     std::size_t voters = 1;      // control processes in all
-    std::uint32_t losses = 0;    // of them at one time that must be borne
     bool firstBoot = false;
     Span keyWindow{};
     Span wallAtStart{};  // the machine's time of day at span 0, since its epoch
