--- a/src/lab/mesh/world_processes.cpp
+++ b/src/lab/mesh/world_processes.cpp
@@ -18,7 +18,6 @@
   for (std::size_t i = 0; i < std::min<std::size_t>(3, day_.vises); ++i)
     built.seeds.push_back({address(coreAt(static_cast<std::uint32_t>(i)))});
   built.voters = day_.vises;
-  built.losses = 1;
   built.firstBoot = !here.disk.used;
   built.keyWindow = span(day_.keyWindow);
   built.wallAtStart = Span{0};  // spans here are the world's, whatever process counts them
--- a/src/mesh/shuttle/main.cpp
+++ b/src/mesh/shuttle/main.cpp
@@ -49,7 +49,7 @@
     2600ms;                     // after the call to stop: two missed looks at the readiness, and a margin
 constexpr Span kQuiet = 300ms;  // without work before it ends
 constexpr Span kBeforeKill = 400ms;  // of the grace, kept to end by itself
-constexpr Span kLastAnswer = 150ms;  // for an answer to leave, before the end
+constexpr Span kMostBefore = 1500ms;  // for a claim and a place at a server, before the end
 constexpr Span kLook = 50ms;         // between looks while it ends
 constexpr Span kHopIdle = 60s;       // a connection from another process; that one ends it first
 
@@ -128,9 +128,10 @@
   void asked(const std::shared_ptr<Guest>& guest, std::shared_ptr<const http::Message> request) {
     lastAsked_ = loop_.now();
     if (!shuttle_.serving(loop_.now())) return guest->answer(503, "Retry-After: 0.3\r\n", "");
-    // Guards against a request that this process could not see to its end before it is killed.
-    if (stopAt_ > Span{0} &&
-        loop_.now() + patienceOf(*request).value_or(sheet_.grace) + kLastAnswer > endAt())
+    // Guards against a request that this process could not see to a server before it is killed. Those at work
+    // by then have had half of the grace and more; refusing all whose client would wait longer turned away a
+    // machine's long look-ups for as long as it was sent any.
+    if (stopAt_ > Span{0} && loop_.now() + kMostBefore > endAt())
       return guest->answer(503, "Retry-After: 0.1\r\n", "");
     const CallNo no{++lastCall_};
     Asked asked;
