--- a/src/mesh/door/door.cpp
+++ b/src/mesh/door/door.cpp
@@ -37,7 +37,7 @@
     // Guards against work for a server that crashed, where another listens now; and against an adopted one
     // that ended unseen.
     for (auto& [id, other] : servers_) {
-      if (id != beat.id && other.address == beat.address) over(other, acts);
+      if (id != beat.id && other.address == beat.address) over(now, other, acts);
     }
   }
   auto found = servers_.find(beat.id);
@@ -74,23 +74,23 @@
   if (!(plain == before) || before.seq == 0) {
     tell(server, acts);
   }
-  if (server.told.gone) turnAwayAll(server, acts);
+  if (server.told.gone) turnAwayAll(now, server, acts);
   return acts;
 }
 
-void Door::turnAwayAll(Server& server, DoorActs& acts) {
+void Door::turnAwayAll(Span now, Server& server, DoorActs& acts) {
   while (!server.waiting.empty()) {
     const AskNo no = server.waiting.front();
-    refuse(no, Verdict::leaving, &server, acts);
+    refuse(now, no, Verdict::leaving, &server, acts);
   }
 }
 
 // It has ended without a word.
-void Door::over(Server& server, DoorActs& acts) {
+void Door::over(Span now, Server& server, DoorActs& acts) {
   if (server.told.gone) return;
   server.told.gone = true;
   tell(server, acts);
-  turnAwayAll(server, acts);
+  turnAwayAll(now, server, acts);
 }
 
 void Door::tell(Server& server, DoorActs& acts) {
@@ -110,7 +110,7 @@
   // Of two that stand by what others know, the one that was told of last.
   const std::pair told{served.life, served.seq};
   if (!servers_.empty() && told <= adopted_) return acts;
-  for (auto& [id, other] : servers_) over(other, acts);
+  for (auto& [id, other] : servers_) over(now, other, acts);
   adopted_ = told;
   Server& server = servers_[served.id];
   server.told = served;
@@ -143,14 +143,14 @@
   return std::max(0.01, std::chrono::duration<double>(ask.aim).count() * kUnseenPart);
 }
 
-HopTold Door::toldOf(Verdict verdict, const Server* server) const {
+HopTold Door::toldOf(Span now, Verdict verdict, const Server* server) const {
   HopTold told;
   told.verdict = verdict;
   if (server != nullptr) {
     told.load = Load{server->busy, static_cast<std::uint32_t>(server->waiting.size())};
     told.wait = waitAhead(*server);
   }
-  if (verdict == Verdict::voteless) told.wait = claims_.comeBack();
+  if (verdict == Verdict::voteless) told.wait = claims_.comeBack(now);
   return told;
 }
 
@@ -169,7 +169,7 @@
     print = printOfKey(*key);
     const auto past = operations_.find(*print);
     if (past != operations_.end()) {
-      HopTold told = toldOf(Verdict::ran, here);
+      HopTold told = toldOf(now, Verdict::ran, here);
       told.repeated = true;
       switch (past->second.past) {
         case Past::answered:
@@ -187,26 +187,26 @@
     }
     if (ask.holder) {
       // The claim it asks after: of this life it was given back, of an earlier one nobody knows.
-      HopTold told = toldOf(*ask.holder == built_.life ? Verdict::voteless : Verdict::unknown, here);
+      HopTold told = toldOf(now, *ask.holder == built_.life ? Verdict::voteless : Verdict::unknown, here);
       answer(told);
       return acts;
     }
   }
   if (here == nullptr || here->told.service != ask.service) {
-    answer(toldOf(Verdict::strange, nullptr));
+    answer(toldOf(now, Verdict::strange, nullptr));
     return acts;
   }
   Server& server = found->second;
   if (!open(now, server)) {
-    answer(toldOf(Verdict::leaving, &server));
+    answer(toldOf(now, Verdict::leaving, &server));
     return acts;
   }
   if (print && !claims_.hopeful(now)) {
-    answer(toldOf(Verdict::voteless, &server));
+    answer(toldOf(now, Verdict::voteless, &server));
     return acts;
   }
   if (ask.left < kLeastLeft) {
-    answer(toldOf(Verdict::full, &server));
+    answer(toldOf(now, Verdict::full, &server));
     return acts;
   }
   Job job;
@@ -231,7 +231,7 @@
   }
   Job& kept = jobs_.emplace(no, std::move(job)).first->second;
   if (!fits(now, kept, server)) {
-    refuse(no, Verdict::full, &server, acts);
+    refuse(now, no, Verdict::full, &server, acts);
   } else if (print) {
     claim(now, kept, acts);
   } else {
@@ -273,11 +273,11 @@
       ahead += other.length;
     }
   }
-  for (const AskNo waiting : tooLate) refuse(waiting, Verdict::full, &server, acts);
+  for (const AskNo waiting : tooLate) refuse(now, waiting, Verdict::full, &server, acts);
 }
 
 // A job that surely never ran ends with a verdict that says so.
-void Door::refuse(AskNo no, Verdict verdict, const Server* server, DoorActs& acts,
+void Door::refuse(Span now, AskNo no, Verdict verdict, const Server* server, DoorActs& acts,
                   std::optional<Holder> holder) {
   const auto found = jobs_.find(no);
   if (found == jobs_.end()) return;
@@ -298,11 +298,11 @@
     acts.push_back(std::move(act));
   }
   DoorAct act{DoorAct::Kind::answer, no};
-  act.told = toldOf(verdict, server);
+  act.told = toldOf(now, verdict, server);
   act.told.holder = std::move(holder);
   acts.push_back(std::move(act));
   jobs_.erase(found);
-  if (job.key) forgetOperation(*job.key, verdict, acts);
+  if (job.key) forgetOperation(now, *job.key, acts);
 }
 
 // Without a slot: votes may take as long as a disk that hangs, and other work need not wait for them.
@@ -343,7 +343,7 @@
   } else {
     // It never ran here and never will: whatever was promised to it is given back.
     const Verdict verdict = ended.won ? Verdict::leaving : ended.holder ? Verdict::held : Verdict::voteless;
-    refuse(no, verdict, server, acts, ended.won ? std::nullopt : ended.holder);
+    refuse(now, no, verdict, server, acts, ended.won ? std::nullopt : ended.holder);
   }
   check();
   return acts;
@@ -358,10 +358,10 @@
   Server* server = at == servers_.end() ? nullptr : &at->second;
   const bool sure = how == AtServer::notSent || (how == AtServer::answered && answer.notRun);
   if (sure) {
-    refuse(no, how == AtServer::notSent ? Verdict::unreachable : Verdict::turnedAway, server, acts);
+    refuse(now, no, how == AtServer::notSent ? Verdict::unreachable : Verdict::turnedAway, server, acts);
     // Another server answered: the one that was meant is no more.
     if (server != nullptr && how == AtServer::answered && answer.status == kNotThatServer)
-      over(*server, acts);
+      over(now, *server, acts);
   } else {
     jobs_.erase(found);
     if (server != nullptr) {
@@ -372,7 +372,7 @@
       length += kRunShare * (seconds - length);
     }
     DoorAct act{DoorAct::Kind::answer, no};
-    act.told = toldOf(how == AtServer::answered ? Verdict::ran : Verdict::unknown, server);
+    act.told = toldOf(now, how == AtServer::answered ? Verdict::ran : Verdict::unknown, server);
     act.bytes = how == AtServer::answered ? answer.bytes : nullptr;
     acts.push_back(std::move(act));
     if (job.key)
@@ -395,7 +395,7 @@
   }
   for (const auto& [no, until] : std::exchange(operation.waiters, {})) {
     DoorAct act{DoorAct::Kind::answer, no};
-    act.told = toldOf(past == Past::answered ? Verdict::ran : Verdict::unknown, nullptr);
+    act.told = toldOf(now, past == Past::answered ? Verdict::ran : Verdict::unknown, nullptr);
     act.told.repeated = true;
     act.bytes = operation.bytes;
     acts.push_back(std::move(act));
@@ -413,12 +413,12 @@
   }
 }
 
-void Door::forgetOperation(const KeyPrint& key, Verdict, DoorActs& acts) {
+void Door::forgetOperation(Span now, const KeyPrint& key, DoorActs& acts) {
   const auto found = operations_.find(key);
   if (found == operations_.end()) return;
   for (const auto& [no, until] : found->second.waiters) {
     DoorAct act{DoorAct::Kind::answer, no};
-    act.told = toldOf(Verdict::voteless, nullptr);
+    act.told = toldOf(now, Verdict::voteless, nullptr);
     acts.push_back(std::move(act));
   }
   operations_.erase(found);
@@ -429,7 +429,7 @@
     const AskNo no = server.waiting.front();
     Job& job = jobs_.at(no);
     if (!open(now, server) || job.deadline - now < kLeastLeft) {
-      refuse(no, Verdict::leaving, &server, acts);
+      refuse(now, no, Verdict::leaving, &server, acts);
       continue;
     }
     server.waiting.pop_front();
@@ -448,7 +448,7 @@
     const std::deque<AskNo> waiting = server.waiting;
     for (const AskNo no : waiting) {
       const Verdict verdict = open(now, server) ? Verdict::full : Verdict::leaving;
-      if (verdict == Verdict::leaving || jobs_.at(no).startBy <= now) refuse(no, verdict, &server, acts);
+      if (verdict == Verdict::leaving || jobs_.at(no).startBy <= now) refuse(now, no, verdict, &server, acts);
     }
   }
   for (auto at = awaited_.begin(); at != awaited_.end();) {
@@ -462,7 +462,7 @@
     for (const auto& [no, until] : waiters) {
       if (until > now) continue;
       DoorAct act{DoorAct::Kind::answer, no};
-      act.told = toldOf(Verdict::atWork, nullptr);
+      act.told = toldOf(now, Verdict::atWork, nullptr);
       acts.push_back(std::move(act));
     }
     waiters.erase(
--- a/src/mesh/door/door.hpp
+++ b/src/mesh/door/door.hpp
@@ -135,21 +135,21 @@
 
   [[nodiscard]] bool fits(Span now, const Job& job, const Server& server) const;
   void tell(Server& server, DoorActs& acts);
-  void over(Server& server, DoorActs& acts);
-  void turnAwayAll(Server& server, DoorActs& acts);
+  void over(Span now, Server& server, DoorActs& acts);
+  void turnAwayAll(Span now, Server& server, DoorActs& acts);
   void admit(Span now, Job& job, Server& server, DoorActs& acts);
   void claim(Span now, Job& job, DoorActs& acts);
   void run(Span now, Job& job, Server& server, DoorActs& acts);
   void next(Span now, Server& server, DoorActs& acts);
-  void refuse(AskNo no, Verdict verdict, const Server* server, DoorActs& acts,
+  void refuse(Span now, AskNo no, Verdict verdict, const Server* server, DoorActs& acts,
               std::optional<Holder> holder = {});
   void endOperation(Span now, const KeyPrint& key, Past past, const ServerAnswer& answer, DoorActs& acts);
-  void forgetOperation(const KeyPrint& key, Verdict verdict, DoorActs& acts);
+  void forgetOperation(Span now, const KeyPrint& key, DoorActs& acts);
   void settle(Span now, AskNo no, DoorActs& acts);
   [[nodiscard]] bool open(Span now, const Server& server) const;
   [[nodiscard]] Span waitAhead(const Server& server) const;
   [[nodiscard]] double lengthOf(const HopAsk& ask) const;
-  [[nodiscard]] HopTold toldOf(Verdict verdict, const Server* server) const;
+  [[nodiscard]] HopTold toldOf(Span now, Verdict verdict, const Server* server) const;
   [[nodiscard]] std::uint32_t room(const Server& server) const;
   void check() const;
 
--- a/src/mesh/latch/latches.cpp
+++ b/src/mesh/latch/latches.cpp
@@ -11,8 +11,8 @@
 namespace {
 
 constexpr Span kHopeless = std::chrono::milliseconds(250);  // about as long as a claim waits
-constexpr Span kNoQuorum =
-    std::chrono::milliseconds(700);       // a control process's start, or a cut's first repair
+constexpr Span kOnlySlow = std::chrono::milliseconds(400);  // undecided for longer, voters are taken for gone
+constexpr Span kNoQuorum = std::chrono::seconds(1);  // to come back then; lost power is back in two or three
 constexpr std::size_t kEndedACall = 512;  // promises; some seconds' worth, so that none holds up a vote
 
 }  // namespace
@@ -81,7 +81,11 @@
   quorum_ = quorum;
 }
 
-Span Claims::comeBack() const { return quorum_ > 0 && reached_ >= quorum_ ? kHopeless : kNoQuorum; }
+Span Claims::comeBack(Span now) const {
+  const bool there = quorum_ > 0 && reached_ >= quorum_;
+  const bool slow = undecidedSince_ == Span::max() || now - undecidedSince_ < kOnlySlow;
+  return there && slow ? kHopeless : kNoQuorum;
+}
 
 ClaimNo Claims::open(Span, const KeyPrint& key, Span until) {
   const ClaimNo no{++last_};
@@ -101,6 +105,7 @@
   }
   const bool won = claim.granted.size() >= quorum_;
   if (!won && claim.refused.size() + quorum_ <= voters_) return std::nullopt;
+  undecidedSince_ = Span::max();
   Ended ended{no, won, std::nullopt};
   // Of several holders the one that most voters name; with a tie any of them, as none can have won.
   std::map<Holder, int> named;
@@ -124,7 +129,10 @@
     }
     // Guards against requests that each wait anew for votes of a core that has gone silent: for a while they
     // are told so at once, and then one finds out.
-    if (at->second.granted.size() + at->second.refused.size() < quorum_) hopelessUntil_ = now + kHopeless;
+    if (at->second.granted.size() + at->second.refused.size() < quorum_) {
+      hopelessUntil_ = now + kHopeless;
+      undecidedSince_ = std::min(undecidedSince_, now);
+    }
     Ended end{at->first, false, std::nullopt};
     for (const auto& refusal : at->second.refused) {
       if (refusal.second) end.holder = refusal.second;
--- a/src/mesh/latch/latches.hpp
+++ b/src/mesh/latch/latches.hpp
@@ -79,8 +79,8 @@
   [[nodiscard]] bool hopeful(Span now) const {
     return quorum_ > 0 && reached_ >= quorum_ && now >= hopelessUntil_;
   }
-  /// When one that could not be won may be tried again: soon, where the voters are there and only slow.
-  [[nodiscard]] Span comeBack() const;
+  /// When one that could not be won may be tried again: soon, while the voters may only be slow.
+  [[nodiscard]] Span comeBack(Span now) const;
   ClaimNo open(Span now, const KeyPrint& key, Span until);
   /// A vote; nothing if the claim is not decided by it, or was before.
   std::optional<Ended> vote(const Address& voter, ClaimNo no, bool granted,
@@ -101,7 +101,8 @@
   std::size_t voters_ = 0;
   std::size_t quorum_ = 0;  // 0: not told yet
   std::size_t reached_ = 0;
-  Span hopelessUntil_{};  // after a claim that nobody decided
+  Span hopelessUntil_{};               // after a claim that nobody decided
+  Span undecidedSince_ = Span::max();  // since when none has been
   std::uint64_t last_ = 0;
   std::map<ClaimNo, Claim> open_;
 };
--- a/tests/mesh_test.cpp
+++ b/tests/mesh_test.cpp
@@ -387,8 +387,20 @@
   const DoorActs next = here.asked(501ms, {2}, ask(RouteKind::keyed), "k2");
   REQUIRE(next.size() == 1);
   CHECK(next[0].told.verdict == Verdict::voteless);
+  // Voters that are there may only be slow; without any decision for longer they are taken for gone, and
+  // clients that came back at once would use up their tries before the core is back.
+  CHECK(next[0].told.wait < 500ms);
+  const DoorActs again = here.asked(800ms, {4}, ask(RouteKind::keyed), "k4");
+  REQUIRE(countOf(again, DoorAct::Kind::claim) == 1);
+  CHECK(here.tick(1300ms).back().told.wait >= 1s);
   here.claims().reach(1);
-  CHECK(here.asked(5s, {3}, ask(RouteKind::keyed), "k3").back().told.verdict == Verdict::voteless);
+  const DoorActs alone = here.asked(5s, {3}, ask(RouteKind::keyed), "k3");
+  CHECK(alone.back().told.verdict == Verdict::voteless);
+  CHECK(alone.back().told.wait >= 1s);
+  here.claims().reach(3);
+  const DoorActs back = here.asked(6s, {5}, ask(RouteKind::keyed), "k5");
+  here.claimEnded(6s, wonBy(here, back[0].claim));
+  CHECK(here.claims().comeBack(6s) < 500ms);
 }
 
 TEST_CASE(
