Tell clients of a leaving process when the next one takes requests

What they turned away in their last seconds was told to come back in 0.1 s, and used up its tries on the same process: 245 to 281 refused from 6 to 8 s. Change: taken as long as what is usual for the route fits before the end; what is turned away is told when the next process takes requests.

--- a/src/mesh/shuttle/main.cpp
+++ b/src/mesh/shuttle/main.cpp
@@ -49,7 +49,8 @@
     2600ms;                     // after the call to stop: two missed looks at the readiness, and a margin
 constexpr Span kQuiet = 300ms;  // without work before it ends
 constexpr Span kBeforeKill = 400ms;  // of the grace, kept to end by itself
-constexpr Span kMostBefore = 1500ms;  // for a claim and a place at a server, before the end
+constexpr Span kNextLife = 900ms;    // from the end of a process until the next one takes requests
+constexpr Span kLastAnswer = 150ms;  // for an answer to leave, before the end
 constexpr Span kLook = 50ms;         // between looks while it ends
 constexpr Span kHopIdle = 60s;       // a connection from another process; that one ends it first
 
@@ -128,11 +129,14 @@
   void asked(const std::shared_ptr<Guest>& guest, std::shared_ptr<const http::Message> request) {
     lastAsked_ = loop_.now();
     if (!shuttle_.serving(loop_.now())) return guest->answer(503, "Retry-After: 0.3\r\n", "");
-    // Guards against a request that this process could not see to a server before it is killed. Those at work
-    // by then have had half of the grace and more; refusing all whose client would wait longer turned away a
-    // machine's long look-ups for as long as it was sent any.
-    if (stopAt_ > Span{0} && loop_.now() + kMostBefore > endAt())
-      return guest->answer(503, "Retry-After: 0.1\r\n", "");
+    // Guards against a request that this process could not see to its end before it is killed. What is usual
+    // for its route counts, not how long its client would wait: that turned away a machine's long look-ups
+    // for as long as it was sent any. What takes longer has been at work for half of the grace.
+    // Its client is told when the next life takes requests, not to use up its tries on this one.
+    if (stopAt_ > Span{0} && loop_.now() + usualFor(*request) + kLastAnswer > endAt()) {
+      const Span back = std::max(Span{0}, endAt() - loop_.now()) + kNextLife;
+      return guest->answer(503, "Retry-After: " + spanSeconds(back) + "\r\n", "");
+    }
     const CallNo no{++lastCall_};
     Asked asked;
     asked.host = request->field("Host").value_or("");
@@ -142,6 +146,11 @@
     act(shuttle_.asked(loop_.now(), no, asked));
   }
 
+  [[nodiscard]] Span usualFor(const http::Message& request) const {
+    const auto route = shuttle_.caller().book().find(request.field("Host").value_or(""), request.word(1));
+    return route ? route->aim : Span{0};
+  }
+
   void forget(const Guest& guest) {
     // Its request goes on where it is at work; only the answer has nowhere to go.
     for (auto& [no, inside] : calls_) {
