--- a/src/lab/children.cpp
+++ b/src/lab/children.cpp
@@ -4,9 +4,11 @@
 #include <fcntl.h>
 #include <signal.h>
 #include <sys/prctl.h>
+#include <sys/resource.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <chrono>
 #include <csignal>
 #include <fstream>
@@ -18,10 +20,26 @@
 
 using namespace std::chrono_literals;
 
-constexpr auto kStops = 5s;  // after TERM; then it is killed
+constexpr auto kStops = 5s;              // after TERM; then it is killed
+constexpr rlim_t kDescriptors = 16'384;  // some for each process that a machine bears
+
+volatile std::sig_atomic_t callToStop = 0;
+void breakOff(int) { callToStop = 1; }
 
 }  // namespace
 
+void Children::prepare() {
+  rlimit limit{};
+  ::getrlimit(RLIMIT_NOFILE, &limit);
+  limit.rlim_cur = std::min<rlim_t>(limit.rlim_max, kDescriptors);
+  ::setrlimit(RLIMIT_NOFILE, &limit);
+  std::signal(SIGPIPE, SIG_IGN);
+  std::signal(SIGINT, breakOff);
+  std::signal(SIGTERM, breakOff);
+}
+
+bool Children::brokenOff() { return callToStop != 0; }
+
 Children::Children(std::size_t places) : children_(places) {}
 
 Children::~Children() {
--- a/src/lab/children.hpp
+++ b/src/lab/children.hpp
@@ -27,6 +27,11 @@
     std::string log;                       // a file that is added to; empty: nowhere
   };
 
+  /// For a program that starts some: as many descriptors as it may have, and a call to break off (INT, TERM)
+  /// that ends the run in order, its children with it.
+  static void prepare();
+  [[nodiscard]] static bool brokenOff();
+
   explicit Children(std::size_t places);
   Children(const Children&) = delete;
   Children& operator=(const Children&) = delete;
--- a/src/lab/fleet/process_fleet.cpp
+++ b/src/lab/fleet/process_fleet.cpp
@@ -1,11 +1,8 @@
 #include "lab/fleet/process_fleet.hpp"
 
-#include <signal.h>
-#include <sys/resource.h>
 #include <unistd.h>
 
 #include <algorithm>
-#include <csignal>
 #include <fstream>
 #include <functional>
 #include <map>
@@ -27,9 +24,6 @@
 constexpr std::uint32_t kMostProcesses = 250;  // last numbers of loopback addresses; memory for as many
 constexpr Span kTell = 1s;                     // between two words on how far the run is
 
-volatile std::sig_atomic_t brokenOff = 0;
-void breakOff(int) { brokenOff = 1; }
-
 class ProcessFleet {
  public:
   ProcessFleet(const Drill& drill, const DrillPlan& plan)
@@ -57,7 +51,7 @@
                                {"member", std::string("m").append(std::to_string(crash_))},
                                {"what", std::to_string(crashed_) + " ended"}});
     }
-    run["broken_off"] = brokenOff != 0;
+    run["broken_off"] = Children::brokenOff();
     return run;
   }
 
@@ -88,7 +82,7 @@
       crash_ = place;
     }
     if (plan_.progress) plan_.progress(std::min(1.0, seconds(rig_.now()) / seconds(drill_.length)));
-    if (rig_.now() >= drill_.length || brokenOff != 0) return loop_.stop();
+    if (rig_.now() >= drill_.length || Children::brokenOff()) return loop_.stop();
     loop_.in(kTell, [this] { watch(); });
   }
 
@@ -179,14 +173,7 @@
   if (drill.warm || !drill.lifeguard)
     throw BadScenario(drill.file + ": fleet.warm and fleet.lifeguard go with virtual time");
   if (!sidecar::setLevel("error")) throw std::logic_error("no such level");
-  // Each member has two sockets here, and connections pass through.
-  rlimit limit{};
-  ::getrlimit(RLIMIT_NOFILE, &limit);
-  limit.rlim_cur = std::min<rlim_t>(limit.rlim_max, 16'384);
-  ::setrlimit(RLIMIT_NOFILE, &limit);
-  std::signal(SIGPIPE, SIG_IGN);
-  std::signal(SIGINT, breakOff);
-  std::signal(SIGTERM, breakOff);
+  Children::prepare();  // each member has two sockets here, and connections pass through
   return ProcessFleet(drill, plan).run();
 }
 
--- a/src/lab/mesh/processes.cpp
+++ b/src/lab/mesh/processes.cpp
@@ -1,13 +1,11 @@
 #include "lab/mesh/processes.hpp"
 
 #include <signal.h>
-#include <sys/resource.h>
 #include <unistd.h>
 
 #include <algorithm>
 #include <charconv>
 #include <cmath>
-#include <csignal>
 #include <cstdio>
 #include <deque>
 #include <filesystem>
@@ -70,9 +68,6 @@
   }
 }
 
-volatile std::sig_atomic_t brokenOff = 0;
-void breakOff(int) { brokenOff = 1; }
-
 std::string attemptText(std::uint64_t attempt) {
   char text[17];
   std::snprintf(text, sizeof(text), "%016llx", static_cast<unsigned long long>(attempt));
@@ -302,7 +297,7 @@
   lookedAt_ = now();
   for (const std::size_t place : children_.endedByThemselves())
     judge_.failed(now(), "ENDED", nameOf(static_cast<std::uint32_t>(place)) + " ended by itself");
-  if (brokenOff != 0) return loop_.stop();
+  if (Children::brokenOff()) return loop_.stop();
   loop_.in(kLook, [this] { look(); });
 }
 
@@ -623,26 +618,13 @@
     look();
   });
   loop_.run();
-  judge_.end();
-  const double share = judge_.asked() == 0
-                           ? 1
-                           : static_cast<double>(judge_.servedWhole()) / static_cast<double>(judge_.asked());
-  if (share < day_.leastServed) judge_.failed(now(), "SERVED", std::to_string(share) + " of the tries");
   PlayedProcesses played;
-  played.late = latest_ > kLate || brokenOff != 0;
+  played.figures = endOfDay(judge_, book_, day_.leastServed, now());
   played.broken = judge_.broken();
-  json statuses;
-  for (const auto& [status, count] : judge_.statuses()) statuses[std::to_string(status)] = count;
-  played.figures = {{"tries", judge_.asked()},
-                    {"served", share},
-                    {"runs", judge_.runs()},
-                    {"repeats_answered", judge_.repeatsAnswered()},
-                    {"statuses", statuses},
-                    {"changes", book_.sent()},
-                    {"acknowledged", book_.acked()},
-                    {"kills", kills_},
-                    {"keyed_at_work_when_killed", keyedAtKills_},
-                    {"latest_look_ms", seconds(latest_) * 1000}};
+  played.late = latest_ > kLate || Children::brokenOff();
+  played.figures["kills"] = kills_;
+  played.figures["keyed_at_work_when_killed"] = keyedAtKills_;
+  played.figures["latest_look_ms"] = seconds(latest_) * 1000;
   return played;
 }
 
@@ -672,13 +654,7 @@
     if (::access(program.c_str(), X_OK) != 0) throw BadScenario(program + ": can't be run");
   }
   if (!sidecar::setLevel("error")) throw std::logic_error("no such level");
-  rlimit limit{};
-  ::getrlimit(RLIMIT_NOFILE, &limit);
-  limit.rlim_cur = std::min<rlim_t>(limit.rlim_max, 16'384);
-  ::setrlimit(RLIMIT_NOFILE, &limit);
-  std::signal(SIGPIPE, SIG_IGN);
-  std::signal(SIGINT, breakOff);
-  std::signal(SIGTERM, breakOff);
+  Children::prepare();
   return ProcessMesh(day, plan).run();
 }
 
--- a/src/lab/mesh/wares.cpp
+++ b/src/lab/mesh/wares.cpp
@@ -101,4 +101,17 @@
   }
 }
 
+nlohmann::json endOfDay(Judge& judge, const OperatorBook& book, double leastServed, Span now) {
+  judge.end();
+  const auto asked = static_cast<double>(judge.asked());
+  const double share = asked == 0 ? 1 : static_cast<double>(judge.servedWhole()) / asked;
+  if (share < leastServed) judge.failed(now, "SERVED", std::to_string(share) + " of the tries");
+  json statuses;
+  for (const auto& [status, count] : judge.statuses()) statuses[std::to_string(status)] = count;
+  return {{"tries", judge.asked()},      {"served", share},
+          {"runs", judge.runs()},        {"repeats_answered", judge.repeatsAnswered()},
+          {"statuses", statuses},        {"changes", book.sent()},
+          {"acknowledged", book.acked()}};
+}
+
 }  // namespace rackroute::lab::mesh
--- a/src/lab/mesh/wares.hpp
+++ b/src/lab/mesh/wares.hpp
@@ -74,4 +74,7 @@
   std::uint64_t ackedCount_ = 0;
 };
 
+/// Ends the judging of a day, whatever its clock, and tells what was asked and served.
+nlohmann::json endOfDay(Judge& judge, const OperatorBook& book, double leastServed, Span now);
+
 }  // namespace rackroute::lab::mesh
--- a/src/lab/mesh/world.cpp
+++ b/src/lab/mesh/world.cpp
@@ -42,27 +42,14 @@
     now_ = event.at;
     event.task();
   }
-  judge_.end();
-  const double share = judge_.asked() == 0
-                           ? 1
-                           : static_cast<double>(judge_.servedWhole()) / static_cast<double>(judge_.asked());
-  if (share < day_.leastServed) judge_.failed(now_, "SERVED", std::to_string(share) + " of the tries");
   Played played;
+  played.figures = endOfDay(judge_, book_, day_.leastServed, now_);
   played.broken = judge_.broken();
   json talk;
   for (const auto& [kind, sums] : talk_) talk[kind] = {{"words", sums.first}, {"bytes", sums.second}};
-  json statuses;
-  for (const auto& [status, count] : judge_.statuses()) statuses[std::to_string(status)] = count;
-  played.figures = {{"tries", judge_.asked()},
-                    {"served", share},
-                    {"runs", judge_.runs()},
-                    {"repeats_answered", judge_.repeatsAnswered()},
-                    {"statuses", statuses},
-                    {"changes", book_.sent()},
-                    {"acknowledged", book_.acked()},
-                    {"syncs", syncs_},
-                    {"events", eventNo_},
-                    {"talk", talk}};
+  played.figures["syncs"] = syncs_;
+  played.figures["events"] = eventNo_;
+  played.figures["talk"] = talk;
   return played;
 }
 
