--- a/src/lab/main.cpp
+++ b/src/lab/main.cpp
@@ -111,8 +111,8 @@
   std::string clock = "virtual";
   std::string policy = "module";
   std::string program;
-  std::string shuttle;
-  std::string vise;
+  std::string sidecar;
+  std::string control;
   std::uint64_t seed = 1;
   unsigned seeds = 5;
   unsigned jobs = std::max(1U, std::thread::hardware_concurrency());
@@ -312,7 +312,7 @@
     if (asked.drawn && sockets) played = mesh::forProcesses(played);
     mesh::PlayedProcesses result;
     if (sockets) {
-      mesh::ProcessPlan plan{asked.shuttle, asked.vise, seed, asked.logs, {}};
+      mesh::ProcessPlan plan{asked.sidecar, asked.control, seed, asked.logs, {}};
       if (asked.tells) plan.tell = [](const std::string& line) { std::cout << line << std::endl; };
       result = mesh::playProcesses(played, plan);
     } else {
@@ -422,10 +422,10 @@
   meshing->add_option("--json", asked.json, "the result file");
   meshing->add_option("--clock", asked.clock, "virtual, or sockets with real processes on loopback")
       ->check(CLI::IsMember({"virtual", "sockets"}));
-  asked.shuttle = (fs::path(argv[0]).parent_path() / "rackroute-shuttle").string();
-  asked.vise = (fs::path(argv[0]).parent_path() / "rackroute-vise").string();
-  meshing->add_option("--shuttle", asked.shuttle, "the program that sockets start; else the one beside this");
-  meshing->add_option("--vise", asked.vise, "the program that sockets start; else the one beside this");
+  asked.sidecar = (fs::path(argv[0]).parent_path() / "rackroute-mesh-sidecar").string();
+  asked.control = (fs::path(argv[0]).parent_path() / "rackroute-control").string();
+  meshing->add_option("--sidecar", asked.sidecar, "the program that sockets start; else the one beside this");
+  meshing->add_option("--control", asked.control, "the program that sockets start; else the one beside this");
   meshing->add_option("--logs", asked.logs, "a folder for what the processes log");
   meshing->add_flag("--tell", asked.tells, "with sockets: what happens, a line each");
   CLI::App* exploring = app.add_subcommand("keys", "every order of one key's words and losses, to a depth");
--- a/src/lab/mesh/day.hpp
+++ b/src/lab/mesh/day.hpp
@@ -11,16 +11,16 @@
 
 namespace rackroute::lab::mesh {
 
-enum class Ill {
-  killShuttle,    // SIGKILL; the process comes back
-  killVise,       // the same
-  powerVise,      // loses power: what was not synced is there, missing or torn
-  wipeVise,       // loses power and its disk
-  freezeShuttle,  // stands still and wakes
-  freezeVise,
-  cutShuttle,     // from all vises
-  cutVise,        // from all other vises
-  cutViseOneWay,  // it hears them, and is not heard
+enum class TroubleKind {
+  killSidecar,    // SIGKILL; the process comes back
+  killControl,    // the same
+  powerControl,   // loses power: what was not synced is there, missing or torn
+  wipeControl,    // loses power and its disk
+  freezeSidecar,  // stands still and wakes
+  freezeControl,
+  cutSidecar,        // from all controls
+  cutControl,        // from all other controls
+  cutControlOneWay,  // it hears them, and is not heard
   diskSlow,
   diskFull,
   serverLoses,   // part of the answers, after the run
@@ -28,14 +28,14 @@
   serverSlow,
   serverCrash,  // ends without a word; another life starts there
   release,      // drains, signs off, and another life starts there
-  termShuttle,  // SIGTERM; comes back
+  termSidecar,  // SIGTERM; comes back
   change,       // a valid change of a route's time-out and its service's weights
-  race,         // two operators, two vises, the same version
+  race,         // two operators, two controls, the same version
   badChange,    // an invalid one
 };
 
 struct Trouble {
-  Ill ill = Ill::change;
+  TroubleKind kind = TroubleKind::change;
   double at = 0;          // seconds
   double lasts = 3;       // seconds
   std::uint32_t who = 0;  // of the kind that it strikes, by number
@@ -47,8 +47,8 @@
 struct Day {
   std::string name = "day";
   std::uint32_t zones = 4;
-  std::uint32_t vises = 4;
-  std::uint32_t shuttles = 10;  // each with a server; even ones of one service, odd ones of the other
+  std::uint32_t controls = 4;
+  std::uint32_t sidecars = 10;  // each with a server; even ones of one service, odd ones of the other
   double seconds = 30;
   double perSecond = 150;  // requests of clients
   double keyed = 0.4;      // part of them
@@ -67,9 +67,9 @@
 
 /// Throws BadScenario, naming file, line and key.
 Day readDay(const std::string& file, const std::vector<Override>& overrides = {});
-/// A day of that size with troubles drawn from the seed: never more vises lost at once than can be borne.
+/// A day of that size with troubles drawn from the seed: never more controls lost at once than can be borne.
 Day drawDay(std::uint64_t seed, const Day& size);
-std::string nameOf(Ill ill);
+std::string nameOf(TroubleKind kind);
 /// As a file that readDay reads.
 std::string textOf(const Day& day);
 
--- a/src/lab/mesh/emulated.hpp
+++ b/src/lab/mesh/emulated.hpp
@@ -1,8 +1,8 @@
 #pragma once
 
 // The parts of an emulated mesh: machines, disks, links, servers and the queue of events that moves them. It
-// owns all of them. Its members stand in a file for each concern: the talk between processes, the processes
-// and their disks, requests, operators, troubles.
+// owns all of them. Its members stand in a file for each concern: the session between processes, the
+// processes and their disks, requests, operators, troubles.
 
 #include <algorithm>
 #include <cmath>
@@ -15,10 +15,10 @@
 #include <utility>
 
 #include "lab/draws.hpp"
-#include "lab/mesh/wares.hpp"
+#include "lab/mesh/workload.hpp"
 #include "lab/mesh/world.hpp"
-#include "mesh/shuttle/shuttle.hpp"
-#include "mesh/vise/vise.hpp"
+#include "mesh/control/control_node.hpp"
+#include "mesh/sidecar/sidecar.hpp"
 
 namespace rackroute::lab::mesh::emulated {
 
@@ -98,7 +98,7 @@
     std::deque<std::function<void()>> queue;
   };
   struct Side {
-    std::unique_ptr<Shuttle> shuttle;
+    std::unique_ptr<Sidecar> sidecar;
     Server server;
     Span wakes = Span::max();
     std::uint64_t nextCall = 0;
@@ -106,12 +106,12 @@
     std::map<std::uint64_t, std::uint64_t> attemptOf;  // by call
     struct Inside {
       std::uint64_t attempt;
-      std::function<void(HopTold, std::uint32_t, std::uint64_t, std::shared_ptr<const void>)> reply;
+      std::function<void(ForwardReply, std::uint32_t, std::uint64_t, std::shared_ptr<const void>)> reply;
     };
     std::map<std::uint64_t, Inside> asks;
   };
   struct Core {
-    std::unique_ptr<Vise> vise;
+    std::unique_ptr<ControlNode> control;
     Disk disk;
     std::map<std::uint64_t, std::function<void(std::uint32_t, std::string)>> calls;
     std::uint64_t nextCall = 0;
@@ -123,13 +123,13 @@
     bool open = true;
     Span last[2]{};  // delivery, each way
     std::vector<std::string> held[2];
-    std::uint64_t noA = 0, noB = 0;  // session numbers at vises
+    std::uint64_t noA = 0, noB = 0;  // session numbers at controls
   };
   using LinkPtr = std::shared_ptr<Link>;
 
   [[nodiscard]] std::size_t coreAt(std::uint32_t number) const { return number; }
-  [[nodiscard]] std::size_t sideAt(std::uint32_t number) const { return day_.vises + number; }
-  [[nodiscard]] Side& side(std::size_t machine) { return sides_[machine - day_.vises]; }
+  [[nodiscard]] std::size_t sideAt(std::uint32_t number) const { return day_.controls + number; }
+  [[nodiscard]] Side& side(std::size_t machine) { return sides_[machine - day_.controls]; }
   [[nodiscard]] Core& core(std::size_t machine) { return cores_[machine]; }
   [[nodiscard]] std::string address(std::size_t machine) const { return machines_[machine].name + ":1"; }
   [[nodiscard]] std::optional<std::size_t> machineAt(const std::string& address) const {
@@ -161,12 +161,12 @@
   void heard(std::size_t machine, const LinkPtr& link, const std::string& text);
 
   // --- processes
-  void startVise(std::size_t machine);
-  void startShuttle(std::size_t machine);
+  void startControl(std::size_t machine);
+  void startSidecar(std::size_t machine);
   void kill(std::size_t machine, bool dark);
-  void act(std::size_t machine, const ViseActs& acts);
-  void act(std::size_t machine, const ShuttleActs& acts);
-  void tickVise(std::size_t machine, std::uint64_t life);
+  void act(std::size_t machine, const ControlActions& acts);
+  void act(std::size_t machine, const SidecarActions& acts);
+  void tickControl(std::size_t machine, std::uint64_t life);
   void wake(std::size_t machine);
   void sync(std::size_t machine);
   void loseDiskTail(std::size_t machine);
@@ -176,8 +176,8 @@
   void ask(std::size_t machine, const Wanted& wanted);
   void answered(std::size_t machine, const Wanted& wanted, std::uint64_t attempt, std::uint32_t status,
                 std::uint64_t seal, Span comeBack);
-  void hop(std::size_t machine, const CallAct& act);
-  void serve(std::size_t machine, const DoorAct& act);
+  void hop(std::size_t machine, const RoutingAction& act);
+  void serve(std::size_t machine, const AdmissionAction& act);
   void beat(std::size_t machine, std::uint64_t serverLife);
   void newServer(std::size_t machine);
 
@@ -205,8 +205,8 @@
   std::map<std::string, std::size_t> byAddress_;
   std::set<std::pair<std::size_t, std::size_t>> cuts_;
   std::vector<LinkPtr> links_;
-  std::map<std::size_t, std::map<std::string, LinkPtr>> dialled_;     // by shuttle, then address
-  std::map<std::size_t, std::map<std::uint64_t, LinkPtr>> sessions_;  // by vise, then number
+  std::map<std::size_t, std::map<std::string, LinkPtr>> dialled_;     // by sidecar, then address
+  std::map<std::size_t, std::map<std::uint64_t, LinkPtr>> sessions_;  // by control, then number
   std::uint64_t sessionNo_ = 0;
   std::uint64_t attemptNo_ = 0;
   std::uint64_t sealNo_ = 0;
@@ -215,7 +215,7 @@
   std::map<std::uint64_t, std::pair<std::size_t, Wanted>> open_;  // attempts without an answer
   Span calmFrom_{};
   Span end_{};
-  OperatorBook book_;
+  OperatorBook table_;
   std::map<std::string, std::pair<std::uint64_t, std::uint64_t>> talk_;  // words and bytes by kind
   std::uint64_t syncs_ = 0;
   bool readBackDone_ = false;
--- a/src/lab/mesh/explorer.cpp
+++ b/src/lab/mesh/explorer.cpp
@@ -6,7 +6,7 @@
 #include <unordered_map>
 #include <utility>
 
-#include "mesh/latch/latches.hpp"
+#include "mesh/claims/claims.hpp"
 
 namespace rackroute::lab::mesh {
 namespace {
@@ -148,16 +148,16 @@
     Voter& voter = state.voters[v];
     if (voter.blank && flaw_ != Flaw::blankVotes) return;
     const Holder holder = holderOf(c, word.no);
-    Latches latches(60s);
-    if (voter.memory) latches.learn(kNow, kKey, *voter.memory);
+    Promises promises(60s);
+    if (voter.memory) promises.learn(kNow, kKey, *voter.memory);
     if (word.kind == Word::Kind::free) {
-      if (latches.giveBack(kKey, holder)) {
+      if (promises.giveBack(kKey, holder)) {
         voter.memory.reset();
         voter.dirty = true;
       }
       return;
     }
-    const Holder holds = latches.claim(kNow, kKey, holder);
+    const Holder holds = promises.claim(kNow, kKey, holder);
     voter.memory = holds;
     Word vote{Word::Kind::vote, word.no, holds == holder, holds};
     if (!vote.granted || flaw_ == Flaw::voteBeforeSync) {
--- a/src/lab/mesh/judge.cpp
+++ b/src/lab/mesh/judge.cpp
@@ -58,16 +58,16 @@
   if (keys_[made.key].firstSeal != seal) failed(now, "MIXED", "key " + made.key);
 }
 
-void Judge::used(Span now, std::uint32_t shuttle, std::uint64_t life, std::uint64_t generation,
+void Judge::used(Span now, std::uint32_t sidecar, std::uint64_t life, std::uint64_t generation,
                  std::uint64_t least) {
-  auto& [heldLife, held] = inForce_[shuttle];
+  auto& [heldLife, held] = inForce_[sidecar];
   if (heldLife == life && generation < held)
     failed(now, "CONFIG",
-           "shuttle " + std::to_string(shuttle) + " went back from " + std::to_string(held) + " to " +
+           "sidecar " + std::to_string(sidecar) + " went back from " + std::to_string(held) + " to " +
                std::to_string(generation));
   if (generation < least)
     failed(now, "CONFIG",
-           "shuttle " + std::to_string(shuttle) + " uses " + std::to_string(generation) + ", " +
+           "sidecar " + std::to_string(sidecar) + " uses " + std::to_string(generation) + ", " +
                std::to_string(least) + " is in force");
   heldLife = life;
   held = generation;
--- a/src/lab/mesh/judge.hpp
+++ b/src/lab/mesh/judge.hpp
@@ -37,7 +37,7 @@
   void arrived(Span now, std::uint64_t attempt, int service);
   /// seal: 0 without one.
   void answered(Span now, std::uint64_t attempt, std::uint32_t status, std::uint64_t seal);
-  void used(Span now, std::uint32_t shuttle, std::uint64_t life, std::uint64_t generation,
+  void used(Span now, std::uint32_t sidecar, std::uint64_t life, std::uint64_t generation,
             std::uint64_t least);
   void lost(Span now, const std::string& what) { broken_.push_back({"LOST", seconds(now), what}); }
   void failed(Span now, const std::string& rule, const std::string& what) {
@@ -72,7 +72,7 @@
   std::map<int, std::vector<Span>> requests_;
   std::map<int, std::vector<Span>> further_;
   std::map<std::uint32_t, std::pair<std::uint64_t, std::uint64_t>>
-      inForce_;  // life and generation by shuttle
+      inForce_;  // life and generation by sidecar
   std::vector<Broken> broken_;
   std::map<std::uint32_t, std::uint64_t> statuses_;
   std::uint64_t asked_ = 0;
--- a/src/lab/mesh/processes.cpp
+++ b/src/lab/mesh/processes.cpp
@@ -17,11 +17,11 @@
 
 #include "lab/children.hpp"
 #include "lab/draws.hpp"
-#include "lab/mesh/wares.hpp"
-#include "mesh/hop/hop.hpp"
-#include "mesh/shop/errand.hpp"
-#include "mesh/shop/guest.hpp"
-#include "mesh/shop/listener.hpp"
+#include "lab/mesh/workload.hpp"
+#include "mesh/forwarding/forwarding.hpp"
+#include "mesh/transport/http_client.hpp"
+#include "mesh/transport/http_server_connection.hpp"
+#include "mesh/transport/listener.hpp"
 #include "sidecar/log.hpp"
 #include "sidecar/loop.hpp"
 
@@ -54,14 +54,14 @@
 constexpr int kLastPort = 7395;
 
 /// Loopback cuts nothing off, and no process can take another's power or disk away from under it.
-bool onlyVirtual(Ill ill) {
-  switch (ill) {
-    case Ill::powerVise:
-    case Ill::cutShuttle:
-    case Ill::cutVise:
-    case Ill::cutViseOneWay:
-    case Ill::diskSlow:
-    case Ill::diskFull:
+bool onlyVirtual(TroubleKind kind) {
+  switch (kind) {
+    case TroubleKind::powerControl:
+    case TroubleKind::cutSidecar:
+    case TroubleKind::cutControl:
+    case TroubleKind::cutControlOneWay:
+    case TroubleKind::diskSlow:
+    case TroubleKind::diskFull:
       return true;
     default:
       return false;
@@ -92,9 +92,9 @@
         arrivals_(chanceOf(plan.seed, Purpose::arrivals)),
         clients_(chanceOf(plan.seed, Purpose::clients)),
         judge_({kDrain, kApply, span(day.keyWindow), kRetryWindow, kRetryRatio, kRetrySlack}),
-        errands_(loop_, {300ms, 5s, Span{0}, 1 << 20, 64}),
+        httpClient_(loop_, {300ms, 5s, Span{0}, 1 << 20, 64}),
         folder_((fs::temp_directory_path() / ("rackroute-mesh-" + std::to_string(::getpid()))).string()),
-        children_(day.vises + day.shuttles) {}
+        children_(day.controls + day.sidecars) {}
   ProcessMesh(const ProcessMesh&) = delete;
   ProcessMesh& operator=(const ProcessMesh&) = delete;
   ~ProcessMesh() {
@@ -117,7 +117,7 @@
     double slow = 1, loses = 0, spoils = 0;
     std::uint32_t keyed = 0;  // of what it is working on
     std::deque<std::function<void()>> queue;
-    std::shared_ptr<Guest::House> house;
+    std::shared_ptr<HttpServerConnection::Shared> shared;
     std::unique_ptr<Listener> listener;
   };
   struct Open {
@@ -126,15 +126,15 @@
   };
 
   [[nodiscard]] Span now() const { return loop_.now() - zero_; }
-  [[nodiscard]] bool isVise(std::uint32_t machine) const { return machine < day_.vises; }
+  [[nodiscard]] bool isControl(std::uint32_t machine) const { return machine < day_.controls; }
   [[nodiscard]] std::uint32_t numberOf(std::uint32_t machine) const {
-    return isVise(machine) ? machine : machine - day_.vises;
+    return isControl(machine) ? machine : machine - day_.controls;
   }
   [[nodiscard]] std::string nameOf(std::uint32_t machine) const {
-    return (isVise(machine) ? "v" : "s") + std::to_string(numberOf(machine));
+    return (isControl(machine) ? "v" : "s") + std::to_string(numberOf(machine));
   }
   [[nodiscard]] std::string ipOf(std::uint32_t machine) const {
-    return "127." + std::to_string(network_) + (isVise(machine) ? ".1." : ".2.") +
+    return "127." + std::to_string(network_) + (isControl(machine) ? ".1." : ".2.") +
            std::to_string(numberOf(machine) + 1);
   }
   [[nodiscard]] Address at(std::uint32_t machine, int port) const {
@@ -160,23 +160,24 @@
   void newServer(std::uint32_t machine);
   void beat(std::uint32_t machine, std::uint64_t life);
   void signOff(std::uint32_t machine, std::uint64_t life);
-  void serve(std::uint32_t machine, const std::shared_ptr<Guest>& guest, const http::Message& request);
-  void work(std::uint32_t machine, const std::shared_ptr<Guest>& guest, std::uint64_t attempt, bool keyed,
-            Span giveUp);
+  void serve(std::uint32_t machine, const std::shared_ptr<HttpServerConnection>& connection,
+             const http::Message& request);
+  void work(std::uint32_t machine, const std::shared_ptr<HttpServerConnection>& connection,
+            std::uint64_t attempt, bool keyed, Span giveUp);
 
   void arrive();
   void ask(std::uint32_t machine, const Wanted& wanted);
   void answered(std::uint32_t machine, const Wanted& wanted, std::uint64_t attempt,
                 const std::shared_ptr<const http::Message>& answer);
-  [[nodiscard]] std::uint32_t anyShuttle() {
-    return day_.vises + static_cast<std::uint32_t>(fraction(clients_) * day_.shuttles);
+  [[nodiscard]] std::uint32_t anySidecar() {
+    return day_.controls + static_cast<std::uint32_t>(fraction(clients_) * day_.sidecars);
   }
 
   void call(std::uint32_t machine, const std::string& method, const Address& to, const std::string& path,
-            const std::string& body, Errands::Done done);
-  void patch(std::uint32_t vise, const std::string& body, std::function<void(std::uint32_t)> done);
+            const std::string& body, HttpClient::Done done);
+  void patch(std::uint32_t control, const std::string& body, std::function<void(std::uint32_t)> done);
   void change(std::uint32_t who, bool race, bool bad);
-  void readBack(std::uint32_t vise, Span until);
+  void readBack(std::uint32_t control, Span until);
 
   Day day_;
   const ProcessPlan& plan_;
@@ -184,12 +185,12 @@
   Chance arrivals_, clients_;
   sidecar::Loop loop_;
   Judge judge_;
-  Errands errands_;
+  HttpClient httpClient_;
   std::string folder_;
   Children children_;
   Span zero_{};
   Span end_{};
-  OperatorBook book_;
+  OperatorBook table_;
   std::map<std::uint32_t, Server> servers_;
   std::map<std::uint64_t, Open> open_;          // attempts without an answer
   std::map<std::uint64_t, std::string> ranAt_;  // by seal
@@ -210,7 +211,7 @@
   json zones = json::object();
   for (std::uint32_t i = 0; i < day_.zones; ++i) zones["z" + std::to_string(i)] = "r";
   json seeds = json::array();
-  for (std::uint32_t i = 0; i < std::min<std::uint32_t>(3, day_.vises); ++i)
+  for (std::uint32_t i = 0; i < std::min<std::uint32_t>(3, day_.controls); ++i)
     seeds.push_back(at(i, kControl).value);
   json told{{"node_name", nameOf(machine)},
             {"ip", ipOf(machine)},
@@ -231,7 +232,7 @@
               {"retry_ratio", kRetryRatio},
               {"retry_slack", kRetrySlack},
               {"retry_window", "10s"}}}};
-  if (isVise(machine)) {
+  if (isControl(machine)) {
     told["data_dir"] = dataOf(machine);
   } else {
     told["listen_addrs"]["inbound"] = at(machine, kInbound).value;
@@ -244,29 +245,29 @@
 }
 
 void ProcessMesh::start(std::uint32_t machine, bool firstBoot) {
-  if (isVise(machine)) fs::create_directories(dataOf(machine));
+  if (isControl(machine)) fs::create_directories(dataOf(machine));
   leaving_.erase(machine);
   Children::Start how;
-  how.program = isVise(machine) ? plan_.vise : plan_.shuttle;
+  how.program = isControl(machine) ? plan_.control : plan_.sidecar;
   how.arguments = {"--log", "info"};
-  if (isVise(machine)) {
+  if (isControl(machine)) {
     how.arguments.insert(how.arguments.end(),
-                         {"--per-zone", std::to_string(std::max(1U, day_.vises / day_.zones))});
+                         {"--per-zone", std::to_string(std::max(1U, day_.controls / day_.zones))});
   }
   how.variable = "RACKROUTE_CONFIG";
   how.settings = settings(machine, firstBoot).dump();
   if (!plan_.logs.empty()) how.log = plan_.logs + '/' + nameOf(machine) + ".log";
   children_.start(machine, how);
   tell("started " + nameOf(machine) + " at " + ipOf(machine) +
-       (isVise(machine) ? ", a vise" : ", a shuttle"));
+       (isControl(machine) ? ", a control" : ", a sidecar"));
 }
 
 void ProcessMesh::kill(std::uint32_t machine, Span until, bool wiped) {
   ++kills_;
   for (const auto& [attempt, open] : open_) {
-    if (open.keyed && (isVise(machine) || open.machine == machine)) ++keyedAtKills_;
+    if (open.keyed && (isControl(machine) || open.machine == machine)) ++keyedAtKills_;
   }
-  if (!isVise(machine)) keyedAtKills_ += servers_.at(machine).keyed;
+  if (!isControl(machine)) keyedAtKills_ += servers_.at(machine).keyed;
   children_.signal(machine, SIGKILL);
   tell("killed " + nameOf(machine) + (wiped ? ", and its disk is lost" : ""));
   std::error_code ignored;
@@ -302,45 +303,45 @@
 }
 
 void ProcessMesh::strike(const Trouble& trouble) {
-  const std::uint32_t vise = trouble.who % day_.vises;
-  const std::uint32_t shuttle = day_.vises + trouble.who % day_.shuttles;
+  const std::uint32_t control = trouble.who % day_.controls;
+  const std::uint32_t sidecar = day_.controls + trouble.who % day_.sidecars;
   const Span until = now() + span(trouble.lasts);
-  Server& server = servers_.at(shuttle);
+  Server& server = servers_.at(sidecar);
   const auto later = [&](std::function<void()> task) { loop_.in(span(trouble.lasts), std::move(task)); };
-  switch (trouble.ill) {
-    case Ill::killShuttle:
-      return kill(shuttle, now() + kDead, false);
-    case Ill::killVise:
-      return kill(vise, now() + kDead, false);
-    case Ill::wipeVise:
-      return kill(vise, until, true);
-    case Ill::freezeShuttle:
-      return freeze(shuttle, until);
-    case Ill::freezeVise:
-      return freeze(vise, until);
-    case Ill::termShuttle:
-      return term(shuttle);
-    case Ill::serverLoses:
+  switch (trouble.kind) {
+    case TroubleKind::killSidecar:
+      return kill(sidecar, now() + kDead, false);
+    case TroubleKind::killControl:
+      return kill(control, now() + kDead, false);
+    case TroubleKind::wipeControl:
+      return kill(control, until, true);
+    case TroubleKind::freezeSidecar:
+      return freeze(sidecar, until);
+    case TroubleKind::freezeControl:
+      return freeze(control, until);
+    case TroubleKind::termSidecar:
+      return term(sidecar);
+    case TroubleKind::serverLoses:
       server.loses = trouble.part;
       return later([&server] { server.loses = 0; });
-    case Ill::serverSpoils:
+    case TroubleKind::serverSpoils:
       server.spoils = trouble.part;
       return later([&server] { server.spoils = 0; });
-    case Ill::serverSlow:
+    case TroubleKind::serverSlow:
       server.slow = std::max(1.0, trouble.part);
       return later([&server] { server.slow = 1; });
-    case Ill::serverCrash:
+    case TroubleKind::serverCrash:
       ++server.lives;
       server.up = false;
-      for (const auto& entry : std::map(server.house->guests)) entry.second->end(sidecar::Reason::cut);
-      return later([this, shuttle] { newServer(shuttle); });
-    case Ill::release:
+      for (const auto& entry : std::map(server.shared->connections)) entry.second->end(sidecar::Reason::cut);
+      return later([this, sidecar] { newServer(sidecar); });
+    case TroubleKind::release:
       server.draining = true;
       return;
-    case Ill::change:
-    case Ill::race:
-    case Ill::badChange:
-      return change(trouble.who, trouble.ill == Ill::race, trouble.ill == Ill::badChange);
+    case TroubleKind::change:
+    case TroubleKind::race:
+    case TroubleKind::badChange:
+      return change(trouble.who, trouble.kind == TroubleKind::race, trouble.kind == TroubleKind::badChange);
     default:
       return;  // refused before the day began
   }
@@ -351,16 +352,16 @@
 void ProcessMesh::openServer(std::uint32_t machine) {
   Server& server = servers_[machine];
   server.service = static_cast<int>(numberOf(machine) % 2);
-  server.house = std::make_shared<Guest::House>();
-  server.house->left = [](Guest&) {};
-  server.house->asked = [this, machine](const std::shared_ptr<Guest>& guest,
-                                        const std::shared_ptr<const http::Message>& request) {
-    serve(machine, guest, *request);
+  server.shared = std::make_shared<HttpServerConnection::Shared>();
+  server.shared->left = [](HttpServerConnection&) {};
+  server.shared->asked = [this, machine](const std::shared_ptr<HttpServerConnection>& connection,
+                                         const std::shared_ptr<const http::Message>& request) {
+    serve(machine, connection, *request);
   };
   server.listener = std::make_unique<Listener>(
       loop_, at(machine, kApp),
-      [this, house = server.house](Poco::Net::StreamSocket socket, std::string peer) {
-        std::make_shared<Guest>(loop_, house, std::move(socket), std::move(peer))->start();
+      [this, shared = server.shared](Poco::Net::StreamSocket socket, std::string peer) {
+        std::make_shared<HttpServerConnection>(loop_, shared, std::move(socket), std::move(peer))->start();
       });
 }
 
@@ -378,11 +379,11 @@
 }
 
 void ProcessMesh::call(std::uint32_t, const std::string& method, const Address& to, const std::string& path,
-                       const std::string& body, Errands::Done done) {
+                       const std::string& body, HttpClient::Done done) {
   http::Gather pieces;
   pieces.text(method + ' ' + path + " HTTP/1.1\r\nHost: control\r\nContent-Type: application/json\r\n" +
               "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body);
-  errands_.send(to, std::move(pieces), "", false, loop_.now() + kCall, std::move(done));
+  httpClient_.send(to, std::move(pieces), "", false, loop_.now() + kCall, std::move(done));
 }
 
 void ProcessMesh::beat(std::uint32_t machine, std::uint64_t life) {
@@ -401,10 +402,10 @@
                     {"cold_left", "0ms"}}}};
   const bool drains = server.draining;
   call(machine, "PUT", at(machine, kControl), "/rackroute/instances/" + server.id, body.dump(),
-       [this, machine, life, drains](Errand how, const std::shared_ptr<const http::Message>& answer) {
+       [this, machine, life, drains](RequestOutcome how, const std::shared_ptr<const http::Message>& answer) {
          Server& then = servers_.at(machine);
          if (then.lives != life || !drains || then.drainAcked >= Span{0}) return;
-         if (how != Errand::answered || answer->status() / 100 != 2) return;
+         if (how != RequestOutcome::answered || answer->status() / 100 != 2) return;
          then.drainAcked = now();
          loop_.in(kDrain + 500ms, [this, machine, life] { signOff(machine, life); });
        });
@@ -414,38 +415,38 @@
   const Server& server = servers_.at(machine);
   if (server.lives != life) return;
   call(machine, "DELETE", at(machine, kControl), "/rackroute/instances/" + server.id, "",
-       [](Errand, const std::shared_ptr<const http::Message>&) {});
+       [](RequestOutcome, const std::shared_ptr<const http::Message>&) {});
   newServer(machine);
 }
 
-void ProcessMesh::serve(std::uint32_t machine, const std::shared_ptr<Guest>& guest,
+void ProcessMesh::serve(std::uint32_t machine, const std::shared_ptr<HttpServerConnection>& connection,
                         const http::Message& request) {
   Server& server = servers_.at(machine);
   const auto attempt = numberIn(request, kAttempt, 16);
   const auto left = numberIn(request, kDeadline, 10);
   const std::string fields = "Rackroute-Not-Run: 1\r\n";
-  if (!attempt) return guest->answer(400, fields, "");
+  if (!attempt) return connection->answer(400, fields, "");
   const std::string named = "Rackroute-Attempt-Id: " + attemptText(*attempt) + "\r\n";
   const auto expects = request.field(kExpect);
-  if (!server.up) return guest->end(sidecar::Reason::cut);
-  if (expects && *expects != server.id) return guest->answer(421, fields + named, "");
+  if (!server.up) return connection->end(sidecar::Reason::cut);
+  if (expects && *expects != server.id) return connection->answer(421, fields + named, "");
   judge_.arrived(now(), *attempt, server.service);
   const Span giveUp = now() + std::chrono::milliseconds(left.value_or(10'000));
   const bool keyed = request.field(kOperation).has_value();
   if (server.busy < day_.slots) {
     ++server.busy;
-    return work(machine, guest, *attempt, keyed, giveUp);
+    return work(machine, connection, *attempt, keyed, giveUp);
   }
-  if (server.queue.size() >= 4 * day_.slots) return guest->answer(503, fields + named, "");
-  server.queue.push_back([this, machine, guest, attempt = *attempt, keyed, giveUp, fields, named] {
-    if (now() < giveUp) return work(machine, guest, attempt, keyed, giveUp);
-    guest->answer(503, fields + named, "");
+  if (server.queue.size() >= 4 * day_.slots) return connection->answer(503, fields + named, "");
+  server.queue.push_back([this, machine, connection, attempt = *attempt, keyed, giveUp, fields, named] {
+    if (now() < giveUp) return work(machine, connection, attempt, keyed, giveUp);
+    connection->answer(503, fields + named, "");
     --servers_.at(machine).busy;
   });
 }
 
-void ProcessMesh::work(std::uint32_t machine, const std::shared_ptr<Guest>& guest, std::uint64_t attempt,
-                       bool keyed, Span giveUp) {
+void ProcessMesh::work(std::uint32_t machine, const std::shared_ptr<HttpServerConnection>& connection,
+                       std::uint64_t attempt, bool keyed, Span giveUp) {
   Server& server = servers_.at(machine);
   const std::uint64_t seal = ++seals_;
   judge_.ran(now(), attempt, server.service, seal, server.drainAcked);
@@ -454,26 +455,26 @@
   const Distribution takes{Shape::lognormal, day_.work, 0.6};
   const Span done = now() + span(takes.draw(clients_) * server.slow);
   const double luck = fraction(clients_);
-  loop_.at(zero_ + std::min(done, giveUp),
-           [this, machine, guest, attempt, keyed, seal, luck, life = server.lives, inTime = done <= giveUp] {
-             Server& then = servers_.at(machine);
-             if (then.lives != life) return;
-             if (keyed) --then.keyed;
-             if (then.queue.empty()) {
-               --then.busy;
-             } else {
-               const auto next = std::move(then.queue.front());
-               then.queue.pop_front();
-               next();
-             }
-             const std::string named = "Rackroute-Attempt-Id: " + attemptText(attempt) + "\r\n";
-             if (!inTime) return guest->answer(504, named, "");
-             if (luck < then.loses) return guest->end(sidecar::Reason::cut);
-             if (luck < then.loses + then.spoils)
-               return guest->answer(200, "Rackroute-Attempt-Id: 0\r\nConnection: close\r\n", "other");
-             guest->answer(200, named + std::string(kSeal) + ": " + std::to_string(seal) + "\r\n",
-                           std::string(500, 'x'));
-           });
+  loop_.at(zero_ + std::min(done, giveUp), [this, machine, connection, attempt, keyed, seal, luck,
+                                            life = server.lives, inTime = done <= giveUp] {
+    Server& then = servers_.at(machine);
+    if (then.lives != life) return;
+    if (keyed) --then.keyed;
+    if (then.queue.empty()) {
+      --then.busy;
+    } else {
+      const auto next = std::move(then.queue.front());
+      then.queue.pop_front();
+      next();
+    }
+    const std::string named = "Rackroute-Attempt-Id: " + attemptText(attempt) + "\r\n";
+    if (!inTime) return connection->answer(504, named, "");
+    if (luck < then.loses) return connection->end(sidecar::Reason::cut);
+    if (luck < then.loses + then.spoils)
+      return connection->answer(200, "Rackroute-Attempt-Id: 0\r\nConnection: close\r\n", "other");
+    connection->answer(200, named + std::string(kSeal) + ": " + std::to_string(seal) + "\r\n",
+                       std::string(500, 'x'));
+  });
 }
 
 // --- clients
@@ -491,13 +492,13 @@
     wanted.route = kind < day_.keyed + day_.effectful ? 4 : other ? 3 : 0;
   }
   wanted.until = now() + span(kRoutes[wanted.route].deadline);
-  ask(anyShuttle(), wanted);
+  ask(anySidecar(), wanted);
 }
 
 void ProcessMesh::ask(std::uint32_t machine, const Wanted& wanted) {
   // A client goes where its platform sends it: not to a machine whose process leaves.
-  for (std::uint32_t i = 0; leaving_.count(machine) > 0 && i < day_.shuttles; ++i)
-    machine = day_.vises + (numberOf(machine) + 1) % day_.shuttles;
+  for (std::uint32_t i = 0; leaving_.count(machine) > 0 && i < day_.sidecars; ++i)
+    machine = day_.controls + (numberOf(machine) + 1) % day_.sidecars;
   const RouteTold& route = kRoutes[wanted.route];
   const std::uint64_t attempt = ++attempts_;
   judge_.sent(now(), attempt, route.sort, wanted.key, route.service);
@@ -510,11 +511,12 @@
   text += route.sort == Sort::pure ? "\r\n" : "Content-Length: 4\r\n\r\nbody";
   http::Gather pieces;
   pieces.text(std::move(text));
-  errands_.send(at(machine, kOutbound), std::move(pieces), "", false, zero_ + wanted.until + kSpare,
-                [this, machine, wanted, attempt](Errand, const std::shared_ptr<const http::Message>& answer) {
-                  open_.erase(attempt);
-                  answered(machine, wanted, attempt, answer);
-                });
+  httpClient_.send(
+      at(machine, kOutbound), std::move(pieces), "", false, zero_ + wanted.until + kSpare,
+      [this, machine, wanted, attempt](RequestOutcome, const std::shared_ptr<const http::Message>& answer) {
+        open_.erase(attempt);
+        answered(machine, wanted, attempt, answer);
+      });
 }
 
 void ProcessMesh::answered(std::uint32_t machine, const Wanted& wanted, std::uint64_t attempt,
@@ -534,7 +536,7 @@
     if (route.sort != Sort::keyed || wanted.again || fraction(clients_) >= day_.again) return;
     next.again = true;
     next.until = now() + span(route.deadline) + 1s;
-    loop_.in(span(fraction(clients_)), [this, next] { ask(anyShuttle(), next); });
+    loop_.in(span(fraction(clients_)), [this, next] { ask(anySidecar(), next); });
     return;
   }
   if (status >= 400 && status < 500 && status != 409) return;
@@ -543,62 +545,63 @@
   double comeBack = 0;
   if (const auto told = answer ? answer->field("Retry-After") : std::nullopt)
     std::from_chars(told->data(), told->data() + told->size(), comeBack);
-  const std::uint32_t again = status == 0 ? anyShuttle() : machine;
+  const std::uint32_t again = status == 0 ? anySidecar() : machine;
   loop_.in(std::min<Span>(span(comeBack), (next.until - now()) / 3) + 5ms,
            [this, again, next] { ask(again, next); });
 }
 
 // --- operators
 
-void ProcessMesh::patch(std::uint32_t vise, const std::string& body,
+void ProcessMesh::patch(std::uint32_t control, const std::string& body,
                         std::function<void(std::uint32_t)> done) {
-  call(vise, "PATCH", at(vise, kControl), "/rackroute/config", body,
-       [this, vise, body, done](Errand, const std::shared_ptr<const http::Message>& answer) {
+  call(control, "PATCH", at(control, kControl), "/rackroute/config", body,
+       [this, control, body, done](RequestOutcome, const std::shared_ptr<const http::Message>& answer) {
          if (answer && answer->status() < 500) return done(answer->status());
-         loop_.in(kPause, [this, vise, body, done] { patch((vise + 1) % day_.vises, body, done); });
+         loop_.in(kPause, [this, control, body, done] { patch((control + 1) % day_.controls, body, done); });
        });
 }
 
 void ProcessMesh::change(std::uint32_t who, bool race, bool bad) {
   const std::string name = kRoutes[who % kRoutes.size()].name;
-  const std::uint64_t generation = book_.next(who);
+  const std::uint64_t generation = table_.next(who);
   for (int operatorNo = 0; operatorNo < (race ? 2 : 1); ++operatorNo) {
-    patch((who + static_cast<std::uint32_t>(operatorNo)) % day_.vises,
-          book_.change(who, generation, operatorNo, bad),
+    patch((who + static_cast<std::uint32_t>(operatorNo)) % day_.controls,
+          table_.change(who, generation, operatorNo, bad),
           [this, name, generation, bad](std::uint32_t status) {
             if (bad && status == 200) judge_.failed(now(), "CONFIG", "an invalid change was acknowledged");
-            if (status == 200 && !bad) book_.acknowledged(now(), name, generation);
+            if (status == 200 && !bad) table_.acknowledged(now(), name, generation);
           });
   }
 }
 
-void ProcessMesh::readBack(std::uint32_t vise, Span until) {
-  call(vise, "GET", at(vise, kControl), "/rackroute/config", "",
-       [this, vise, until](Errand, const std::shared_ptr<const http::Message>& answer) {
-         if (answer && answer->status() == 200) {
-           book_.readBack(now(), json::parse(answer->body()), judge_);
-           tell("read back from " + nameOf(vise) + ": " + std::to_string(answer->body().size()) + " bytes");
-           return loop_.stop();
-         }
-         if (now() < until)
-           return static_cast<void>(
-               loop_.in(kPause, [this, vise, until] { readBack((vise + 1) % day_.vises, until); }));
-         judge_.lost(now(), "no answer to the reading back");
-         loop_.stop();
-       });
+void ProcessMesh::readBack(std::uint32_t control, Span until) {
+  call(
+      control, "GET", at(control, kControl), "/rackroute/config", "",
+      [this, control, until](RequestOutcome, const std::shared_ptr<const http::Message>& answer) {
+        if (answer && answer->status() == 200) {
+          table_.readBack(now(), json::parse(answer->body()), judge_);
+          tell("read back from " + nameOf(control) + ": " + std::to_string(answer->body().size()) + " bytes");
+          return loop_.stop();
+        }
+        if (now() < until)
+          return static_cast<void>(
+              loop_.in(kPause, [this, control, until] { readBack((control + 1) % day_.controls, until); }));
+        judge_.lost(now(), "no answer to the reading back");
+        loop_.stop();
+      });
 }
 
 PlayedProcesses ProcessMesh::run() {
   zero_ = loop_.now();
   end_ = kLead + span(day_.seconds);
   loop_.guarded([this] {
-    for (std::uint32_t i = 0; i < day_.shuttles; ++i) openServer(day_.vises + i);
-    for (std::uint32_t i = 0; i < day_.vises + day_.shuttles; ++i) start(i, true);
-    for (std::uint32_t i = 0; i < day_.shuttles; ++i) newServer(day_.vises + i);
+    for (std::uint32_t i = 0; i < day_.sidecars; ++i) openServer(day_.controls + i);
+    for (std::uint32_t i = 0; i < day_.controls + day_.sidecars; ++i) start(i, true);
+    for (std::uint32_t i = 0; i < day_.sidecars; ++i) newServer(day_.controls + i);
     loop_.in(500ms, [this] {
-      patch(0, book_.firstItems(day_.idleRoutes), [this](std::uint32_t status) {
+      patch(0, table_.firstItems(day_.idleRoutes), [this](std::uint32_t status) {
         if (status != 200) return judge_.lost(now(), "the first items were not acknowledged");
-        book_.acknowledgedFirst(now());
+        table_.acknowledgedFirst(now());
         tell("the configuration is acknowledged");
       });
     });
@@ -607,10 +610,10 @@
       loop_.at(zero_ + kLead + span(trouble.at), [this, trouble] { strike(trouble); });
     if (day_.closing != Closing::none) {
       loop_.at(zero_ + end_ - 3s, [this] {
-        const std::uint32_t wiped = static_cast<std::uint32_t>(plan_.seed) % day_.vises;
-        for (std::uint32_t vise = 0; vise < day_.vises; ++vise) {
-          if (day_.closing == Closing::killAll) kill(vise, now() + kDead, false);
-          if (day_.closing == Closing::wipeOne && vise == wiped) kill(vise, now() + kDead, true);
+        const std::uint32_t wiped = static_cast<std::uint32_t>(plan_.seed) % day_.controls;
+        for (std::uint32_t control = 0; control < day_.controls; ++control) {
+          if (day_.closing == Closing::killAll) kill(control, now() + kDead, false);
+          if (day_.closing == Closing::wipeOne && control == wiped) kill(control, now() + kDead, true);
         }
       });
     }
@@ -619,7 +622,7 @@
   });
   loop_.run();
   PlayedProcesses played;
-  played.figures = endOfDay(judge_, book_, day_.leastServed, now());
+  played.figures = endOfDay(judge_, table_, day_.leastServed, now());
   played.broken = judge_.broken();
   played.late = latest_ > kLate || Children::brokenOff();
   played.figures["kills"] = kills_;
@@ -632,25 +635,25 @@
 
 Day forProcesses(Day day) {
   day.troubles.erase(std::remove_if(day.troubles.begin(), day.troubles.end(),
-                                    [](const Trouble& trouble) { return onlyVirtual(trouble.ill); }),
+                                    [](const Trouble& trouble) { return onlyVirtual(trouble.kind); }),
                      day.troubles.end());
   if (day.closing == Closing::powerAll) day.closing = Closing::killAll;
   return day;
 }
 
 PlayedProcesses playProcesses(const Day& day, const ProcessPlan& plan) {
-  if (day.vises + day.shuttles > kMostMachines)
-    throw BadScenario(day.name + ": vises and shuttles: with processes at most " +
+  if (day.controls + day.sidecars > kMostMachines)
+    throw BadScenario(day.name + ": controls and sidecars: with processes at most " +
                       std::to_string(kMostMachines) + " together");
-  if (day.vises % day.zones != 0)
-    throw BadScenario(day.name + ": vises: with processes as many in each zone");
+  if (day.controls % day.zones != 0)
+    throw BadScenario(day.name + ": controls: with processes as many in each zone");
   if (day.closing == Closing::powerAll)
     throw BadScenario(day.name + ": closing: power_all goes with virtual time");
   for (const Trouble& trouble : day.troubles) {
-    if (onlyVirtual(trouble.ill))
-      throw BadScenario(day.name + ": trouble: " + mesh::nameOf(trouble.ill) + " goes with virtual time");
+    if (onlyVirtual(trouble.kind))
+      throw BadScenario(day.name + ": trouble: " + mesh::nameOf(trouble.kind) + " goes with virtual time");
   }
-  for (const std::string& program : {plan.shuttle, plan.vise}) {
+  for (const std::string& program : {plan.sidecar, plan.control}) {
     if (::access(program.c_str(), X_OK) != 0) throw BadScenario(program + ": can't be run");
   }
   if (!sidecar::setLevel("error")) throw std::logic_error("no such level");
--- a/src/lab/mesh/processes.hpp
+++ b/src/lab/mesh/processes.hpp
@@ -13,8 +13,8 @@
 namespace rackroute::lab::mesh {
 
 struct ProcessPlan {
-  std::string shuttle;  // the programs
-  std::string vise;
+  std::string sidecar;  // the programs
+  std::string control;
   std::uint64_t seed = 1;
   std::string logs{};                              // a folder for what they log; empty: nothing is kept
   std::function<void(const std::string&)> tell{};  // what happens, a line each
--- a/src/lab/mesh/wares.cpp
+++ b/src/lab/mesh/workload.cpp
@@ -1,4 +1,4 @@
-#include "lab/mesh/wares.hpp"
+#include "lab/mesh/workload.hpp"
 
 #include <utility>
 
--- a/src/lab/mesh/world.cpp
+++ b/src/lab/mesh/world.cpp
@@ -5,28 +5,28 @@
 namespace emulated {
 
 Played World::run() {
-  for (std::uint32_t i = 0; i < day_.vises + day_.shuttles; ++i) {
+  for (std::uint32_t i = 0; i < day_.controls + day_.sidecars; ++i) {
     Machine m;
-    m.core = i < day_.vises;
-    m.number = m.core ? i : i - day_.vises;
+    m.core = i < day_.controls;
+    m.number = m.core ? i : i - day_.controls;
     m.zone = m.number % day_.zones;
     m.name = (m.core ? "v" : "s") + std::to_string(m.number);
     byAddress_[m.name + ":1"] = i;
     machines_.push_back(m);
   }
-  cores_.resize(day_.vises);
-  sides_.resize(day_.shuttles);
-  for (std::uint32_t i = 0; i < day_.vises; ++i) startVise(coreAt(i));
-  for (std::uint32_t i = 0; i < day_.shuttles; ++i) {
+  cores_.resize(day_.controls);
+  sides_.resize(day_.sidecars);
+  for (std::uint32_t i = 0; i < day_.controls; ++i) startControl(coreAt(i));
+  for (std::uint32_t i = 0; i < day_.sidecars; ++i) {
     sides_[i].server.service = static_cast<int>(i % 2);
-    startShuttle(sideAt(i));
+    startSidecar(sideAt(i));
     newServer(sideAt(i));
     sides_[i].server.coldUntil = Span{0};
   }
   at(1s, [this] {
-    patch(coreAt(0), book_.firstItems(day_.idleRoutes), 60, [this](std::uint32_t status) {
+    patch(coreAt(0), table_.firstItems(day_.idleRoutes), 60, [this](std::uint32_t status) {
       if (status != 200) return judge_.lost(now_, "the first items were not acknowledged");
-      book_.acknowledgedFirst(now_);
+      table_.acknowledgedFirst(now_);
     });
   });
   end_ = kLead + span(day_.seconds);
@@ -43,13 +43,13 @@
     event.task();
   }
   Played played;
-  played.figures = endOfDay(judge_, book_, day_.leastServed, now_);
+  played.figures = endOfDay(judge_, table_, day_.leastServed, now_);
   played.broken = judge_.broken();
-  json talk;
-  for (const auto& [kind, sums] : talk_) talk[kind] = {{"words", sums.first}, {"bytes", sums.second}};
+  json session;
+  for (const auto& [kind, sums] : talk_) session[kind] = {{"words", sums.first}, {"bytes", sums.second}};
   played.figures["syncs"] = syncs_;
   played.figures["events"] = eventNo_;
-  played.figures["talk"] = talk;
+  played.figures["session"] = session;
   return played;
 }
 
--- a/src/lab/mesh/world.hpp
+++ b/src/lab/mesh/world.hpp
@@ -1,7 +1,7 @@
 #pragma once
 
-// A whole mesh in virtual time: its vises and shuttles as they are, with a network, disks, servers, clients
-// and operators of the lab's own. The same day and seed play the same to the byte.
+// A whole mesh in virtual time: its controls and sidecars as they are, with a network, disks, servers,
+// clients and operators of the lab's own. The same day and seed play the same to the byte.
 
 #include <cstdint>
 #include <memory>
@@ -16,7 +16,7 @@
 
 struct Played {
   std::vector<Broken> broken;
-  nlohmann::json figures;  // what was asked and served, and what it cost, by kind of talk
+  nlohmann::json figures;  // what was asked and served, and what it cost, by kind of session
   [[nodiscard]] bool kept() const { return broken.empty(); }
 };
 
--- a/src/lab/mesh/world_operators.cpp
+++ b/src/lab/mesh/world_operators.cpp
@@ -5,7 +5,7 @@
 void World::patch(std::size_t machine, const std::string& body, int tries,
                   std::function<void(std::uint32_t)> done) {
   if (tries <= 0) return done(0);
-  const std::size_t next = (machine + 1) % day_.vises;
+  const std::size_t next = (machine + 1) % day_.controls;
   Machine& m = machines_[machine];
   const auto over = std::make_shared<bool>(false);
   const auto again = [=, this] {
@@ -22,26 +22,26 @@
       *over = true;
       done(status);
     };
-    act(machine, here.vise->change(now_, {call}, body));
+    act(machine, here.control->change(now_, {call}, body));
   });
 }
 
 void World::change(std::uint32_t who, bool race, bool bad) {
   const std::string name = kRoutes[who % kRoutes.size()].name;
-  const std::uint64_t generation = book_.next(who);
+  const std::uint64_t generation = table_.next(who);
   for (int operatorNo = 0; operatorNo < (race ? 2 : 1); ++operatorNo) {
-    patch((who + static_cast<std::uint32_t>(operatorNo)) % day_.vises,
-          book_.change(who, generation, operatorNo, bad), bad ? 1 : 60,
+    patch((who + static_cast<std::uint32_t>(operatorNo)) % day_.controls,
+          table_.change(who, generation, operatorNo, bad), bad ? 1 : 60,
           [this, name, generation, bad](std::uint32_t status) {
             if (bad && status == 200) judge_.failed(now_, "CONFIG", "an invalid change was acknowledged");
-            if (status == 200 && !bad) book_.acknowledged(now_, name, generation);
+            if (status == 200 && !bad) table_.acknowledged(now_, name, generation);
           });
   }
 }
 
 void World::readBack(std::size_t machine, int tries) {
   if (tries <= 0) return judge_.lost(now_, "no answer to the reading back");
-  const std::size_t next = (machine + 1) % day_.vises;
+  const std::size_t next = (machine + 1) % day_.controls;
   Machine& m = machines_[machine];
   const auto over = std::make_shared<bool>(false);
   const auto again = [=, this] {
@@ -56,9 +56,9 @@
       if (*over) return;
       if (status != 200) return again();
       *over = readBackDone_ = true;
-      book_.readBack(now_, json::parse(body), judge_);
+      table_.readBack(now_, json::parse(body), judge_);
     };
-    act(machine, here.vise->readBack(now_, {call}));
+    act(machine, here.control->readBack(now_, {call}));
   });
 }
 
--- a/src/lab/mesh/world_processes.cpp
+++ b/src/lab/mesh/world_processes.cpp
@@ -2,7 +2,7 @@
 
 namespace rackroute::lab::mesh::emulated {
 
-void World::startVise(std::size_t machine) {
+void World::startControl(std::size_t machine) {
   Machine& m = machines_[machine];
   m.life = ++m.lives;
   m.dark = false;
@@ -10,35 +10,36 @@
   here.calls.clear();
   here.disk.waiting.clear();
   here.disk.syncing = 0;
-  Vise::Built built;
+  ControlNode::Built built;
   built.node = {m.name};
   built.at = {address(machine)};
   built.zone = "z" + std::to_string(m.zone);
   built.life = {m.life};
-  for (std::size_t i = 0; i < std::min<std::size_t>(3, day_.vises); ++i)
+  for (std::size_t i = 0; i < std::min<std::size_t>(3, day_.controls); ++i)
     built.seeds.push_back({address(coreAt(static_cast<std::uint32_t>(i)))});
-  built.voters = day_.vises;
+  built.voters = day_.controls;
   built.firstBoot = !here.disk.used;
   built.keyWindow = span(day_.keyWindow);
   built.wallAtStart = Span{0};  // spans here are the world's, whatever process counts them
   here.disk.used = true;
-  here.vise = std::make_unique<Vise>(std::move(built));
-  here.vise->read(here.disk.synced);
-  act(machine, here.vise->start(now_));
-  tickVise(machine, m.life);
+  here.control = std::make_unique<ControlNode>(std::move(built));
+  here.control->read(here.disk.synced);
+  act(machine, here.control->start(now_));
+  tickControl(machine, m.life);
 }
 
-void World::tickVise(std::size_t machine, std::uint64_t life) {
-  act(machine, core(machine).vise->tick(now_));
-  atProcess(now_ + Vise::tickEvery(), machine, life, [this, machine, life] { tickVise(machine, life); });
+void World::tickControl(std::size_t machine, std::uint64_t life) {
+  act(machine, core(machine).control->tick(now_));
+  atProcess(now_ + ControlNode::tickEvery(), machine, life,
+            [this, machine, life] { tickControl(machine, life); });
 }
 
-void World::startShuttle(std::size_t machine) {
+void World::startSidecar(std::size_t machine) {
   Machine& m = machines_[machine];
   m.life = ++m.lives;
   m.dark = m.leaving = false;
   Side& here = side(machine);
-  Shuttle::Built built;
+  Sidecar::Built built;
   built.caller.node = {m.name};
   built.caller.zone = "z" + std::to_string(m.zone);
   built.caller.service = {serviceName(here.server.service)};
@@ -48,13 +49,13 @@
                 {m.life}, built.caller.service, {m.name + ":app"},
                 kDrain,   span(day_.keyWindow), 32 << 20};
   built.feed = {{m.name}, {address(machine)}, built.caller.zone, {m.life}, {}};
-  for (std::size_t i = 0; i < std::min<std::size_t>(3, day_.vises); ++i)
+  for (std::size_t i = 0; i < std::min<std::size_t>(3, day_.controls); ++i)
     built.feed.seeds.push_back({address(coreAt(static_cast<std::uint32_t>(i)))});
-  here.shuttle = std::make_unique<Shuttle>(std::move(built));
+  here.sidecar = std::make_unique<Sidecar>(std::move(built));
   here.asks.clear();
   here.attemptOf.clear();
   here.wakes = Span::max();
-  act(machine, here.shuttle->tick(now_));
+  act(machine, here.sidecar->tick(now_));
 }
 
 void World::kill(std::size_t machine, bool dark) {
@@ -125,23 +126,23 @@
       there.waiting.pop_front();
     }
     sync(machine);
-    for (const std::uint64_t batch : done) act(machine, core(machine).vise->written(now_, {batch}, !full));
+    for (const std::uint64_t batch : done) act(machine, core(machine).control->written(now_, {batch}, !full));
   });
 }
 
-void World::act(std::size_t machine, const ViseActs& acts) {
+void World::act(std::size_t machine, const ControlActions& acts) {
   Core& here = core(machine);
-  for (const ViseAct& act : acts) {
+  for (const ControlAction& act : acts) {
     switch (act.kind) {
-      case ViseAct::Kind::say: {
+      case ControlAction::Kind::say: {
         const auto link = sessions_[machine].find(act.session.value);
         if (link != sessions_[machine].end()) send(link->second, link->second->a == machine, *act.text);
         break;
       }
-      case ViseAct::Kind::dial:
+      case ControlAction::Kind::dial:
         dial(machine, act.at);
         break;
-      case ViseAct::Kind::hangUp: {
+      case ControlAction::Kind::hangUp: {
         const auto link = sessions_[machine].find(act.session.value);
         if (link == sessions_[machine].end()) break;
         const LinkPtr held = link->second;
@@ -149,11 +150,11 @@
         close(held, machine);
         break;
       }
-      case ViseAct::Kind::write:
+      case ControlAction::Kind::write:
         here.disk.waiting.emplace_back(act.batch.value, act.entries);
         sync(machine);
         break;
-      case ViseAct::Kind::answer:
+      case ControlAction::Kind::answer:
         if (const auto call = here.calls.find(act.call.value); call != here.calls.end()) {
           const auto done = std::move(call->second);
           here.calls.erase(call);
@@ -166,23 +167,23 @@
 
 void World::wake(std::size_t machine) {
   Side& here = side(machine);
-  const Span next = here.shuttle->nextTick(now_);
+  const Span next = here.sidecar->nextTick(now_);
   if (next >= here.wakes) return;
   here.wakes = next;
   atProcess(next, machine, machines_[machine].life, [this, machine, next] {
     Side& there = side(machine);
     if (there.wakes != next) return;
     there.wakes = Span::max();
-    act(machine, there.shuttle->tick(now_));
+    act(machine, there.sidecar->tick(now_));
   });
 }
 
-void World::act(std::size_t machine, const ShuttleActs& acts) {
+void World::act(std::size_t machine, const SidecarActions& acts) {
   Side& here = side(machine);
-  for (const CallAct& act : acts.calls) {
+  for (const RoutingAction& act : acts.calls) {
     const auto found = here.attemptOf.find(act.call.value);
     if (found == here.attemptOf.end()) continue;
-    if (act.kind == CallAct::Kind::send) {
+    if (act.kind == RoutingAction::Kind::send) {
       hop(machine, act);
       continue;
     }
@@ -192,7 +193,7 @@
     if (open == open_.end()) continue;
     std::uint32_t status = act.status;
     std::uint64_t seal = 0;
-    if (act.kind == CallAct::Kind::pass) {
+    if (act.kind == RoutingAction::Kind::pass) {
       const auto answer = std::static_pointer_cast<const std::pair<std::uint32_t, std::uint64_t>>(act.bytes);
       status = answer->first;
       seal = answer->second;
@@ -200,10 +201,10 @@
     const Wanted wanted = open->second.second;
     answered(machine, wanted, attempt, status, seal, act.comeBack);
   }
-  for (const DoorAct& act : acts.door) {
+  for (const AdmissionAction& act : acts.door) {
     const auto found = here.asks.find(act.ask.value);
     if (found == here.asks.end()) continue;
-    if (act.kind == DoorAct::Kind::run) {
+    if (act.kind == AdmissionAction::Kind::run) {
       serve(machine, act);
       continue;
     }
@@ -218,12 +219,12 @@
     }
     reply(act.told, status, seal, act.bytes);
   }
-  for (const FeedAct& act : acts.feed) {
+  for (const ControlClientAction& act : acts.feed) {
     auto& all = dialled_[machine];
     const auto link = all.find(act.at.value);
-    if (act.kind == FeedAct::Kind::say) {
+    if (act.kind == ControlClientAction::Kind::say) {
       if (link != all.end()) send(link->second, true, *act.text);
-    } else if (act.kind == FeedAct::Kind::dial) {
+    } else if (act.kind == ControlClientAction::Kind::dial) {
       dial(machine, act.at);
     } else if (link != all.end()) {
       const LinkPtr held = link->second;
--- a/src/lab/mesh/world_requests.cpp
+++ b/src/lab/mesh/world_requests.cpp
@@ -17,7 +17,7 @@
     wanted.route = other ? 3 : 0;
   }
   wanted.until = now_ + span(kRoutes[wanted.route].deadline);
-  const auto machine = sideAt(static_cast<std::uint32_t>(fraction(arrivals_) * day_.shuttles));
+  const auto machine = sideAt(static_cast<std::uint32_t>(fraction(arrivals_) * day_.sidecars));
   ask(machine, wanted);
 }
 
@@ -25,8 +25,8 @@
   Machine& m = machines_[machine];
   if (m.life == 0 || m.leaving) {
     // A client goes where its platform sends it: to a machine whose process is ready.
-    for (std::uint32_t i = 0; i < day_.shuttles; ++i) {
-      const std::size_t next = sideAt((static_cast<std::uint32_t>(machine) + i) % day_.shuttles);
+    for (std::uint32_t i = 0; i < day_.sidecars; ++i) {
+      const std::size_t next = sideAt((static_cast<std::uint32_t>(machine) + i) % day_.sidecars);
       if (machines_[next].life != 0 && !machines_[next].leaving) {
         machine = next;
         break;
@@ -45,9 +45,9 @@
   atProcess(now_ + 1ms, machine, machines_[machine].life, [this, machine, wanted, attempt, deadline] {
     Side& here = side(machine);
     const RouteTold& asked = kRoutes[wanted.route];
-    if (!here.shuttle->serving(now_)) return answered(machine, wanted, attempt, 503, 0, 300ms);
-    const auto known = here.shuttle->caller().book().find(kHost, asked.prefix);
-    const auto* acked = book_.newest(asked.name);
+    if (!here.sidecar->serving(now_)) return answered(machine, wanted, attempt, 503, 0, 300ms);
+    const auto known = here.sidecar->caller().book().find(kHost, asked.prefix);
+    const auto* acked = table_.newest(asked.name);
     const std::uint64_t least =
         acked != nullptr && calm() && now_ > acked->second + kApply ? acked->first : 0;
     judge_.used(now_, static_cast<std::uint32_t>(machine * 100 + wanted.route), machines_[machine].life,
@@ -58,7 +58,7 @@
     told.host = kHost;
     told.path = asked.prefix;
     told.patience = deadline - now_;
-    act(machine, here.shuttle->asked(now_, {call}, told));
+    act(machine, here.sidecar->asked(now_, {call}, told));
   });
 }
 
@@ -72,7 +72,7 @@
     if (route.sort == Sort::keyed && !wanted.again && fraction(clients_) < day_.again) {
       next.again = true;
       next.until = now_ + span(route.deadline) + 1s;
-      const auto elsewhere = sideAt(static_cast<std::uint32_t>(fraction(clients_) * day_.shuttles));
+      const auto elsewhere = sideAt(static_cast<std::uint32_t>(fraction(clients_) * day_.sidecars));
       in(span(fraction(clients_)), [this, elsewhere, next] { ask(elsewhere, next); });
     }
     return;
@@ -83,31 +83,32 @@
   if (++next.tries > 2 || next.until - now_ < 100ms) return;
   const Span wait = std::min<Span>(comeBack, (next.until - now_) / 3) + 5ms;
   const std::size_t again =
-      status == 0 ? sideAt(static_cast<std::uint32_t>(fraction(clients_) * day_.shuttles)) : machine;
+      status == 0 ? sideAt(static_cast<std::uint32_t>(fraction(clients_) * day_.sidecars)) : machine;
   in(wait, [this, again, next] { ask(again, next); });
 }
 
 // A request from one process to the one beside a server, and the answer back.
-void World::hop(std::size_t machine, const CallAct& act) {
+void World::hop(std::size_t machine, const RoutingAction& act) {
   const std::uint64_t lifeA = machines_[machine].life;
   const std::uint64_t attempt = side(machine).attemptOf.at(act.call.value);
-  const auto ended = [this, machine, call = act.call, sent = act.sent](Hopped how, const HopTold& told,
-                                                                       std::uint32_t status,
-                                                                       std::shared_ptr<const void> bytes) {
-    this->act(machine, side(machine).shuttle->hopped(now_, call, sent, how, told, status, std::move(bytes)));
+  const auto ended = [this, machine, call = act.call, sent = act.sent](
+                         ForwardResult how, const ForwardReply& told, std::uint32_t status,
+                         std::shared_ptr<const void> bytes) {
+    this->act(machine,
+              side(machine).sidecar->forwarded(now_, call, sent, how, told, status, std::move(bytes)));
   };
   const auto target = machineAt(act.at.value);
   const Span until = now_ + act.ask.left + 2 * kSpare;
-  const auto fails = [=, this](Span when, Hopped how) {
+  const auto fails = [=, this](Span when, ForwardResult how) {
     atProcess(when, machine, lifeA, [=] { ended(how, {}, 0, nullptr); });
   };
   if (!target || machines_[*target].dark || isCut(machine, *target))
-    return fails(now_ + 300ms, Hopped::notSent);
-  if (machines_[*target].life == 0) return fails(now_ + delay(machine, *target), Hopped::notSent);
+    return fails(now_ + 300ms, ForwardResult::notSent);
+  if (machines_[*target].life == 0) return fails(now_ + delay(machine, *target), ForwardResult::notSent);
   const std::size_t to = *target;
   const std::uint64_t lifeB = machines_[to].life;
   const auto over = std::make_shared<bool>(false);
-  const auto finish = [=, this](Span when, Hopped how, const HopTold& told, std::uint32_t status,
+  const auto finish = [=, this](Span when, ForwardResult how, const ForwardReply& told, std::uint32_t status,
                                 const std::shared_ptr<const void>& bytes) {
     atProcess(when, machine, lifeA, [=] {
       if (std::exchange(*over, true)) return;
@@ -119,22 +120,23 @@
   *watch = [=, this, weak = std::weak_ptr(watch)] {
     if (*over) return;
     if (machines_[to].life != lifeB)
-      return finish(now_ + (machines_[to].dark ? kUnread : delay(machine, to)), Hopped::broken, {}, 0,
+      return finish(now_ + (machines_[to].dark ? kUnread : delay(machine, to)), ForwardResult::broken, {}, 0,
                     nullptr);
-    if (now_ >= until) return finish(now_, Hopped::silent, {}, 0, nullptr);
+    if (now_ >= until) return finish(now_, ForwardResult::silent, {}, 0, nullptr);
     if (const auto self = weak.lock()) in(20ms, [self] { (*self)(); });
   };
   in(20ms, [watch] { (*watch)(); });
   atProcess(now_ + delay(machine, to), to, lifeB, [=, this, act = act] {
     Side& there = side(to);
     const std::uint64_t no = ++there.nextAsk;
-    there.asks[no] = {attempt, [=, this](const HopTold& told, std::uint32_t status, std::uint64_t,
+    there.asks[no] = {attempt, [=, this](const ForwardReply& told, std::uint32_t status, std::uint64_t,
                                          const std::shared_ptr<const void>& bytes) {
-                        if (isCut(to, machine)) return finish(now_ + kUnread, Hopped::broken, {}, 0, nullptr);
+                        if (isCut(to, machine))
+                          return finish(now_ + kUnread, ForwardResult::broken, {}, 0, nullptr);
                         // As bytes: what the header can't carry must not be known at the other end.
                         const auto read = toldFrom(rackroute::mesh::textOf(told));
-                        finish(now_ + delay(to, machine), read ? Hopped::told : Hopped::broken,
-                               read.value_or(HopTold{}), status, bytes);
+                        finish(now_ + delay(to, machine), read ? ForwardResult::told : ForwardResult::broken,
+                               read.value_or(ForwardReply{}), status, bytes);
                       }};
     const auto heardAsk = askFrom(rackroute::mesh::textOf(act.ask));
     std::optional<std::string> key;
@@ -142,18 +144,18 @@
       const auto open = keyOf_.find(attempt);
       if (open != keyOf_.end()) key = open->second;
     }
-    this->act(to, there.shuttle->hopAsked(now_, {no}, *heardAsk, key));
+    this->act(to, there.sidecar->forwardRequested(now_, {no}, *heardAsk, key));
   });
 }
 
-void World::serve(std::size_t machine, const DoorAct& act) {
+void World::serve(std::size_t machine, const AdmissionAction& act) {
   Side& here = side(machine);
   Server& server = here.server;
   const std::uint64_t life = machines_[machine].life;
   const std::uint64_t attempt = here.asks.at(act.ask.value).attempt;
   const auto ends = [this, machine, life, ask = act.ask](Span when, AtServer how, ServerAnswer answer) {
     atProcess(when, machine, life,
-              [=, this] { this->act(machine, side(machine).shuttle->ran(now_, ask, how, answer)); });
+              [=, this] { this->act(machine, side(machine).sidecar->ran(now_, ask, how, answer)); });
   };
   if (!server.up) return ends(now_ + 100us, AtServer::notSent, {});
   const Span until = now_ + act.left + kSpare;
@@ -228,7 +230,7 @@
   told.draining = server.draining;
   told.seq = ++server.seq;
   told.coldLeft = std::max(Span{0}, server.coldUntil - now_);
-  act(machine, here.shuttle->beat(now_, told));
+  act(machine, here.sidecar->beat(now_, told));
   if (server.draining && server.drainAcked < Span{0}) {
     server.drainAcked = now_;
     in(kDrain + 500ms, [this, machine, serverLife] {
@@ -238,7 +240,7 @@
         Beat gone;
         gone.id = {then.server.id};
         gone.gone = true;
-        act(machine, then.shuttle->beat(now_, gone));
+        act(machine, then.sidecar->beat(now_, gone));
       }
       newServer(machine);
     });
--- a/src/lab/mesh/world_troubles.cpp
+++ b/src/lab/mesh/world_troubles.cpp
@@ -4,8 +4,8 @@
 
 void World::strike(const Trouble& trouble) {
   const Span lasts = span(trouble.lasts);
-  const std::size_t vise = coreAt(trouble.who % day_.vises);
-  const std::size_t shuttle = sideAt(trouble.who % day_.shuttles);
+  const std::size_t control = coreAt(trouble.who % day_.controls);
+  const std::size_t sidecar = sideAt(trouble.who % day_.sidecars);
   const auto cut = [&](std::size_t a, std::size_t b, bool both) {
     cuts_.insert({a, b});
     if (both) cuts_.insert({b, a});
@@ -23,93 +23,93 @@
     }
   };
   disturb(now_ + lasts + 1s);
-  switch (trouble.ill) {
-    case Ill::killShuttle:
-      kill(shuttle, false);
-      in(kDead, [this, shuttle] { startShuttle(shuttle); });
+  switch (trouble.kind) {
+    case TroubleKind::killSidecar:
+      kill(sidecar, false);
+      in(kDead, [this, sidecar] { startSidecar(sidecar); });
       break;
-    case Ill::killVise:
-      kill(vise, false);
-      in(kDead, [this, vise] { startVise(vise); });
+    case TroubleKind::killControl:
+      kill(control, false);
+      in(kDead, [this, control] { startControl(control); });
       break;
-    case Ill::powerVise:
-    case Ill::wipeVise:
-      kill(vise, true);
-      if (trouble.ill == Ill::wipeVise) core(vise).disk.synced.clear();
-      in(lasts, [this, vise] { startVise(vise); });
+    case TroubleKind::powerControl:
+    case TroubleKind::wipeControl:
+      kill(control, true);
+      if (trouble.kind == TroubleKind::wipeControl) core(control).disk.synced.clear();
+      in(lasts, [this, control] { startControl(control); });
       break;
-    case Ill::freezeShuttle:
-      machines_[shuttle].frozenUntil = now_ + lasts;
+    case TroubleKind::freezeSidecar:
+      machines_[sidecar].frozenUntil = now_ + lasts;
       break;
-    case Ill::freezeVise:
-      machines_[vise].frozenUntil = now_ + lasts;
+    case TroubleKind::freezeControl:
+      machines_[control].frozenUntil = now_ + lasts;
       break;
-    case Ill::cutShuttle: {
+    case TroubleKind::cutSidecar: {
       std::vector<std::pair<std::size_t, std::size_t>> ways;
-      for (std::uint32_t i = 0; i < day_.vises; ++i) {
-        cut(shuttle, coreAt(i), true);
-        ways.insert(ways.end(), {{shuttle, coreAt(i)}, {coreAt(i), shuttle}});
+      for (std::uint32_t i = 0; i < day_.controls; ++i) {
+        cut(sidecar, coreAt(i), true);
+        ways.insert(ways.end(), {{sidecar, coreAt(i)}, {coreAt(i), sidecar}});
       }
       in(lasts, [heal, ways] { heal(ways); });
       break;
     }
-    case Ill::cutVise:
-    case Ill::cutViseOneWay: {
+    case TroubleKind::cutControl:
+    case TroubleKind::cutControlOneWay: {
       std::vector<std::pair<std::size_t, std::size_t>> ways;
-      for (std::uint32_t i = 0; i < day_.vises; ++i) {
-        if (coreAt(i) == vise) continue;
-        cut(vise, coreAt(i), trouble.ill == Ill::cutVise);
-        ways.insert(ways.end(), {{vise, coreAt(i)}, {coreAt(i), vise}});
+      for (std::uint32_t i = 0; i < day_.controls; ++i) {
+        if (coreAt(i) == control) continue;
+        cut(control, coreAt(i), trouble.kind == TroubleKind::cutControl);
+        ways.insert(ways.end(), {{control, coreAt(i)}, {coreAt(i), control}});
       }
       in(lasts, [heal, ways] { heal(ways); });
       break;
     }
-    case Ill::diskSlow:
-      core(vise).disk.slow = std::max(1.0, trouble.part);
-      in(lasts, [this, vise] { core(vise).disk.slow = 1; });
-      break;
-    case Ill::diskFull:
-      core(vise).disk.full = true;
-      in(lasts, [this, vise] { core(vise).disk.full = false; });
-      break;
-    case Ill::serverLoses:
-      side(shuttle).server.loses = trouble.part;
-      in(lasts, [this, shuttle] { side(shuttle).server.loses = 0; });
-      break;
-    case Ill::serverSpoils:
-      side(shuttle).server.spoils = trouble.part;
-      in(lasts, [this, shuttle] { side(shuttle).server.spoils = 0; });
-      break;
-    case Ill::serverSlow:
-      side(shuttle).server.slow = std::max(1.0, trouble.part);
-      in(lasts, [this, shuttle] { side(shuttle).server.slow = 1; });
-      break;
-    case Ill::serverCrash:
-      ++side(shuttle).server.lives;
-      side(shuttle).server.up = false;
-      in(lasts, [this, shuttle] { newServer(shuttle); });
-      break;
-    case Ill::release:
-      side(shuttle).server.draining = true;
-      break;
-    case Ill::termShuttle:
-      if (machines_[shuttle].life == 0) break;
-      machines_[shuttle].leaving = true;
-      act(shuttle, side(shuttle).shuttle->leave(now_));
-      in(kGrace - 500ms, [this, shuttle, life = machines_[shuttle].life] {
-        if (machines_[shuttle].life != life) return;
-        kill(shuttle, false);
-        in(kDead, [this, shuttle] { startShuttle(shuttle); });
+    case TroubleKind::diskSlow:
+      core(control).disk.slow = std::max(1.0, trouble.part);
+      in(lasts, [this, control] { core(control).disk.slow = 1; });
+      break;
+    case TroubleKind::diskFull:
+      core(control).disk.full = true;
+      in(lasts, [this, control] { core(control).disk.full = false; });
+      break;
+    case TroubleKind::serverLoses:
+      side(sidecar).server.loses = trouble.part;
+      in(lasts, [this, sidecar] { side(sidecar).server.loses = 0; });
+      break;
+    case TroubleKind::serverSpoils:
+      side(sidecar).server.spoils = trouble.part;
+      in(lasts, [this, sidecar] { side(sidecar).server.spoils = 0; });
+      break;
+    case TroubleKind::serverSlow:
+      side(sidecar).server.slow = std::max(1.0, trouble.part);
+      in(lasts, [this, sidecar] { side(sidecar).server.slow = 1; });
+      break;
+    case TroubleKind::serverCrash:
+      ++side(sidecar).server.lives;
+      side(sidecar).server.up = false;
+      in(lasts, [this, sidecar] { newServer(sidecar); });
+      break;
+    case TroubleKind::release:
+      side(sidecar).server.draining = true;
+      break;
+    case TroubleKind::termSidecar:
+      if (machines_[sidecar].life == 0) break;
+      machines_[sidecar].leaving = true;
+      act(sidecar, side(sidecar).sidecar->leave(now_));
+      in(kGrace - 500ms, [this, sidecar, life = machines_[sidecar].life] {
+        if (machines_[sidecar].life != life) return;
+        kill(sidecar, false);
+        in(kDead, [this, sidecar] { startSidecar(sidecar); });
       });
       disturb(now_ + kGrace + 1s);
       break;
-    case Ill::change:
+    case TroubleKind::change:
       change(trouble.who, false, false);
       break;
-    case Ill::race:
+    case TroubleKind::race:
       change(trouble.who, true, false);
       break;
-    case Ill::badChange:
+    case TroubleKind::badChange:
       change(trouble.who, false, true);
       break;
   }
@@ -117,15 +117,15 @@
 
 void World::closeDay() {
   disturb(now_ + 5s);
-  for (std::uint32_t i = 0; i < day_.vises; ++i) {
+  for (std::uint32_t i = 0; i < day_.controls; ++i) {
     if (day_.closing == Closing::none) break;
-    const std::size_t vise = coreAt(i);
-    const bool wiped = day_.closing == Closing::wipeOne && i == seed_ % day_.vises;
+    const std::size_t control = coreAt(i);
+    const bool wiped = day_.closing == Closing::wipeOne && i == seed_ % day_.controls;
     if (day_.closing == Closing::wipeOne && !wiped && seed_ % 2 == 0) continue;
-    kill(vise, day_.closing != Closing::killAll);
-    if (wiped) core(vise).disk.synced.clear();
-    in(900ms, [this, vise] {
-      if (machines_[vise].life == 0) startVise(vise);
+    kill(control, day_.closing != Closing::killAll);
+    if (wiped) core(control).disk.synced.clear();
+    in(900ms, [this, control] {
+      if (machines_[control].life == 0) startControl(control);
     });
   }
 }
--- a/src/mesh/door/door.cpp
+++ b/src/mesh/admission/admission.cpp
@@ -1,4 +1,4 @@
-#include "mesh/door/door.hpp"
+#include "mesh/admission/admission.hpp"
 
 #include <algorithm>
 #include <cassert>
@@ -28,10 +28,10 @@
 
 }  // namespace
 
-Door::Door(Built built) : built_(std::move(built)) {}
+Admission::Admission(Built built) : built_(std::move(built)) {}
 
-DoorActs Door::beat(Span now, const Beat& beat) {
-  DoorActs acts;
+AdmissionActions Admission::beat(Span now, const Beat& beat) {
+  AdmissionActions acts;
   beaten_ = true;
   if (!beat.gone) {
     // Guards against work for a server that crashed, where another listens now; and against an adopted one
@@ -78,7 +78,7 @@
   return acts;
 }
 
-void Door::turnAwayAll(Span now, Server& server, DoorActs& acts) {
+void Admission::turnAwayAll(Span now, Server& server, AdmissionActions& acts) {
   while (!server.waiting.empty()) {
     const AskNo no = server.waiting.front();
     refuse(now, no, Verdict::leaving, &server, acts);
@@ -86,24 +86,24 @@
 }
 
 // It has ended without a word.
-void Door::over(Span now, Server& server, DoorActs& acts) {
+void Admission::over(Span now, Server& server, AdmissionActions& acts) {
   if (server.told.gone) return;
   server.told.gone = true;
   tell(server, acts);
   turnAwayAll(now, server, acts);
 }
 
-void Door::tell(Server& server, DoorActs& acts) {
+void Admission::tell(Server& server, AdmissionActions& acts) {
   server.told.seq = ++said_;
-  DoorAct act{DoorAct::Kind::tell, {}};
+  AdmissionAction act{AdmissionAction::Kind::tell, {}};
   act.served = server.told;
   acts.push_back(std::move(act));
 }
 
 // Guards against a server that stands idle for a beat after its process was killed and came back: what the
 // others know of it is enough to send it work, as it refuses what is meant for another.
-DoorActs Door::adopt(Span now, const Served& served) {
-  DoorActs acts;
+AdmissionActions Admission::adopt(Span now, const Served& served) {
+  AdmissionActions acts;
   const bool same = served.node == built_.node && served.service == built_.service;
   if (beaten_ || leaving_ || built_.server.value.empty() || !same || served.life == built_.life) return acts;
   if (served.gone || served.draining || servers_.count(served.id) > 0) return acts;
@@ -124,27 +124,27 @@
   return acts;
 }
 
-bool Door::open(Span now, const Server& server) const {
+bool Admission::open(Span now, const Server& server) const {
   if (leaving_ || server.told.gone) return false;
   return server.drainsSince == Span::max() || now < server.drainsSince + built_.drain - kDrainMargin;
 }
 
-std::uint32_t Door::room(const Server& server) const { return server.told.capacity; }
+std::uint32_t Admission::room(const Server& server) const { return server.told.capacity; }
 
-Span Door::waitAhead(const Server& server) const {
+Span Admission::waitAhead(const Server& server) const {
   double ahead = server.meanRun;
   for (const AskNo no : server.waiting) ahead += jobs_.at(no).length;
   return spanOf(ahead / room(server));
 }
 
-double Door::lengthOf(const HopAsk& ask) const {
+double Admission::lengthOf(const ForwardRequest& ask) const {
   const auto known = lengths_.find(ask.route);
   if (known != lengths_.end()) return known->second;
   return std::max(0.01, std::chrono::duration<double>(ask.aim).count() * kUnseenPart);
 }
 
-HopTold Door::toldOf(Span now, Verdict verdict, const Server* server) const {
-  HopTold told;
+ForwardReply Admission::toldOf(Span now, Verdict verdict, const Server* server) const {
+  ForwardReply told;
   told.verdict = verdict;
   if (server != nullptr) {
     told.load = Load{server->busy, static_cast<std::uint32_t>(server->waiting.size())};
@@ -154,10 +154,11 @@
   return told;
 }
 
-DoorActs Door::asked(Span now, AskNo no, const HopAsk& ask, const std::optional<std::string>& key) {
-  DoorActs acts;
-  const auto answer = [&](HopTold told, std::shared_ptr<const void> bytes = nullptr) {
-    DoorAct act{DoorAct::Kind::answer, no};
+AdmissionActions Admission::asked(Span now, AskNo no, const ForwardRequest& ask,
+                                  const std::optional<std::string>& key) {
+  AdmissionActions acts;
+  const auto answer = [&](ForwardReply told, std::shared_ptr<const void> bytes = nullptr) {
+    AdmissionAction act{AdmissionAction::Kind::answer, no};
     act.told = std::move(told);
     act.bytes = std::move(bytes);
     acts.push_back(std::move(act));
@@ -169,7 +170,7 @@
     print = printOfKey(*key);
     const auto past = operations_.find(*print);
     if (past != operations_.end()) {
-      HopTold told = toldOf(now, Verdict::ran, here);
+      ForwardReply told = toldOf(now, Verdict::ran, here);
       told.repeated = true;
       switch (past->second.past) {
         case Past::answered:
@@ -187,7 +188,8 @@
     }
     if (ask.holder) {
       // The claim it asks after: of this life it was given back, of an earlier one nobody knows.
-      HopTold told = toldOf(now, *ask.holder == built_.life ? Verdict::voteless : Verdict::unknown, here);
+      ForwardReply told =
+          toldOf(now, *ask.holder == built_.life ? Verdict::voteless : Verdict::unknown, here);
       answer(told);
       return acts;
     }
@@ -242,7 +244,7 @@
 }
 
 // Whether it would be started in time, as things stand; asked before anything is spent on it.
-bool Door::fits(Span now, const Job& job, const Server& server) const {
+bool Admission::fits(Span now, const Job& job, const Server& server) const {
   if (server.busy < room(server) && server.waiting.empty()) return true;
   double ahead = server.meanRun;
   for (const AskNo other : server.waiting) {
@@ -253,7 +255,7 @@
 }
 
 // To the server at once, or to its place among those that wait.
-void Door::admit(Span now, Job& job, Server& server, DoorActs& acts) {
+void Admission::admit(Span now, Job& job, Server& server, AdmissionActions& acts) {
   if (server.busy < room(server) && server.waiting.empty()) {
     ++server.busy;
     return run(now, job, server, acts);
@@ -277,8 +279,8 @@
 }
 
 // A job that surely never ran ends with a verdict that says so.
-void Door::refuse(Span now, AskNo no, Verdict verdict, const Server* server, DoorActs& acts,
-                  std::optional<Holder> holder) {
+void Admission::refuse(Span now, AskNo no, Verdict verdict, const Server* server, AdmissionActions& acts,
+                       std::optional<Holder> holder) {
   const auto found = jobs_.find(no);
   if (found == jobs_.end()) return;
   const Job job = found->second;
@@ -292,12 +294,12 @@
     }
   }
   if (job.key && job.claim.value > 0) {
-    DoorAct act{DoorAct::Kind::giveBack, no};
+    AdmissionAction act{AdmissionAction::Kind::giveBack, no};
     act.key = *job.key;
     act.claim = job.claim;
     acts.push_back(std::move(act));
   }
-  DoorAct act{DoorAct::Kind::answer, no};
+  AdmissionAction act{AdmissionAction::Kind::answer, no};
   act.told = toldOf(now, verdict, server);
   act.told.holder = std::move(holder);
   acts.push_back(std::move(act));
@@ -306,21 +308,21 @@
 }
 
 // Without a slot: votes may take as long as a disk that hangs, and other work need not wait for them.
-void Door::claim(Span now, Job& job, DoorActs& acts) {
+void Admission::claim(Span now, Job& job, AdmissionActions& acts) {
   job.stage = Stage::claiming;
   job.claim = claims_.open(now, *job.key, std::min(now + kClaimTime, job.deadline - kLeastLeft));
   operations_.at(*job.key).claim = job.claim;
   claiming_[job.claim] = job.no;
-  DoorAct act{DoorAct::Kind::claim, job.no};
+  AdmissionAction act{AdmissionAction::Kind::claim, job.no};
   act.key = *job.key;
   act.claim = job.claim;
   acts.push_back(std::move(act));
 }
 
-void Door::run(Span now, Job& job, Server& server, DoorActs& acts) {
+void Admission::run(Span now, Job& job, Server& server, AdmissionActions& acts) {
   job.stage = Stage::running;
   job.startedAt = now;
-  DoorAct act{DoorAct::Kind::run, job.no};
+  AdmissionAction act{AdmissionAction::Kind::run, job.no};
   act.server = server.address;
   act.instance = job.ask.instance;
   act.caller = job.ask.caller;
@@ -328,8 +330,8 @@
   acts.push_back(std::move(act));
 }
 
-DoorActs Door::claimEnded(Span now, const Claims::Ended& ended) {
-  DoorActs acts;
+AdmissionActions Admission::claimEnded(Span now, const Claims::Ended& ended) {
+  AdmissionActions acts;
   const auto found = claiming_.find(ended.no);
   if (found == claiming_.end()) return acts;
   const AskNo no = found->second;
@@ -349,8 +351,8 @@
   return acts;
 }
 
-DoorActs Door::ran(Span now, AskNo no, AtServer how, const ServerAnswer& answer) {
-  DoorActs acts;
+AdmissionActions Admission::ran(Span now, AskNo no, AtServer how, const ServerAnswer& answer) {
+  AdmissionActions acts;
   const auto found = jobs_.find(no);
   if (found == jobs_.end()) return acts;
   const Job job = found->second;
@@ -371,7 +373,7 @@
       double& length = lengths_.try_emplace(job.ask.route, seconds).first->second;
       length += kRunShare * (seconds - length);
     }
-    DoorAct act{DoorAct::Kind::answer, no};
+    AdmissionAction act{AdmissionAction::Kind::answer, no};
     act.told = toldOf(now, how == AtServer::answered ? Verdict::ran : Verdict::unknown, server);
     act.bytes = how == AtServer::answered ? answer.bytes : nullptr;
     acts.push_back(std::move(act));
@@ -383,8 +385,8 @@
   return acts;
 }
 
-void Door::endOperation(Span now, const KeyPrint& key, Past past, const ServerAnswer& answer,
-                        DoorActs& acts) {
+void Admission::endOperation(Span now, const KeyPrint& key, Past past, const ServerAnswer& answer,
+                             AdmissionActions& acts) {
   Operation& operation = operations_.at(key);
   operation.past = past;
   operation.at = now;
@@ -394,7 +396,7 @@
     kept_ += answer.size;
   }
   for (const auto& [no, until] : std::exchange(operation.waiters, {})) {
-    DoorAct act{DoorAct::Kind::answer, no};
+    AdmissionAction act{AdmissionAction::Kind::answer, no};
     act.told = toldOf(now, past == Past::answered ? Verdict::ran : Verdict::unknown, nullptr);
     act.told.repeated = true;
     act.bytes = operation.bytes;
@@ -413,18 +415,18 @@
   }
 }
 
-void Door::forgetOperation(Span now, const KeyPrint& key, DoorActs& acts) {
+void Admission::forgetOperation(Span now, const KeyPrint& key, AdmissionActions& acts) {
   const auto found = operations_.find(key);
   if (found == operations_.end()) return;
   for (const auto& [no, until] : found->second.waiters) {
-    DoorAct act{DoorAct::Kind::answer, no};
+    AdmissionAction act{AdmissionAction::Kind::answer, no};
     act.told = toldOf(now, Verdict::voteless, nullptr);
     acts.push_back(std::move(act));
   }
   operations_.erase(found);
 }
 
-void Door::next(Span now, Server& server, DoorActs& acts) {
+void Admission::next(Span now, Server& server, AdmissionActions& acts) {
   while (server.busy < room(server) && !server.waiting.empty()) {
     const AskNo no = server.waiting.front();
     Job& job = jobs_.at(no);
@@ -438,10 +440,10 @@
   }
 }
 
-DoorActs Door::tick(Span now) {
-  DoorActs acts;
+AdmissionActions Admission::tick(Span now) {
+  AdmissionActions acts;
   for (const Claims::Ended& ended : claims_.expire(now)) {
-    const DoorActs more = claimEnded(now, ended);
+    const AdmissionActions more = claimEnded(now, ended);
     acts.insert(acts.end(), more.begin(), more.end());
   }
   for (auto& [id, server] : servers_) {
@@ -461,7 +463,7 @@
     auto& waiters = found->second.waiters;
     for (const auto& [no, until] : waiters) {
       if (until > now) continue;
-      DoorAct act{DoorAct::Kind::answer, no};
+      AdmissionAction act{AdmissionAction::Kind::answer, no};
       act.told = toldOf(now, Verdict::atWork, nullptr);
       acts.push_back(std::move(act));
     }
@@ -488,7 +490,7 @@
   return acts;
 }
 
-std::optional<Span> Door::nextTick() const {
+std::optional<Span> Admission::nextTick() const {
   std::optional<Span> next = claims_.nextEnd();
   const auto earlier = [&](Span at) { next = std::min(next.value_or(at), at); };
   for (const auto& [id, server] : servers_) {
@@ -502,9 +504,9 @@
   return next;
 }
 
-DoorActs Door::leave(Span now) {
+AdmissionActions Admission::leave(Span now) {
   leaving_ = true;
-  DoorActs acts = tick(now);
+  AdmissionActions acts = tick(now);
   for (auto& [id, server] : servers_) {
     server.told.leaving = true;
     tell(server, acts);
@@ -512,13 +514,13 @@
   return acts;
 }
 
-std::vector<Served> Door::servers() const {
+std::vector<Served> Admission::servers() const {
   std::vector<Served> all;
   for (const auto& [id, server] : servers_) all.push_back(server.told);
   return all;
 }
 
-void Door::check() const {
+void Admission::check() const {
 #ifndef NDEBUG
   for (const auto& [id, server] : servers_) {
     assert(server.busy <= room(server));
--- a/src/mesh/door/door.hpp
+++ b/src/mesh/admission/admission.hpp
@@ -17,8 +17,8 @@
 #include <utility>
 #include <vector>
 
-#include "mesh/hop/hop.hpp"
-#include "mesh/latch/latches.hpp"
+#include "mesh/claims/claims.hpp"
+#include "mesh/forwarding/forwarding.hpp"
 
 namespace rackroute::mesh {
 
@@ -49,7 +49,7 @@
 };
 
 /// What the door wants done. Which fields matter goes by the kind.
-struct DoorAct {
+struct AdmissionAction {
   enum class Kind { run, answer, claim, giveBack, tell };
   Kind kind = Kind::run;
   AskNo ask;
@@ -57,15 +57,15 @@
   InstanceId instance{};                // run
   ServiceName caller{};                 // run
   Span left{};                          // run: until its client gives up
-  HopTold told{};                       // answer
+  ForwardReply told{};                  // answer
   std::shared_ptr<const void> bytes{};  // answer: the server's, if there is one
   KeyPrint key{};                       // claim, giveBack
   ClaimNo claim{};                      // claim, giveBack
   Served served{};                      // tell
 };
-using DoorActs = std::vector<DoorAct>;
+using AdmissionActions = std::vector<AdmissionAction>;
 
-class Door {
+class Admission {
  public:
   struct Built {
     NodeName node;
@@ -78,21 +78,22 @@
     Span keyWindow{};
     std::size_t mostKept = 0;  // bytes of answers that are kept for repeats
   };
-  explicit Door(Built built);
+  explicit Admission(Built built);
 
-  DoorActs beat(Span now, const Beat& beat);
+  AdmissionActions beat(Span now, const Beat& beat);
   /// What others know of a server here from an earlier life of this process. It counts until the first beat.
-  DoorActs adopt(Span now, const Served& served);
+  AdmissionActions adopt(Span now, const Served& served);
   /// A request from another process; key: of its operation, if its route is keyed.
-  DoorActs asked(Span now, AskNo no, const HopAsk& ask, const std::optional<std::string>& key);
-  DoorActs claimEnded(Span now, const Claims::Ended& ended);
-  DoorActs ran(Span now, AskNo no, AtServer how, const ServerAnswer& answer);
-  DoorActs tick(Span now);
+  AdmissionActions asked(Span now, AskNo no, const ForwardRequest& ask,
+                         const std::optional<std::string>& key);
+  AdmissionActions claimEnded(Span now, const Claims::Ended& ended);
+  AdmissionActions ran(Span now, AskNo no, AtServer how, const ServerAnswer& answer);
+  AdmissionActions tick(Span now);
   /// When tick() is to be called at the latest; none: whenever.
   [[nodiscard]] std::optional<Span> nextTick() const;
   Claims& claims() { return claims_; }
   /// The process leaves: nothing new is let in.
-  DoorActs leave(Span now);
+  AdmissionActions leave(Span now);
   [[nodiscard]] std::size_t atWork() const { return jobs_.size(); }
   [[nodiscard]] std::vector<Served> servers() const;
   [[nodiscard]] std::size_t kept() const { return kept_; }
@@ -112,7 +113,7 @@
   enum class Stage { claiming, waiting, running };
   struct Job {
     AskNo no;
-    HopAsk ask;
+    ForwardRequest ask;
     Span deadline{};
     Span startBy{};
     double length = 0;  // seconds that it is expected to hold a slot
@@ -134,22 +135,23 @@
   };
 
   [[nodiscard]] bool fits(Span now, const Job& job, const Server& server) const;
-  void tell(Server& server, DoorActs& acts);
-  void over(Span now, Server& server, DoorActs& acts);
-  void turnAwayAll(Span now, Server& server, DoorActs& acts);
-  void admit(Span now, Job& job, Server& server, DoorActs& acts);
-  void claim(Span now, Job& job, DoorActs& acts);
-  void run(Span now, Job& job, Server& server, DoorActs& acts);
-  void next(Span now, Server& server, DoorActs& acts);
-  void refuse(Span now, AskNo no, Verdict verdict, const Server* server, DoorActs& acts,
+  void tell(Server& server, AdmissionActions& acts);
+  void over(Span now, Server& server, AdmissionActions& acts);
+  void turnAwayAll(Span now, Server& server, AdmissionActions& acts);
+  void admit(Span now, Job& job, Server& server, AdmissionActions& acts);
+  void claim(Span now, Job& job, AdmissionActions& acts);
+  void run(Span now, Job& job, Server& server, AdmissionActions& acts);
+  void next(Span now, Server& server, AdmissionActions& acts);
+  void refuse(Span now, AskNo no, Verdict verdict, const Server* server, AdmissionActions& acts,
               std::optional<Holder> holder = {});
-  void endOperation(Span now, const KeyPrint& key, Past past, const ServerAnswer& answer, DoorActs& acts);
-  void forgetOperation(Span now, const KeyPrint& key, DoorActs& acts);
-  void settle(Span now, AskNo no, DoorActs& acts);
+  void endOperation(Span now, const KeyPrint& key, Past past, const ServerAnswer& answer,
+                    AdmissionActions& acts);
+  void forgetOperation(Span now, const KeyPrint& key, AdmissionActions& acts);
+  void settle(Span now, AskNo no, AdmissionActions& acts);
   [[nodiscard]] bool open(Span now, const Server& server) const;
   [[nodiscard]] Span waitAhead(const Server& server) const;
-  [[nodiscard]] double lengthOf(const HopAsk& ask) const;
-  [[nodiscard]] HopTold toldOf(Span now, Verdict verdict, const Server* server) const;
+  [[nodiscard]] double lengthOf(const ForwardRequest& ask) const;
+  [[nodiscard]] ForwardReply toldOf(Span now, Verdict verdict, const Server* server) const;
   [[nodiscard]] std::uint32_t room(const Server& server) const;
   void check() const;
 
--- a/src/mesh/rack/budget.hpp
+++ b/src/mesh/balancing/retry_budget.hpp
@@ -17,7 +17,7 @@
   Span window{};
 };
 
-class Budget {
+class RetryBudget {
  public:
   /// processes: how many share the slack.
   void share(const Allowance& all, std::size_t processes) {
--- a/src/mesh/rack/rack.cpp
+++ b/src/mesh/balancing/server_pool.cpp
@@ -1,4 +1,4 @@
-#include "mesh/rack/rack.hpp"
+#include "mesh/balancing/server_pool.hpp"
 
 #include <xxhash.h>
 
@@ -27,10 +27,10 @@
 
 }  // namespace
 
-Rack::Rack(std::string ownZone, NodeName self, std::uint64_t seed)
+ServerPool::ServerPool(std::string ownZone, NodeName self, std::uint64_t seed)
     : ownZone_(std::move(ownZone)), self_(std::move(self)), chance_(seed) {}
 
-void Rack::told(Span now, const Served& server, bool heard) {
+void ServerPool::told(Span now, const Served& server, bool heard) {
   Group& group = groups_[server.service];
   const auto found = group.find(server.id);
   if (found == group.end()) {
@@ -65,16 +65,16 @@
   held.heard = heard;
 }
 
-double Rack::slotsOf(const Server& server) { return std::max<std::uint32_t>(server.told.capacity, 1); }
+double ServerPool::slotsOf(const Server& server) { return std::max<std::uint32_t>(server.told.capacity, 1); }
 
 // Free slots as its door told last, less what was sent from here since.
-double Rack::roomOf(const Server& server) {
+double ServerPool::roomOf(const Server& server) {
   const double since = static_cast<double>(server.mine) - static_cast<double>(server.mineThen);
   return slotsOf(server) - std::max(0.0, server.load.busy + server.load.queued + since);
 }
 
 // Bytes between zones are dear, waiting is dearer: the fuller the own zone, the more goes elsewhere.
-double Rack::elsewhere(const Group& group) const {
+double ServerPool::elsewhere(const Group& group) const {
   double slots = 0;
   double room = 0;
   for (const auto& [id, server] : group) {
@@ -86,7 +86,7 @@
   return 1 - (1 - kElsewhere) * std::min(1.0, room / slots / kAmpleRoom);
 }
 
-double Rack::chance(Span now, const Server& server, double elsewhere) const {
+double ServerPool::chance(Span now, const Server& server, double elsewhere) const {
   const double slots = slotsOf(server);
   double chance = server.weight * std::max(kLeastRoom * slots, roomOf(server));
   if (server.told.zone != ownZone_) chance *= elsewhere;
@@ -94,8 +94,8 @@
   return chance;
 }
 
-std::optional<Picked> Rack::pick(Span now, const ServiceName& service, bool keyed,
-                                 const std::set<InstanceId>& but) {
+std::optional<Picked> ServerPool::pick(Span now, const ServiceName& service, bool keyed,
+                                       const std::set<InstanceId>& but) {
   const auto found = groups_.find(service);
   if (found == groups_.end()) return std::nullopt;
   Group& group = found->second;
@@ -144,7 +144,7 @@
   return Picked{chosen->told.id, chosen->told.at};
 }
 
-void Rack::failed(Span now, Server& server, Group& group) {
+void ServerPool::failed(Span now, Server& server, Group& group) {
   server.weight = std::max(kFloor, server.weight / 2);
   ++server.run;
   const auto outUntil = [&] {
@@ -172,7 +172,7 @@
   server.trialAt = outUntil();
 }
 
-void Rack::ended(Span now, const InstanceId& id, Ending ending, const std::optional<Load>& load) {
+void ServerPool::ended(Span now, const InstanceId& id, Ending ending, const std::optional<Load>& load) {
   Group* group = nullptr;
   Server* server = find(id, &group);
   if (server == nullptr) return;
@@ -214,7 +214,7 @@
   if (server->out) server->onTrial = false;
 }
 
-Rack::Server* Rack::find(const InstanceId& id, Group** group) {
+ServerPool::Server* ServerPool::find(const InstanceId& id, Group** group) {
   const auto service = serviceOf_.find(id);
   if (service == serviceOf_.end()) return nullptr;
   *group = &groups_[service->second];
@@ -222,14 +222,14 @@
   return found == (*group)->end() ? nullptr : &found->second;
 }
 
-std::size_t Rack::standing(const ServiceName& service) const {
+std::size_t ServerPool::standing(const ServiceName& service) const {
   const auto group = groups_.find(service);
   if (group == groups_.end()) return 0;
   return static_cast<std::size_t>(std::count_if(group->second.begin(), group->second.end(),
                                                 [](const auto& entry) { return usable(entry.second); }));
 }
 
-std::size_t Rack::ejected(Span now, const ServiceName& service) const {
+std::size_t ServerPool::ejected(Span now, const ServiceName& service) const {
   const auto group = groups_.find(service);
   if (group == groups_.end()) return 0;
   return static_cast<std::size_t>(
@@ -238,7 +238,7 @@
       }));
 }
 
-void Rack::sweep(Span now) {
+void ServerPool::sweep(Span now) {
   for (auto& [service, group] : groups_) {
     for (auto at = group.begin(); at != group.end();) {
       const Server& server = at->second;
@@ -254,7 +254,7 @@
 }
 
 // The cap binds when a server is ejected; servers that leave later may shrink the pool under it.
-void Rack::check(const Group& group) const {
+void ServerPool::check(const Group& group) const {
   for (const auto& [id, server] : group) {
     assert(server.weight >= kFloor && server.weight <= 1);
     assert(!server.onTrial || server.out);
--- a/src/mesh/rack/rack.hpp
+++ b/src/mesh/balancing/server_pool.hpp
@@ -39,9 +39,9 @@
   Address at;
 };
 
-class Rack {
+class ServerPool {
  public:
-  Rack(std::string ownZone, NodeName self, std::uint64_t seed);
+  ServerPool(std::string ownZone, NodeName self, std::uint64_t seed);
 
   /// News of one server; heard: whether its process's session stands.
   void told(Span now, const Served& server, bool heard);
--- a/src/mesh/gauge/explain.cpp
+++ b/src/mesh/checker/explain.cpp
@@ -1,12 +1,12 @@
-#include "mesh/gauge/explain.hpp"
+#include "mesh/checker/explain.hpp"
 
 #include <algorithm>
 #include <map>
 #include <set>
 #include <utility>
 
-#include "mesh/plan/route_book.hpp"
-#include "mesh/plan/span_text.hpp"
+#include "mesh/configuration/duration_text.hpp"
+#include "mesh/configuration/route_table.hpp"
 
 namespace rackroute::mesh {
 namespace {
@@ -134,7 +134,7 @@
 std::vector<std::string> wayOf(const Items& items, std::string_view host, std::string_view path,
                                bool& found) {
   std::vector<std::string> steps;
-  RouteBook book;
+  RouteTable book;
   book.read(items);
   const auto route = book.find(host, path);
   found = route != nullptr;
--- a/src/mesh/gauge/explain.hpp
+++ b/src/mesh/checker/explain.hpp
@@ -7,8 +7,8 @@
 #include <string_view>
 #include <vector>
 
-#include "mesh/plan/items.hpp"
-#include "mesh/plan/mishap.hpp"
+#include "mesh/configuration/error.hpp"
+#include "mesh/configuration/items.hpp"
 
 namespace rackroute::mesh {
 
--- a/src/mesh/gauge/main.cpp
+++ b/src/mesh/checker/main.cpp
@@ -13,8 +13,8 @@
 #include <nlohmann/json.hpp>
 #include <stdexcept>
 
-#include "mesh/gauge/explain.hpp"
-#include "mesh/shop/start.hpp"
+#include "mesh/checker/explain.hpp"
+#include "mesh/transport/process_start.hpp"
 
 namespace rackroute::mesh {
 namespace {
@@ -74,7 +74,7 @@
 }
 
 int run(int count, char** words) {
-  CLI::App app("Checks and explains configurations of a rackroute mesh.", "rackroute-gauge");
+  CLI::App app("Checks and explains configurations of a rackroute mesh.", "rackroute-check");
   app.set_version_flag("--version", kVersionText);
   app.require_subcommand(1);
   std::string file;
@@ -88,7 +88,7 @@
   const auto source = [&](CLI::App* command) {
     auto* group = command->add_option_group("source");
     group->add_option("--file", file, "a change, or all items as they are read back");
-    group->add_option("--from", from, "ip:port of a vise, for what is in force");
+    group->add_option("--from", from, "ip:port of a control, for what is in force");
     group->require_option(1);
   };
   CLI::App* checking = app.add_subcommand("check", "what is invalid or doubtful, and why");
@@ -129,5 +129,5 @@
 }  // namespace rackroute::mesh
 
 int main(int count, char** words) {
-  return rackroute::mesh::guardedMain("rackroute-gauge", [&] { return rackroute::mesh::run(count, words); });
+  return rackroute::mesh::guardedMain("rackroute-check", [&] { return rackroute::mesh::run(count, words); });
 }
--- a/src/mesh/latch/latches.cpp
+++ b/src/mesh/claims/claims.cpp
@@ -1,4 +1,4 @@
-#include "mesh/latch/latches.hpp"
+#include "mesh/claims/claims.hpp"
 
 #include <xxhash.h>
 
@@ -41,24 +41,24 @@
   return print;
 }
 
-const Holder& Latches::claim(Span now, const KeyPrint& key, const Holder& claim) {
+const Holder& Promises::claim(Span now, const KeyPrint& key, const Holder& claim) {
   const auto [found, added] = promises_.try_emplace(key, Promise{claim, now});
   if (added) order_.emplace_back(now, key);
   return found->second.holder;
 }
 
-bool Latches::giveBack(const KeyPrint& key, const Holder& holder) {
+bool Promises::giveBack(const KeyPrint& key, const Holder& holder) {
   const auto found = promises_.find(key);
   if (found == promises_.end() || found->second.holder != holder) return false;
   promises_.erase(found);
   return true;
 }
 
-void Latches::learn(Span at, const KeyPrint& key, const Holder& holder) {
+void Promises::learn(Span at, const KeyPrint& key, const Holder& holder) {
   if (promises_.try_emplace(key, Promise{holder, at}).second) order_.emplace_back(at, key);
 }
 
-std::vector<KeyPrint> Latches::expire(Span now) {
+std::vector<KeyPrint> Promises::expire(Span now) {
   std::vector<KeyPrint> ended;
   while (first_ < order_.size() && order_[first_].first + keep_ <= now && ended.size() < kEndedACall) {
     const auto found = promises_.find(order_[first_].second);
--- a/src/mesh/latch/latches.hpp
+++ b/src/mesh/claims/claims.hpp
@@ -32,14 +32,14 @@
 };
 
 /// What one control process has promised.
-class Latches {
+class Promises {
  public:
   struct Promise {
     Holder holder;
     Span at{};
   };
   /// How long a promise is kept.
-  explicit Latches(Span keep) : keep_(keep) {}
+  explicit Promises(Span keep) : keep_(keep) {}
 
   /// Who holds the key after this claim; itself, if nobody did.
   const Holder& claim(Span now, const KeyPrint& key, const Holder& claim);
--- a/src/mesh/plan/span_text.cpp
+++ b/src/mesh/configuration/duration_text.cpp
@@ -1,4 +1,4 @@
-#include "mesh/plan/span_text.hpp"
+#include "mesh/configuration/duration_text.hpp"
 
 #include <charconv>
 
--- a/src/mesh/plan/mishap.hpp
+++ b/src/mesh/configuration/error.hpp
@@ -8,7 +8,7 @@
 
 namespace rackroute::mesh {
 
-struct Mishap {
+struct Error {
   std::string step;
   std::string peer;  // empty: none but this process
   std::string what;
@@ -18,10 +18,10 @@
 };
 
 template <class Value>
-using Result = boost::outcome_v2::basic_result<Value, Mishap, boost::outcome_v2::policy::terminate>;
+using Result = boost::outcome_v2::basic_result<Value, Error, boost::outcome_v2::policy::terminate>;
 
-inline Mishap mishap(std::string step, std::string what, std::string peer = {}) {
-  return Mishap{std::move(step), std::move(peer), std::move(what)};
+inline Error failure(std::string step, std::string what, std::string peer = {}) {
+  return Error{std::move(step), std::move(peer), std::move(what)};
 }
 
 }  // namespace rackroute::mesh
--- a/src/mesh/plan/items.cpp
+++ b/src/mesh/configuration/items.cpp
@@ -1,4 +1,4 @@
-#include "mesh/plan/items.hpp"
+#include "mesh/configuration/items.hpp"
 
 #include <xxhash.h>
 
@@ -6,8 +6,8 @@
 #include <set>
 #include <utility>
 
-#include "mesh/plan/gauge.hpp"
-#include "mesh/plan/span_text.hpp"
+#include "mesh/configuration/duration_text.hpp"
+#include "mesh/configuration/schema.hpp"
 
 namespace rackroute::mesh {
 namespace {
@@ -29,7 +29,7 @@
   Item item;
   item.key = {kind, kind == ItemKind::limits ? "limits" : value["name"].get<std::string>()};
   const auto generation = readGeneration(value["generation"].get<std::string>());
-  if (!generation) return mishap("change", textOf(item.key) + ".generation is no version");
+  if (!generation) return failure("change", textOf(item.key) + ".generation is no version");
   item.generation = *generation;
   item.dropped = dropped;
   if (!dropped) item.value = value;
@@ -43,18 +43,18 @@
     return value.contains(field) ? readSpan(value[field].get<std::string>()) : std::optional<Span>(1ms);
   };
   const auto timeout = span("timeout");
-  if (!timeout) return mishap("change", name + ".timeout can't be read");
-  if (*timeout <= Span{0}) return mishap("change", name + ".timeout is 0");
-  if (*timeout > kLongestTimeout) return mishap("change", name + ".timeout is over ten minutes");
-  if (!span("target_time")) return mishap("change", name + ".target_time can't be read");
+  if (!timeout) return failure("change", name + ".timeout can't be read");
+  if (*timeout <= Span{0}) return failure("change", name + ".timeout is 0");
+  if (*timeout > kLongestTimeout) return failure("change", name + ".timeout is over ten minutes");
+  if (!span("target_time")) return failure("change", name + ".target_time can't be read");
   if (value["path_prefix"].get<std::string>()[0] != '/')
-    return mishap("change", name + ".path_prefix does not begin with a slash");
+    return failure("change", name + ".path_prefix does not begin with a slash");
   if (value.contains("target") == value.contains("weighted"))
-    return mishap("change", name + " needs either target or weighted");
+    return failure("change", name + " needs either target or weighted");
   if (value.contains("weighted")) {
     double sum = 0;
     for (const json& part : value["weighted"]) sum += part["weight"].get<double>();
-    if (!(sum > 0)) return mishap("change", name + ".weighted has no weight");
+    if (!(sum > 0)) return failure("change", name + ".weighted has no weight");
   }
   return boost::outcome_v2::success();
 }
@@ -151,7 +151,7 @@
     }
     Item& other = items[place->second];
     if (item.generation == other.generation && printOf(item) != printOf(other))
-      return mishap("change", textOf(item.key) + " stands in it twice with one version");
+      return failure("change", textOf(item.key) + " stands in it twice with one version");
     if (item.generation > other.generation) other = std::move(item);
     return boost::outcome_v2::success();
   };
@@ -164,7 +164,7 @@
       if (auto added = add(itemOf(ItemKind::limits, *limits, false)); !added) return std::move(added).error();
       for (const char* field : {"header", "idle"}) {
         if (limits->contains(field) && !readSpan((*limits)[field].get<std::string>()))
-          return mishap("change", std::string("limits.") + field + " can't be read");
+          return failure("change", std::string("limits.") + field + " can't be read");
       }
     }
     for (const json& host : upsert->value("host_map", json::array())) {
@@ -180,7 +180,7 @@
   if (const auto remove = change.find("remove"); remove != change.end()) {
     for (const auto& [list, entries] : remove->items()) {
       if (list != "route_list" && list != "service_list" && !entries.empty())
-        return mishap("change", "remove." + list + " is no list of items");
+        return failure("change", "remove." + list + " is no list of items");
       for (const json& entry : entries) {
         const ItemKind kind = list == "route_list" ? ItemKind::route : ItemKind::service;
         if (auto added = add(itemOf(kind, entry, true)); !added) return std::move(added).error();
--- a/src/mesh/plan/items.hpp
+++ b/src/mesh/configuration/items.hpp
@@ -12,8 +12,8 @@
 #include <string_view>
 #include <vector>
 
+#include "mesh/configuration/error.hpp"
 #include "mesh/names.hpp"
-#include "mesh/plan/mishap.hpp"
 
 namespace rackroute::mesh {
 
@@ -49,8 +49,8 @@
 std::string textOf(const ItemKey& key);
 std::optional<ItemKey> keyOf(std::string_view text);
 
-/// All items of a change, checked for all that can be told without knowing what is in force. The mishap names
-/// item, field and rule.
+/// All items of a change, checked for all that can be told without knowing what is in force. The failure
+/// names item, field and rule.
 Result<std::vector<Item>> readChange(std::string_view text);
 
 class Items {
--- a/src/mesh/plan/route_book.cpp
+++ b/src/mesh/configuration/route_table.cpp
@@ -1,10 +1,10 @@
-#include "mesh/plan/route_book.hpp"
+#include "mesh/configuration/route_table.hpp"
 
 #include <algorithm>
 #include <set>
 #include <utility>
 
-#include "mesh/plan/span_text.hpp"
+#include "mesh/configuration/duration_text.hpp"
 
 namespace rackroute::mesh {
 namespace {
@@ -53,7 +53,7 @@
   return std::find_if(targets.rbegin(), targets.rend(), [](const auto& t) { return t.second > 0; })->first;
 }
 
-void RouteBook::read(const Items& items) {
+void RouteTable::read(const Items& items) {
   hosts_.clear();
   limits_ = {};
   std::set<ServiceName> services;
@@ -74,7 +74,7 @@
   services_.assign(services.begin(), services.end());
 }
 
-std::shared_ptr<const Route> RouteBook::find(std::string_view host, std::string_view path) const {
+std::shared_ptr<const Route> RouteTable::find(std::string_view host, std::string_view path) const {
   if (const std::size_t colon = host.rfind(':'); colon != host.npos && host.find(']', colon) == host.npos)
     host = host.substr(0, colon);
   const auto found = hosts_.find(lowered(host));
--- a/src/mesh/plan/route_book.hpp
+++ b/src/mesh/configuration/route_table.hpp
@@ -10,7 +10,7 @@
 #include <unordered_map>
 #include <vector>
 
-#include "mesh/plan/items.hpp"
+#include "mesh/configuration/items.hpp"
 
 namespace rackroute::mesh {
 
@@ -38,7 +38,7 @@
   Span idle = std::chrono::seconds(15);
 };
 
-class RouteBook {
+class RouteTable {
  public:
   void read(const Items& items);
   /// The path may carry a query, the host a port.
--- a/src/mesh/plan/gauge.cpp
+++ b/src/mesh/configuration/schema.cpp
@@ -1,4 +1,4 @@
-#include "mesh/plan/gauge.hpp"
+#include "mesh/configuration/schema.hpp"
 
 #include <rapidjson/document.h>
 #include <rapidjson/error/en.h>
@@ -103,15 +103,15 @@
   rapidjson::Document document;
   document.Parse(text.data(), text.size());
   if (document.HasParseError()) {
-    return mishap(step, std::string(rapidjson::GetParseError_En(document.GetParseError())) + " at byte " +
-                            std::to_string(document.GetErrorOffset()));
+    return failure(step, std::string(rapidjson::GetParseError_En(document.GetParseError())) + " at byte " +
+                             std::to_string(document.GetErrorOffset()));
   }
   rapidjson::SchemaValidator validator(schemaOf(shape));
   if (document.Accept(validator)) return boost::outcome_v2::success();
   rapidjson::StringBuffer where;
   validator.GetInvalidDocumentPointer().StringifyUriFragment(where);
-  return mishap(step,
-                std::string(where.GetString()) + " breaks \"" + validator.GetInvalidSchemaKeyword() + '"');
+  return failure(step,
+                 std::string(where.GetString()) + " breaks \"" + validator.GetInvalidSchemaKeyword() + '"');
 }
 
 }  // namespace rackroute::mesh
--- a/src/mesh/plan/gauge.hpp
+++ b/src/mesh/configuration/schema.hpp
@@ -5,7 +5,7 @@
 
 #include <string_view>
 
-#include "mesh/plan/mishap.hpp"
+#include "mesh/configuration/error.hpp"
 
 namespace rackroute::mesh {
 
--- a/src/mesh/plan/job_sheet.hpp
+++ b/src/mesh/configuration/settings.hpp
@@ -8,19 +8,19 @@
 #include <string_view>
 #include <vector>
 
+#include "mesh/configuration/error.hpp"
 #include "mesh/names.hpp"
-#include "mesh/plan/mishap.hpp"
 
 namespace rackroute::mesh {
 
-struct JobSheet {
+struct Settings {
   NodeName node;
   std::string ip;
   std::string zone;
   std::size_t zones = 1;
   std::vector<Address> seeds;                 // control addresses
   Address inbound, outbound, ready, control;  // empty where the role does not serve it
-  std::uint16_t firstPort = 0;                // of those left free for the mesh's own talk
+  std::uint16_t firstPort = 0;                // of those left free for the mesh's own session
   std::uint16_t lastPort = 0;
   bool firstBoot = false;
   std::string dataFolder;
@@ -34,7 +34,7 @@
   double retrySlack = 0;
 };
 
-/// Fields that it does not know are ignored; a missing or wrong one is named in the mishap.
-Result<JobSheet> readJobSheet(std::string_view text);
+/// Fields that it does not know are ignored; a missing or wrong one is named in the failure.
+Result<Settings> readSettings(std::string_view text);
 
 }  // namespace rackroute::mesh
--- a/src/mesh/vise/vise.cpp
+++ b/src/mesh/control/control_node.cpp
@@ -1,10 +1,10 @@
-#include "mesh/vise/vise.hpp"
+#include "mesh/control/control_node.hpp"
 
 #include <algorithm>
 #include <cassert>
 #include <utility>
 
-#include "mesh/plan/span_text.hpp"
+#include "mesh/configuration/duration_text.hpp"
 
 namespace rackroute::mesh {
 namespace {
@@ -36,22 +36,22 @@
 
 }  // namespace
 
-Span Vise::tickEvery() { return kTick; }
+Span ControlNode::tickEvery() { return kTick; }
 
-Vise::Vise(Built built)
-    : built_(std::move(built)), quorum_(built_.voters / 2 + 1), latches_(built_.keyWindow + kPromiseSpare) {
+ControlNode::ControlNode(Built built)
+    : built_(std::move(built)), quorum_(built_.voters / 2 + 1), promises_(built_.keyWindow + kPromiseSpare) {
   core_.insert(built_.at);
   for (const Address& seed : built_.seeds) core_.insert(seed);
 }
 
-void Vise::seeds(std::vector<Address> seeds) {
+void ControlNode::seeds(std::vector<Address> seeds) {
   built_.seeds = std::move(seeds);
   for (const Address& seed : built_.seeds) {
     if (core_.size() < built_.voters + kCoreSpare) core_.insert(seed);
   }
 }
 
-void Vise::read(const std::map<std::string, std::string>& stored) {
+void ControlNode::read(const std::map<std::string, std::string>& stored) {
   // Guards against a disk that was lost and got copies of a change before this process had caught up: they
   // say nothing of the promises that were lost with it. Only the mark is written by a process that is whole.
   whole_ = built_.firstBoot || stored.count(kCore) > 0;
@@ -64,64 +64,64 @@
       const json promise = json::parse(value);
       const auto print = printFrom(std::string_view(key).substr(2));
       if (print)
-        latches_.learn(Span(promise.at(3).get<std::int64_t>()) - built_.wallAtStart, *print,
-                       holderFrom(promise));
+        promises_.learn(Span(promise.at(3).get<std::int64_t>()) - built_.wallAtStart, *print,
+                        holderFrom(promise));
     }
   }
 }
 
-ViseAct& Vise::write(ViseActs& acts) {
-  ViseAct act;
-  act.kind = ViseAct::Kind::write;
+ControlAction& ControlNode::write(ControlActions& acts) {
+  ControlAction act;
+  act.kind = ControlAction::Kind::write;
   act.batch = {++lastBatch_};
   batches_[act.batch];
   acts.push_back(std::move(act));
   return acts.back();
 }
 
-ViseActs Vise::start(Span now) {
-  ViseActs acts;
+ControlActions ControlNode::start(Span now) {
+  ControlActions acts;
   // A mark on the disk, so that a later start tells an empty one from one that was lost.
   if (whole_) write(acts).entries.emplace_back(kCore, json::array({built_.at.value}).dump());
   dialCore(now, acts);
   return acts;
 }
 
-void Vise::say(SessionNo to, std::shared_ptr<const std::string> text, ViseActs& acts) {
-  ViseAct act;
-  act.kind = ViseAct::Kind::say;
+void ControlNode::say(SessionNo to, std::shared_ptr<const std::string> text, ControlActions& acts) {
+  ControlAction act;
+  act.kind = ControlAction::Kind::say;
   act.session = to;
   act.text = std::move(text);
   acts.push_back(std::move(act));
 }
 
-void Vise::say(SessionNo to, const json& word, ViseActs& acts) {
+void ControlNode::say(SessionNo to, const json& word, ControlActions& acts) {
   say(to, std::make_shared<const std::string>(word.dump()), acts);
 }
 
-void Vise::sayEach(SessionNo to, const Words& words, ViseActs& acts) {
+void ControlNode::sayEach(SessionNo to, const Words& words, ControlActions& acts) {
   for (const auto& word : words) say(to, word, acts);
 }
 
-void Vise::sayCore(const json& word, ViseActs& acts) {
+void ControlNode::sayCore(const json& word, ControlActions& acts) {
   const auto text = std::make_shared<const std::string>(word.dump());
   for (const auto& [at, session] : reached_) say(session, text, acts);
 }
 
-void Vise::dialCore(Span now, ViseActs& acts) {
+void ControlNode::dialCore(Span now, ControlActions& acts) {
   for (const Address& at : core_) {
     if (at == built_.at || reached_.count(at) > 0) continue;
     Span& next = dialling_[at];
     if (next > now) continue;
     next = now + kDialTime;
-    ViseAct act;
-    act.kind = ViseAct::Kind::dial;
+    ControlAction act;
+    act.kind = ControlAction::Kind::dial;
     act.at = at;
     acts.push_back(std::move(act));
   }
 }
 
-void Vise::learnCore(Span now, const json& list, ViseActs& acts) {
+void ControlNode::learnCore(Span now, const json& list, ControlActions& acts) {
   bool more = false;
   for (const json& address : list) {
     if (core_.size() >= built_.voters + kCoreSpare) break;
@@ -137,13 +137,13 @@
   dialCore(now, acts);
 }
 
-ViseActs Vise::came(Span now, SessionNo session) {
+ControlActions ControlNode::came(Span now, SessionNo session) {
   sessions_[session].lastHeard = now;
   return {};
 }
 
-ViseActs Vise::reached(Span now, SessionNo no, const Address& at) {
-  ViseActs acts;
+ControlActions ControlNode::reached(Span now, SessionNo no, const Address& at) {
+  ControlActions acts;
   if (const auto old = reached_.find(at); old != reached_.end()) drop(now, SessionNo(old->second), acts);
   Session& session = sessions_[no];
   session.mine = session.core = true;
@@ -160,9 +160,9 @@
   // What this process hears, for one that does not hear it itself.
   json list = json::array();
   json nodes = json::array();
-  for (const NodeName& node : roster_.here()) {
+  for (const NodeName& node : registry_.here()) {
     nodes.push_back({node.value, true});
-    for (const News& news : roster_.on(node)) list.push_back(toJson(news));
+    for (const News& news : registry_.on(node)) list.push_back(toJson(news));
   }
   say(no, {{"t", "roster"}, {"nodes", nodes}, {"list", list}}, acts);
   say(no, {{"t", "want"}, {"versions", items_.versions()}}, acts);
@@ -178,22 +178,22 @@
   return acts;
 }
 
-ViseActs Vise::unreached(Span now, const Address& at) {
+ControlActions ControlNode::unreached(Span now, const Address& at) {
   dialling_[at] = now + kRedial;
   return {};
 }
 
-void Vise::drop(Span now, SessionNo no, ViseActs& acts) {
-  ViseAct act;
-  act.kind = ViseAct::Kind::hangUp;
+void ControlNode::drop(Span now, SessionNo no, ControlActions& acts) {
+  ControlAction act;
+  act.kind = ControlAction::Kind::hangUp;
   act.session = no;
   acts.push_back(std::move(act));
-  const ViseActs more = ended(now, no);
+  const ControlActions more = ended(now, no);
   acts.insert(acts.end(), more.begin(), more.end());
 }
 
-ViseActs Vise::ended(Span now, SessionNo no) {
-  ViseActs acts;
+ControlActions ControlNode::ended(Span now, SessionNo no) {
+  ControlActions acts;
   const auto found = sessions_.find(no);
   if (found == sessions_.end()) return acts;
   const Session session = found->second;
@@ -205,10 +205,10 @@
   }
   if (!session.greeted) return acts;
   if (session.core) {
-    for (const NodeName& node : roster_.forgetTeller(now, session.at)) newsOf(node, acts);
+    for (const NodeName& node : registry_.forgetTeller(now, session.at)) newsOf(node, acts);
     return acts;
   }
-  if (roster_.heardHere(now, session.node, false)) newsOf(session.node, acts);
+  if (registry_.heardHere(now, session.node, false)) newsOf(session.node, acts);
   sayCore({{"t", "roster"},
            {"nodes", json::array({json::array({session.node.value, false})})},
            {"list", json::array()}},
@@ -216,7 +216,7 @@
   return acts;
 }
 
-void Vise::greet(Span now, SessionNo no, Session& session, const json& word, ViseActs& acts) {
+void ControlNode::greet(Span now, SessionNo no, Session& session, const json& word, ControlActions& acts) {
   session.core = word.at("kind") == "core";
   session.node = {word.at("node").get<std::string>()};
   session.life = {word.at("life").get<std::uint64_t>()};
@@ -247,20 +247,20 @@
     dialCore(now, acts);
     return;
   }
-  if (roster_.heardHere(now, kept.node, true)) newsOf(kept.node, acts);
+  if (registry_.heardHere(now, kept.node, true)) newsOf(kept.node, acts);
   sayCore({{"t", "roster"},
            {"nodes", json::array({json::array({kept.node.value, true})})},
            {"list", json::array()}},
           acts);
 }
 
-void Vise::alive(Span now, SessionNo session) {
+void ControlNode::alive(Span now, SessionNo session) {
   const auto found = sessions_.find(session);
   if (found != sessions_.end()) found->second.lastHeard = now;
 }
 
-ViseActs Vise::heard(Span now, SessionNo no, const json& word) {
-  ViseActs acts;
+ControlActions ControlNode::heard(Span now, SessionNo no, const json& word) {
+  ControlActions acts;
   const auto found = sessions_.find(no);
   if (found == sessions_.end()) return acts;
   Session& session = found->second;
@@ -289,8 +289,8 @@
     json list = json::array();
     for (const json& entry : word.at("list")) {
       News told = newsFrom(entry);
-      if (!roster_.told(told.served)) continue;
-      told.heard = roster_.heard(told.served.node);
+      if (!registry_.told(told.served)) continue;
+      told.heard = registry_.heard(told.served.node);
       list.push_back(toJson(told));
       fresh.push_back(std::move(told));
     }
@@ -301,13 +301,13 @@
     std::vector<News> fresh;
     for (const json& entry : word.at("list")) {
       News told = newsFrom(entry);
-      if (roster_.told(told.served)) fresh.push_back(std::move(told));
+      if (registry_.told(told.served)) fresh.push_back(std::move(told));
     }
     for (const json& node : word.at("nodes")) {
       const NodeName name{node.at(0).get<std::string>()};
-      if (roster_.heardThere(now, session.at, name, node.at(1).get<bool>())) newsOf(name, acts);
+      if (registry_.heardThere(now, session.at, name, node.at(1).get<bool>())) newsOf(name, acts);
     }
-    for (News& told : fresh) told.heard = roster_.heard(told.served.node);
+    for (News& told : fresh) told.heard = registry_.heard(told.served.node);
     news(fresh, acts);
   } else if (kind == "follow") {
     follow(no, session, word, acts);
@@ -333,7 +333,7 @@
     for (const json& item : word.at("list")) items.push_back(itemFrom(item));
     merge(items, acts);
     if (word.contains("call") && lastOf(word)) {
-      const CallerNo call{word["call"].get<std::uint64_t>()};
+      const OperatorCallNo call{word["call"].get<std::uint64_t>()};
       const auto change = changes_.find(call);
       if (change != changes_.end() && word.at("whole").get<bool>()) {
         change->second.read.insert(session.at);
@@ -344,10 +344,10 @@
     std::vector<Item> items;
     for (const json& item : word.at("list")) items.push_back(itemFrom(item));
     std::vector<Item> newer;
-    ViseAct act;
+    ControlAction act;
     {
-      ViseActs own;
-      ViseAct& written = write(own);
+      ControlActions own;
+      ControlAction& written = write(own);
       for (const Item& item : items) {
         const bool fresh = items_.merge(item);
         const Item& held = *items_.find(item.key);
@@ -361,7 +361,7 @@
     acts.push_back(std::move(act));
     pushItems(newer, acts);
   } else if (kind == "stored") {
-    const CallerNo call{word.at("call").get<std::uint64_t>()};
+    const OperatorCallNo call{word.at("call").get<std::uint64_t>()};
     const auto change = changes_.find(call);
     if (change != changes_.end()) {
       std::set<std::size_t>& stored = change->second.stored[session.at];
@@ -375,7 +375,7 @@
   } else if (kind == "promises") {
     // For a control process that lost its disk; in parts, so that votes go on in between.
     json list = json::array();
-    for (const auto& [key, promise] : latches_.all()) {
+    for (const auto& [key, promise] : promises_.all()) {
       list.push_back({textOf(key), toJson(promise.holder), (promise.at + built_.wallAtStart).count()});
       if (list.size() < kPromisesAWord) continue;
       say(no, {{"t", "promised"}, {"list", std::move(list)}, {"last", false}, {"whole", whole_}}, acts);
@@ -385,8 +385,8 @@
   } else if (kind == "promised") {
     for (const json& entry : word.at("list")) {
       if (const auto key = printFrom(entry.at(0).get<std::string>()))
-        latches_.learn(Span(entry.at(2).get<std::int64_t>()) - built_.wallAtStart, *key,
-                       holderFrom(entry.at(1)));
+        promises_.learn(Span(entry.at(2).get<std::int64_t>()) - built_.wallAtStart, *key,
+                        holderFrom(entry.at(1)));
     }
     if (word.at("last").get<bool>()) {
       session.whole = word.at("whole").get<bool>();
@@ -399,7 +399,7 @@
 
 // An empty disk: this process may have promised anything that any quorum holds, so it must have read from so
 // many others that one of them was in every quorum.
-void Vise::recover(Span, ViseActs& acts) {
+void ControlNode::recover(Span, ControlActions& acts) {
   if (whole_) return;
   std::size_t helped = 0;
   std::size_t blank = 0;
@@ -413,10 +413,10 @@
   for (const auto& [no, batch] : batches_) {
     if (batch.makesWhole) return;
   }
-  ViseAct& act = write(acts);
+  ControlAction& act = write(acts);
   batches_[act.batch].makesWhole = true;
   for (const auto& [key, item] : items_.all()) act.entries.emplace_back(kItem + textOf(key), wireOf(item));
-  for (const auto& [key, promise] : latches_.all())
+  for (const auto& [key, promise] : promises_.all())
     act.entries.emplace_back(kPromise + textOf(key),
                              promiseText(promise.holder, promise.at + built_.wallAtStart));
   json all = json::array();
@@ -424,10 +424,11 @@
   act.entries.emplace_back(kCore, all.dump());
 }
 
-void Vise::claims(Span now, SessionNo no, const Session& session, const json& word, ViseActs& acts) {
+void ControlNode::claims(Span now, SessionNo no, const Session& session, const json& word,
+                         ControlActions& acts) {
   if (!whole_) return;
   const Address at{word.at("at").get<std::string>()};
-  ViseAct act;
+  ControlAction act;
   json votes = json::array();
   std::vector<std::pair<std::string, std::optional<std::string>>> entries;
   for (const json& entry : word.at("list")) {
@@ -436,10 +437,10 @@
     if (!key) continue;
     const Holder holder{at, session.life, claim};
     if (word.at("t") == "free") {
-      if (latches_.giveBack(*key, holder)) entries.emplace_back(kPromise + textOf(*key), std::nullopt);
+      if (promises_.giveBack(*key, holder)) entries.emplace_back(kPromise + textOf(*key), std::nullopt);
       continue;
     }
-    const Holder& holds = latches_.claim(now, *key, holder);
+    const Holder& holds = promises_.claim(now, *key, holder);
     if (holds == holder) {
       entries.emplace_back(kPromise + textOf(*key), promiseText(holder, now + built_.wallAtStart));
       votes.push_back({claim.value});
@@ -452,27 +453,27 @@
     if (!votes.empty()) say(no, std::move(reply), acts);
     return;
   }
-  ViseAct& written = write(acts);
+  ControlAction& written = write(acts);
   written.entries = std::move(entries);
   if (!votes.empty()) batches_[written.batch].words.emplace_back(no, std::move(reply));
 }
 
-void Vise::follow(SessionNo no, Session& session, const json& word, ViseActs& acts) {
+void ControlNode::follow(SessionNo no, Session& session, const json& word, ControlActions& acts) {
   std::set<ServiceName> services;
   json list = json::array();
   for (const json& name : word.at("services")) {
     const ServiceName service{name.get<std::string>()};
     services.insert(service);
     if (session.follows.count(service) > 0) continue;
-    for (const News& news : roster_.of(service)) list.push_back(toJson(news));
+    for (const News& news : registry_.of(service)) list.push_back(toJson(news));
   }
   session.follows = std::move(services);
   if (!list.empty()) say(no, {{"t", "servers"}, {"list", std::move(list)}}, acts);
 }
 
-void Vise::newsOf(const NodeName& node, ViseActs& acts) { news(roster_.on(node), acts); }
+void ControlNode::newsOf(const NodeName& node, ControlActions& acts) { news(registry_.on(node), acts); }
 
-void Vise::news(const std::vector<News>& all, ViseActs& acts) {
+void ControlNode::news(const std::vector<News>& all, ControlActions& acts) {
   if (all.empty()) return;
   for (const auto& [no, session] : sessions_) {
     json list = json::array();
@@ -483,21 +484,21 @@
   }
 }
 
-bool Vise::merge(const std::vector<Item>& items, ViseActs& acts) {
+bool ControlNode::merge(const std::vector<Item>& items, ControlActions& acts) {
   std::vector<Item> newer;
   for (const Item& item : items) {
     if (items_.merge(item)) newer.push_back(*items_.find(item.key));
   }
   if (newer.empty()) return false;
   if (whole_) {
-    ViseAct& act = write(acts);
+    ControlAction& act = write(acts);
     for (const Item& item : newer) act.entries.emplace_back(kItem + textOf(item.key), wireOf(item));
   }
   pushItems(newer, acts);
   return true;
 }
 
-void Vise::pushItems(const std::vector<Item>& items, ViseActs& acts) {
+void ControlNode::pushItems(const std::vector<Item>& items, ControlActions& acts) {
   if (items.empty() || !whole_) return;
   // Written out once: hundreds of routes for dozens of followers are megabytes otherwise.
   const Words words = wordsOf({{"t", "items"}}, items);
@@ -506,22 +507,22 @@
   }
 }
 
-void Vise::answer(CallerNo call, std::uint32_t status, std::string body, ViseActs& acts) {
+void ControlNode::answer(OperatorCallNo call, std::uint32_t status, std::string body, ControlActions& acts) {
   changes_.erase(call);
-  ViseAct act;
-  act.kind = ViseAct::Kind::answer;
+  ControlAction act;
+  act.kind = ControlAction::Kind::answer;
   act.call = call;
   act.status = status;
   act.body = std::move(body);
   acts.push_back(std::move(act));
 }
 
-void Vise::readRound(CallerNo call, ViseActs& acts) {
+void ControlNode::readRound(OperatorCallNo call, ControlActions& acts) {
   sayCore({{"t", "want"}, {"versions", items_.versions()}, {"call", call.value}}, acts);
 }
 
-ViseActs Vise::change(Span now, CallerNo call, std::string_view body) {
-  ViseActs acts;
+ControlActions ControlNode::change(Span now, OperatorCallNo call, std::string_view body) {
+  ControlActions acts;
   Result<std::vector<Item>> read = readChange(body);
   if (!read) {
     answer(call, 400, json{{"error", read.error().line()}}.dump(), acts);
@@ -546,8 +547,8 @@
   return acts;
 }
 
-ViseActs Vise::readBack(Span now, CallerNo call) {
-  ViseActs acts;
+ControlActions ControlNode::readBack(Span now, OperatorCallNo call) {
+  ControlActions acts;
   if (!whole_) {
     answer(call, 503, json{{"error", "read: this process has lost its disk and is catching up"}}.dump(),
            acts);
@@ -562,11 +563,11 @@
 }
 
 // To this disk and to the others; an item that is held in a newer version is acknowledged by that one.
-void Vise::spread(Span now, CallerNo call, Change& change, ViseActs& acts) {
+void ControlNode::spread(Span now, OperatorCallNo call, Change& change, ControlActions& acts) {
   change.reading = false;
   std::vector<Item> newer;
-  ViseActs own;
-  ViseAct& act = write(own);
+  ControlActions own;
+  ControlAction& act = write(own);
   for (Item& item : change.items) {
     const bool fresh = items_.newer(item);
     if (fresh) items_.merge(item);
@@ -585,7 +586,7 @@
   decide(now, call, acts);
 }
 
-void Vise::decide(Span now, CallerNo call, ViseActs& acts) {
+void ControlNode::decide(Span now, OperatorCallNo call, ControlActions& acts) {
   const auto found = changes_.find(call);
   if (found == changes_.end()) return;
   Change& change = found->second;
@@ -601,8 +602,8 @@
   answer(call, 200, "{}", acts);
 }
 
-ViseActs Vise::written(Span now, BatchNo no, bool done) {
-  ViseActs acts;
+ControlActions ControlNode::written(Span now, BatchNo no, bool done) {
+  ControlActions acts;
   const auto found = batches_.find(no);
   if (found == batches_.end()) return acts;
   const Batch batch = std::move(found->second);
@@ -627,7 +628,7 @@
   return acts;
 }
 
-bool Vise::settled(Span now) const {
+bool ControlNode::settled(Span now) const {
   std::size_t heardNow = 1;
   for (const auto& [no, session] : sessions_) {
     if (session.mine && session.lastHeard + kSilent > now) ++heardNow;
@@ -635,16 +636,16 @@
   return heardNow >= quorum_;
 }
 
-json Vise::pulse(Span now) const {
+json ControlNode::pulse(Span now) const {
   return {{"t", "beat"},
           {"digest", items_.digest()},
           {"whole", whole_},
           {"settled", settled(now)},
-          {"members", roster_.members(now)}};
+          {"members", registry_.members(now)}};
 }
 
-ViseActs Vise::tick(Span now) {
-  ViseActs acts;
+ControlActions ControlNode::tick(Span now) {
+  ControlActions acts;
   std::vector<SessionNo> silent;
   for (const auto& [no, session] : sessions_) {
     if (session.lastHeard + kSilent <= now) silent.push_back(no);
@@ -658,18 +659,18 @@
       if (session.greeted || session.mine) say(no, word, acts);
     }
   }
-  std::vector<CallerNo> late;
+  std::vector<OperatorCallNo> late;
   for (const auto& [call, change] : changes_) {
     if (change.until <= now) late.push_back(call);
   }
-  for (const CallerNo call : late)
+  for (const OperatorCallNo call : late)
     answer(call, 503, json{{"error", "change: no quorum of copies in time"}}.dump(), acts);
   if (sweepAt_ <= now) {
     sweepAt_ = now + kSweep;
-    roster_.sweep(now);
-    const std::vector<KeyPrint> over = latches_.expire(now);
+    registry_.sweep(now);
+    const std::vector<KeyPrint> over = promises_.expire(now);
     if (!over.empty()) {
-      ViseAct& act = write(acts);
+      ControlAction& act = write(acts);
       for (const KeyPrint& key : over) act.entries.emplace_back(kPromise + textOf(key), std::nullopt);
     }
     if (!whole_) {
--- a/src/mesh/vise/vise.hpp
+++ b/src/mesh/control/control_node.hpp
@@ -15,17 +15,17 @@
 #include <string_view>
 #include <vector>
 
-#include "mesh/latch/latches.hpp"
-#include "mesh/plan/items.hpp"
-#include "mesh/roster/roster.hpp"
+#include "mesh/claims/claims.hpp"
+#include "mesh/configuration/items.hpp"
+#include "mesh/registry/registry.hpp"
 
 namespace rackroute::mesh {
 
-using SessionNo = Id<struct SessionTag, std::uint64_t>;  // one session, whoever dialled it
-using CallerNo = Id<struct CallerTag, std::uint64_t>;    // one call of an operator
-using BatchNo = Id<struct BatchTag, std::uint64_t>;      // one write to disk
+using SessionNo = Id<struct SessionTag, std::uint64_t>;            // one session, whoever dialled it
+using OperatorCallNo = Id<struct OperatorCallTag, std::uint64_t>;  // one call of an operator
+using BatchNo = Id<struct BatchTag, std::uint64_t>;                // one write to disk
 
-struct ViseAct {
+struct ControlAction {
   enum class Kind { say, dial, hangUp, write, answer };
   Kind kind = Kind::say;
   SessionNo session{};                        // say, hangUp
@@ -33,46 +33,46 @@
   Address at{};                               // dial
   BatchNo batch{};                            // write; told of its end by written()
   std::vector<std::pair<std::string, std::optional<std::string>>> entries{};  // write; none: removed
-  CallerNo call{};                                                            // answer
+  OperatorCallNo call{};                                                      // answer
   std::uint32_t status = 0;
   std::string body{};
 };
-using ViseActs = std::vector<ViseAct>;
+using ControlActions = std::vector<ControlAction>;
 
-class Vise {
+class ControlNode {
  public:
   struct Built {
     NodeName node;
-    Address at;  // of the mesh's own talk here
+    Address at;  // of the mesh's own session here
     std::string zone;
     LifeNo life;
-    std::vector<Address> seeds;  // of the mesh's own talk
+    std::vector<Address> seeds;  // of the mesh's own session
     std::size_t voters = 1;      // control processes in all
     bool firstBoot = false;
     Span keyWindow{};
     Span wallAtStart{};  // the machine's time of day at span 0, since its epoch
   };
-  explicit Vise(Built built);
+  explicit ControlNode(Built built);
 
   /// What the disk holds; empty at the first start and after a loss. To be called once, before all else.
   void read(const std::map<std::string, std::string>& stored);
-  ViseActs start(Span now);
-  ViseActs came(Span now, SessionNo session);                        // somebody dialled
-  ViseActs reached(Span now, SessionNo session, const Address& at);  // a dial came up
-  ViseActs unreached(Span now, const Address& at);                   // it did not
-  ViseActs ended(Span now, SessionNo session);
-  ViseActs heard(Span now, SessionNo session, const nlohmann::json& word);
+  ControlActions start(Span now);
+  ControlActions came(Span now, SessionNo session);                        // somebody dialled
+  ControlActions reached(Span now, SessionNo session, const Address& at);  // a dial came up
+  ControlActions unreached(Span now, const Address& at);                   // it did not
+  ControlActions ended(Span now, SessionNo session);
+  ControlActions heard(Span now, SessionNo session, const nlohmann::json& word);
   /// Bytes of a word that is not whole yet.
   void alive(Span now, SessionNo session);
-  ViseActs written(Span now, BatchNo batch, bool done);
-  ViseActs change(Span now, CallerNo call, std::string_view body);
-  ViseActs readBack(Span now, CallerNo call);
-  ViseActs tick(Span now);
+  ControlActions written(Span now, BatchNo batch, bool done);
+  ControlActions change(Span now, OperatorCallNo call, std::string_view body);
+  ControlActions readBack(Span now, OperatorCallNo call);
+  ControlActions tick(Span now);
   void seeds(std::vector<Address> seeds);
   [[nodiscard]] static Span tickEvery();
   [[nodiscard]] bool whole() const { return whole_; }
   [[nodiscard]] const Items& items() const { return items_; }
-  [[nodiscard]] const Latches& latches() const { return latches_; }
+  [[nodiscard]] const Promises& promises() const { return promises_; }
   [[nodiscard]] std::size_t quorum() const { return quorum_; }
 
  private:
@@ -104,30 +104,31 @@
   };
   struct Batch {
     std::vector<std::pair<SessionNo, nlohmann::json>> words;  // to be said once it is on disk
-    std::optional<CallerNo> call;
+    std::optional<OperatorCallNo> call;
     bool makesWhole = false;
   };
-  static void say(SessionNo to, const nlohmann::json& word, ViseActs& acts);
-  static void say(SessionNo to, std::shared_ptr<const std::string> text, ViseActs& acts);
+  static void say(SessionNo to, const nlohmann::json& word, ControlActions& acts);
+  static void say(SessionNo to, std::shared_ptr<const std::string> text, ControlActions& acts);
   using Words = std::vector<std::shared_ptr<const std::string>>;
-  static void sayEach(SessionNo to, const Words& words, ViseActs& acts);
-  void sayCore(const nlohmann::json& word, ViseActs& acts);
-  void dialCore(Span now, ViseActs& acts);
-  void learnCore(Span now, const nlohmann::json& list, ViseActs& acts);
-  void drop(Span now, SessionNo no, ViseActs& acts);
-  void greet(Span now, SessionNo no, Session& session, const nlohmann::json& word, ViseActs& acts);
-  void follow(SessionNo no, Session& session, const nlohmann::json& word, ViseActs& acts);
-  void news(const std::vector<News>& news, ViseActs& acts);
-  void newsOf(const NodeName& node, ViseActs& acts);
-  bool merge(const std::vector<Item>& items, ViseActs& acts);
-  void pushItems(const std::vector<Item>& items, ViseActs& acts);
-  void claims(Span now, SessionNo no, const Session& session, const nlohmann::json& word, ViseActs& acts);
-  void spread(Span now, CallerNo call, Change& change, ViseActs& acts);
-  void decide(Span now, CallerNo call, ViseActs& acts);
-  void readRound(CallerNo call, ViseActs& acts);
-  void answer(CallerNo call, std::uint32_t status, std::string body, ViseActs& acts);
-  void recover(Span now, ViseActs& acts);
-  ViseAct& write(ViseActs& acts);
+  static void sayEach(SessionNo to, const Words& words, ControlActions& acts);
+  void sayCore(const nlohmann::json& word, ControlActions& acts);
+  void dialCore(Span now, ControlActions& acts);
+  void learnCore(Span now, const nlohmann::json& list, ControlActions& acts);
+  void drop(Span now, SessionNo no, ControlActions& acts);
+  void greet(Span now, SessionNo no, Session& session, const nlohmann::json& word, ControlActions& acts);
+  void follow(SessionNo no, Session& session, const nlohmann::json& word, ControlActions& acts);
+  void news(const std::vector<News>& news, ControlActions& acts);
+  void newsOf(const NodeName& node, ControlActions& acts);
+  bool merge(const std::vector<Item>& items, ControlActions& acts);
+  void pushItems(const std::vector<Item>& items, ControlActions& acts);
+  void claims(Span now, SessionNo no, const Session& session, const nlohmann::json& word,
+              ControlActions& acts);
+  void spread(Span now, OperatorCallNo call, Change& change, ControlActions& acts);
+  void decide(Span now, OperatorCallNo call, ControlActions& acts);
+  void readRound(OperatorCallNo call, ControlActions& acts);
+  void answer(OperatorCallNo call, std::uint32_t status, std::string body, ControlActions& acts);
+  void recover(Span now, ControlActions& acts);
+  ControlAction& write(ControlActions& acts);
   [[nodiscard]] bool settled(Span now) const;
   [[nodiscard]] nlohmann::json pulse(Span now) const;
 
@@ -135,13 +136,13 @@
   std::size_t quorum_;
   bool whole_ = true;
   Items items_;
-  Latches latches_;
-  Roster roster_;
+  Promises promises_;
+  Registry registry_;
   std::map<SessionNo, Session> sessions_;
   std::set<Address> core_;            // all that are known, this one too
   std::map<Address, Span> dialling_;  // and when the next dial may be
   std::map<Address, SessionNo> reached_;
-  std::map<CallerNo, Change> changes_;
+  std::map<OperatorCallNo, Change> changes_;
   std::map<BatchNo, Batch> batches_;
   std::uint64_t lastBatch_ = 0;
   std::vector<std::shared_ptr<const std::string>> allItems_;  // as words, for those that start with nothing
--- a/src/mesh/hop/hop.cpp
+++ b/src/mesh/forwarding/forwarding.cpp
@@ -1,4 +1,4 @@
-#include "mesh/hop/hop.hpp"
+#include "mesh/forwarding/forwarding.hpp"
 
 #include <charconv>
 #include <vector>
@@ -24,7 +24,7 @@
 
 }  // namespace
 
-std::string textOf(const HopAsk& ask) {
+std::string textOf(const ForwardRequest& ask) {
   return ask.instance.value + ';' + ask.service.value + ';' + ask.caller.value + ';' +
          std::to_string(ask.left / std::chrono::milliseconds(1)) + ';' +
          std::to_string(ask.aim / std::chrono::milliseconds(1)) + ';' + std::to_string(ask.priority) + ';' +
@@ -32,10 +32,10 @@
          (ask.holder ? std::to_string(ask.holder->value) : std::string());
 }
 
-std::optional<HopAsk> askFrom(std::string_view text) {
+std::optional<ForwardRequest> askFrom(std::string_view text) {
   const auto fields = fieldsOf(text);
   if (fields.size() != 9) return std::nullopt;
-  HopAsk ask;
+  ForwardRequest ask;
   ask.instance = {std::string(fields[0])};
   ask.service = {std::string(fields[1])};
   ask.caller = {std::string(fields[2])};
@@ -57,7 +57,7 @@
   return ask;
 }
 
-std::string textOf(const HopTold& told) {
+std::string textOf(const ForwardReply& told) {
   std::string text = std::to_string(static_cast<int>(told.verdict)) + ';';
   if (told.load) text += std::to_string(told.load->busy) + ';' + std::to_string(told.load->queued) + ';';
   if (!told.load) text += ";;";
@@ -71,10 +71,10 @@
   return text;
 }
 
-std::optional<HopTold> toldFrom(std::string_view text) {
+std::optional<ForwardReply> toldFrom(std::string_view text) {
   const auto fields = fieldsOf(text);
   if (fields.size() != 8) return std::nullopt;
-  HopTold told;
+  ForwardReply told;
   int verdict = 0;
   std::int64_t wait = 0;
   if (!read(fields[0], verdict) || verdict < 0 || verdict > static_cast<int>(Verdict::unknown) ||
--- a/src/mesh/hop/hop.hpp
+++ b/src/mesh/forwarding/forwarding.hpp
@@ -8,22 +8,22 @@
 #include <string>
 #include <string_view>
 
+#include "mesh/balancing/server_pool.hpp"
+#include "mesh/configuration/route_table.hpp"
 #include "mesh/names.hpp"
-#include "mesh/plan/route_book.hpp"
-#include "mesh/rack/rack.hpp"
 
 namespace rackroute::mesh {
 
-inline constexpr std::string_view kHop = "Rackroute-Hop";
+inline constexpr std::string_view kForwardHeader = "Rackroute-Hop";
 inline constexpr std::string_view kAttempt = "Rackroute-Attempt-Id";
 inline constexpr std::string_view kDeadline = "Rackroute-Deadline-Ms";
 inline constexpr std::string_view kExpect = "Rackroute-Expect-Instance";
-inline constexpr std::string_view kCaller = "Rackroute-Caller-Service";
+inline constexpr std::string_view kCaller = "Rackroute-RequestRouter-Service";
 inline constexpr std::string_view kOperation = "Rackroute-Operation-Key";
 inline constexpr std::string_view kNotRun = "Rackroute-Not-Run";
 
 /// What the caller's process asks of the server's.
-struct HopAsk {
+struct ForwardRequest {
   InstanceId instance;
   ServiceName service;
   ServiceName caller;  // what runs on the machine where the request began
@@ -49,7 +49,7 @@
 };
 
 /// What the server's process tells with whatever it answers.
-struct HopTold {
+struct ForwardReply {
   Verdict verdict = Verdict::unknown;
   std::optional<Load> load;
   std::optional<Holder> holder;
@@ -57,9 +57,9 @@
   bool repeated = false;  // the answer is an earlier run's
 };
 
-std::string textOf(const HopAsk& ask);
-std::optional<HopAsk> askFrom(std::string_view text);
-std::string textOf(const HopTold& told);
-std::optional<HopTold> toldFrom(std::string_view text);
+std::string textOf(const ForwardRequest& ask);
+std::optional<ForwardRequest> askFrom(std::string_view text);
+std::string textOf(const ForwardReply& told);
+std::optional<ForwardReply> toldFrom(std::string_view text);
 
 }  // namespace rackroute::mesh
--- a/src/mesh/roster/roster.cpp
+++ b/src/mesh/registry/registry.cpp
@@ -1,4 +1,4 @@
-#include "mesh/roster/roster.hpp"
+#include "mesh/registry/registry.hpp"
 
 #include <algorithm>
 #include <utility>
@@ -14,7 +14,7 @@
 
 }  // namespace
 
-bool Roster::heardHere(Span now, const NodeName& node, bool heard) {
+bool Registry::heardHere(Span now, const NodeName& node, bool heard) {
   Member& member = members_[node];
   const bool before = isHeard(member);
   member.here = heard;
@@ -22,7 +22,7 @@
   return before != isHeard(member);
 }
 
-bool Roster::heardThere(Span now, const Address& teller, const NodeName& node, bool heard) {
+bool Registry::heardThere(Span now, const Address& teller, const NodeName& node, bool heard) {
   Member& member = members_[node];
   const bool before = isHeard(member);
   if (heard) {
@@ -34,7 +34,7 @@
   return before != isHeard(member);
 }
 
-std::vector<NodeName> Roster::forgetTeller(Span now, const Address& teller) {
+std::vector<NodeName> Registry::forgetTeller(Span now, const Address& teller) {
   std::vector<NodeName> changed;
   for (auto& [node, member] : members_) {
     if (member.tellers.erase(teller) == 0) continue;
@@ -44,7 +44,7 @@
   return changed;
 }
 
-bool Roster::told(const Served& served) {
+bool Registry::told(const Served& served) {
   const auto [found, added] = servers_.try_emplace(served.id, served);
   if (added) return true;
   if (std::pair(served.life, served.seq) <= std::pair(found->second.life, found->second.seq)) return false;
@@ -52,12 +52,12 @@
   return true;
 }
 
-bool Roster::heard(const NodeName& node) const {
+bool Registry::heard(const NodeName& node) const {
   const auto found = members_.find(node);
   return found != members_.end() && isHeard(found->second);
 }
 
-std::vector<NodeName> Roster::here() const {
+std::vector<NodeName> Registry::here() const {
   std::vector<NodeName> nodes;
   for (const auto& [node, member] : members_) {
     if (member.here) nodes.push_back(node);
@@ -65,7 +65,7 @@
   return nodes;
 }
 
-std::vector<News> Roster::of(const ServiceName& service) const {
+std::vector<News> Registry::of(const ServiceName& service) const {
   std::vector<News> all;
   for (const auto& [id, served] : servers_) {
     if (served.service == service) all.push_back({served, heard(served.node)});
@@ -73,7 +73,7 @@
   return all;
 }
 
-std::vector<News> Roster::on(const NodeName& node) const {
+std::vector<News> Registry::on(const NodeName& node) const {
   std::vector<News> all;
   for (const auto& [id, served] : servers_) {
     if (served.node == node) all.push_back({served, heard(node)});
@@ -81,13 +81,13 @@
   return all;
 }
 
-std::size_t Roster::members(Span now) const {
+std::size_t Registry::members(Span now) const {
   return static_cast<std::size_t>(std::count_if(members_.begin(), members_.end(), [&](const auto& entry) {
     return isHeard(entry.second) || entry.second.lastHeard + kCounted > now;
   }));
 }
 
-void Roster::sweep(Span now) {
+void Registry::sweep(Span now) {
   for (auto at = members_.begin(); at != members_.end();) {
     const bool over = !isHeard(at->second) && at->second.lastHeard + kKeptSilent < now;
     at = over ? members_.erase(at) : std::next(at);
--- a/src/mesh/roster/roster.hpp
+++ b/src/mesh/registry/registry.hpp
@@ -9,11 +9,11 @@
 #include <string>
 #include <vector>
 
-#include "mesh/roster/words.hpp"
+#include "mesh/registry/registry_messages.hpp"
 
 namespace rackroute::mesh {
 
-class Roster {
+class Registry {
  public:
   /// A member's session with this process stands, or no longer does. True if whether it is heard at all
   /// changed.
--- a/src/mesh/roster/words.cpp
+++ b/src/mesh/registry/registry_messages.cpp
@@ -1,4 +1,4 @@
-#include "mesh/roster/words.hpp"
+#include "mesh/registry/registry_messages.hpp"
 
 namespace rackroute::mesh {
 namespace {
@@ -50,7 +50,7 @@
       {from.at(0).get<std::string>()}, {from.at(1).get<std::uint64_t>()}, {from.at(2).get<std::uint64_t>()}};
 }
 
-Address talkAddress(const Address& control, std::uint16_t port) {
+Address meshAddress(const Address& control, std::uint16_t port) {
   return {control.value.substr(0, control.value.rfind(':')) + ':' + std::to_string(port)};
 }
 
--- a/src/mesh/roster/words.hpp
+++ b/src/mesh/registry/registry_messages.hpp
@@ -1,6 +1,6 @@
 #pragma once
 
-// The words of the mesh's own talk that more than one part reads, as JSON. It decides nothing.
+// The words of the mesh's own session that more than one part reads, as JSON. It decides nothing.
 
 #include <nlohmann/json.hpp>
 
@@ -19,7 +19,7 @@
 News newsFrom(const nlohmann::json& from);
 nlohmann::json toJson(const Holder& holder);
 Holder holderFrom(const nlohmann::json& from);
-/// ip:port of the mesh's own talk on the machine of a control address.
-Address talkAddress(const Address& control, std::uint16_t port);
+/// ip:port of the mesh's own session on the machine of a control address.
+Address meshAddress(const Address& control, std::uint16_t port);
 
 }  // namespace rackroute::mesh
--- a/src/mesh/caller/caller.cpp
+++ b/src/mesh/routing/request_router.cpp
@@ -1,4 +1,4 @@
-#include "mesh/caller/caller.hpp"
+#include "mesh/routing/request_router.hpp"
 
 #include <algorithm>
 #include <cassert>
@@ -10,7 +10,7 @@
 using namespace std::chrono_literals;
 
 constexpr std::size_t kProcessesUntold = 100;  // until the control plane tells; more than share most slacks
-constexpr std::uint32_t kMostDoors = 4;        // that may turn a request away before it is given up
+constexpr std::uint32_t kMostRefusals = 4;     // that may turn a request away before it is given up
 constexpr Span kLeastLeft = 20ms;              // of a client's time; nothing is served in less
 constexpr Span kLeastComeBack = 50ms;          // for a client that is turned away; a queue's shortest time
 constexpr Span kMostComeBack = 400ms;          // clients heed a third of what time they have
@@ -24,24 +24,24 @@
 
 }  // namespace
 
-Caller::Caller(Built built)
+RequestRouter::RequestRouter(Built built)
     : built_(std::move(built)),
-      rack_(built_.zone, built_.node, built_.seed),
+      pool_(built_.zone, built_.node, built_.seed),
       chance_(built_.seed + 1),
       processes_(kProcessesUntold) {}
 
-void Caller::processes(std::size_t count) {
+void RequestRouter::processes(std::size_t count) {
   processes_ = std::max<std::size_t>(count, 1);
   for (auto& [service, budget] : budgets_) budget.share(built_.allowance, processes_);
 }
 
-Budget& Caller::budget(const ServiceName& service) {
+RetryBudget& RequestRouter::budget(const ServiceName& service) {
   const auto [found, added] = budgets_.try_emplace(service);
   if (added) found->second.share(built_.allowance, processes_);
   return found->second;
 }
 
-Span Caller::hedgeAfter(const Route& route) const {
+Span RequestRouter::hedgeAfter(const Route& route) const {
   const auto mean = meanAnswer_.find(route.name);
   const Span byAim = std::chrono::duration_cast<Span>(route.aim * kHedgeAim);
   if (mean == meanAnswer_.end()) return byAim;
@@ -49,9 +49,9 @@
                   std::chrono::duration_cast<Span>(std::chrono::duration<double>(mean->second * kHedgeMean)));
 }
 
-CallActs Caller::asked(Span now, CallNo no, const Asked& asked) {
-  CallActs acts;
-  auto route = book_.find(asked.host, asked.path);
+RoutingActions RequestRouter::asked(Span now, CallNo no, const Asked& asked) {
+  RoutingActions acts;
+  auto route = table_.find(asked.host, asked.path);
   if (!route) {
     answer(no, 404, Span{0}, acts);
     return acts;
@@ -69,15 +69,15 @@
 }
 
 // To one more server, if any may take it; no question of the budget.
-bool Caller::sendOn(Span now, CallNo no, Call& call, CallActs& acts) {
+bool RequestRouter::sendOn(Span now, CallNo no, Call& call, RoutingActions& acts) {
   if (call.deadline - now < kLeastLeft) return false;
   const bool keyed = call.route->kind == RouteKind::keyed;
-  const auto picked = rack_.pick(now, call.service, keyed, call.been);
+  const auto picked = pool_.pick(now, call.service, keyed, call.been);
   if (!picked) return false;
   call.been.insert(picked->id);
   const TryNo sent{++tries_};
   call.out[sent] = {picked->id, false};
-  CallAct act{CallAct::Kind::send, no, sent};
+  RoutingAction act{RoutingAction::Kind::send, no, sent};
   act.at = picked->at;
   act.ask.instance = picked->id;
   act.ask.service = call.service;
@@ -91,15 +91,16 @@
   return true;
 }
 
-CallActs Caller::hopped(Span now, CallNo no, TryNo sent, Hopped how, const HopTold& told,
-                        std::uint32_t status, std::shared_ptr<const void> bytes) {
-  CallActs acts;
+RoutingActions RequestRouter::forwarded(Span now, CallNo no, TryNo sent, ForwardResult how,
+                                        const ForwardReply& told, std::uint32_t status,
+                                        std::shared_ptr<const void> bytes) {
+  RoutingActions acts;
   const auto found = calls_.find(no);
   if (found == calls_.end() || found->second.out.count(sent) == 0) return acts;
   Call& call = found->second;
   const Try tried = call.out.at(sent);
   call.out.erase(sent);
-  const Verdict verdict = how == Hopped::told ? told.verdict : Verdict::unknown;
+  const Verdict verdict = how == ForwardResult::told ? told.verdict : Verdict::unknown;
   const bool pure = call.route->kind == RouteKind::pure;
 
   // What it says of the server.
@@ -126,10 +127,10 @@
         break;
       case Verdict::unreachable:
       case Verdict::unknown:
-        ending = how == Hopped::told ? Ending::failed : Ending::wayFailed;
+        ending = how == ForwardResult::told ? Ending::failed : Ending::wayFailed;
         break;
     }
-    rack_.ended(now, tried.instance, ending, told.load);
+    pool_.ended(now, tried.instance, ending, told.load);
   }
 
   switch (verdict) {
@@ -149,7 +150,7 @@
             sendOn(now, no, call, acts))
           return acts;
       }
-      CallAct act{CallAct::Kind::pass, no};
+      RoutingAction act{RoutingAction::Kind::pass, no};
       act.bytes = std::move(bytes);
       acts.push_back(std::move(act));
       calls_.erase(found);
@@ -160,23 +161,23 @@
     case Verdict::strange:
     case Verdict::unreachable:
     case Verdict::voteless:
-      ++call.doors;
+      ++call.refusals;
       if (verdict == Verdict::voteless) {
         call.quorumBack = std::max(call.quorumBack, told.wait);
       } else if (told.wait > Span{0}) {
         call.wait = std::min(call.wait, told.wait);
       }
       // One process may be cut off from the quorum; two are a sign that there is none.
-      if (verdict == Verdict::voteless && ++call.voteless > 1) call.doors = kMostDoors;
+      if (verdict == Verdict::voteless && ++call.voteless > 1) call.refusals = kMostRefusals;
       if (!call.out.empty()) return acts;
       if (tried.asking) break;  // the holder gave its claim back; the client may ask anew
-      if (call.doors < kMostDoors && sendOn(now, no, call, acts)) return acts;
+      if (call.refusals < kMostRefusals && sendOn(now, no, call, acts)) return acts;
       break;
     case Verdict::turnedAway:
       ++call.reached;
-      ++call.doors;
+      ++call.refusals;
       if (!call.out.empty()) return acts;
-      if (call.reached < call.route->mostServers && call.doors < kMostDoors &&
+      if (call.reached < call.route->mostServers && call.refusals < kMostRefusals &&
           budget(call.service).take(now) && sendOn(now, no, call, acts))
         return acts;
       break;
@@ -185,7 +186,7 @@
       // Its answer lies with the process that holds the key, if that one still lives.
       const TryNo next{++tries_};
       call.out[next] = {InstanceId{}, true};
-      CallAct act{CallAct::Kind::send, no, next};
+      RoutingAction act{RoutingAction::Kind::send, no, next};
       act.at = told.holder->at;
       act.ask.service = call.service;
       act.ask.caller = built_.service;
@@ -208,18 +209,19 @@
         calls_.erase(found);
         return acts;
       }
-      if (how != Hopped::notSent) {
+      if (how != ForwardResult::notSent) {
         ++call.reached;
         call.mayHaveRun = true;
       }
       if (!call.out.empty()) return acts;
       // A keyed request may go to another server: its key is claimed there, and a claim that stands is found.
       // After word from the server's own process that it may have run it is known to be in vain.
-      const bool again =
-          how == Hopped::notSent || pure || (call.route->kind == RouteKind::keyed && how != Hopped::told);
-      const bool counted = how != Hopped::notSent;
-      if (how == Hopped::notSent) ++call.doors;
-      if (again && call.doors < kMostDoors && call.reached < call.route->mostServers + (counted ? 0U : 1U) &&
+      const bool again = how == ForwardResult::notSent || pure ||
+                         (call.route->kind == RouteKind::keyed && how != ForwardResult::told);
+      const bool counted = how != ForwardResult::notSent;
+      if (how == ForwardResult::notSent) ++call.refusals;
+      if (again && call.refusals < kMostRefusals &&
+          call.reached < call.route->mostServers + (counted ? 0U : 1U) &&
           (!counted || budget(call.service).take(now)) && sendOn(now, no, call, acts))
         return acts;
       break;
@@ -229,16 +231,16 @@
   return acts;
 }
 
-void Caller::giveUp(Span now, CallNo no, Call& call, CallActs& acts) {
+void RequestRouter::giveUp(Span now, CallNo no, Call& call, RoutingActions& acts) {
   if (!call.out.empty()) return;
   if (call.lastBytes) {
-    CallAct act{CallAct::Kind::pass, no};
+    RoutingAction act{RoutingAction::Kind::pass, no};
     act.bytes = call.lastBytes;
     acts.push_back(std::move(act));
   } else if (call.mayHaveRun) {
     answer(no, call.deadline <= now ? kTimeout : kFailed, Span{0}, acts);
   } else {
-    const bool known = rack_.standing(call.service) > 0;
+    const bool known = pool_.standing(call.service) > 0;
     Span wait = call.wait == Span::max() ? (known ? kLeastComeBack : kNoServers) : call.wait;
     wait = std::clamp(wait, kLeastComeBack, kMostComeBack);
     wait = std::max(wait, call.quorumBack);
@@ -247,15 +249,15 @@
   calls_.erase(no);
 }
 
-void Caller::answer(CallNo no, std::uint32_t status, Span comeBack, CallActs& acts) {
-  CallAct act{CallAct::Kind::answer, no};
+void RequestRouter::answer(CallNo no, std::uint32_t status, Span comeBack, RoutingActions& acts) {
+  RoutingAction act{RoutingAction::Kind::answer, no};
   act.status = status;
   act.comeBack = comeBack;
   acts.push_back(std::move(act));
 }
 
-CallActs Caller::tick(Span now) {
-  CallActs acts;
+RoutingActions RequestRouter::tick(Span now) {
+  RoutingActions acts;
   std::vector<CallNo> due;
   for (const auto& [no, call] : calls_) {
     if (std::min(call.deadline, call.hedgeAt) <= now) due.push_back(no);
@@ -265,7 +267,7 @@
     if (call.deadline <= now) {
       // What is still out may have run; nobody waits for it any more.
       for (const auto& [sent, tried] : call.out) {
-        if (!tried.asking) rack_.ended(now, tried.instance, Ending::failed, std::nullopt);
+        if (!tried.asking) pool_.ended(now, tried.instance, Ending::failed, std::nullopt);
         call.mayHaveRun = true;
       }
       call.out.clear();
@@ -275,14 +277,14 @@
     call.hedgeAt = Span::max();
     // One more than the route allows must never be out: those out may all have reached their servers.
     const std::uint32_t may = call.reached + static_cast<std::uint32_t>(call.out.size());
-    if (may >= call.route->mostServers || rack_.standing(call.service) < 2) continue;
+    if (may >= call.route->mostServers || pool_.standing(call.service) < 2) continue;
     if (budget(call.service).take(now)) sendOn(now, no, call, acts);
   }
-  rack_.sweep(now);
+  pool_.sweep(now);
   return acts;
 }
 
-std::optional<Span> Caller::nextTick() const {
+std::optional<Span> RequestRouter::nextTick() const {
   std::optional<Span> next;
   for (const auto& [no, call] : calls_) {
     const Span at = std::min(call.deadline, call.hedgeAt);
--- a/src/mesh/caller/caller.hpp
+++ b/src/mesh/routing/request_router.hpp
@@ -15,9 +15,9 @@
 #include <string_view>
 #include <vector>
 
-#include "mesh/hop/hop.hpp"
-#include "mesh/rack/budget.hpp"
-#include "mesh/rack/rack.hpp"
+#include "mesh/balancing/retry_budget.hpp"
+#include "mesh/balancing/server_pool.hpp"
+#include "mesh/forwarding/forwarding.hpp"
 
 namespace rackroute::mesh {
 
@@ -32,27 +32,27 @@
 };
 
 /// What came of one try.
-enum class Hopped {
+enum class ForwardResult {
   told,     // the other process answered
   notSent,  // no connection came up
   broken,   // it was sent, and the connection ended without a whole answer
   silent,   // no answer in time
 };
 
-struct CallAct {
+struct RoutingAction {
   enum class Kind { send, answer, pass };
   Kind kind = Kind::send;
   CallNo call;
   TryNo sent{};                         // send
   Address at{};                         // send
-  HopAsk ask{};                         // send
+  ForwardRequest ask{};                 // send
   std::uint32_t status = 0;             // answer
   Span comeBack{};                      // answer: 0, no advice
   std::shared_ptr<const void> bytes{};  // pass: the answer that goes to the client
 };
-using CallActs = std::vector<CallAct>;
+using RoutingActions = std::vector<RoutingAction>;
 
-class Caller {
+class RequestRouter {
  public:
   struct Built {
     NodeName node;
@@ -61,20 +61,20 @@
     Allowance allowance;
     std::uint64_t seed = 0;
   };
-  explicit Caller(Built built);
+  explicit RequestRouter(Built built);
 
-  void configured(const Items& items) { book_.read(items); }
-  void told(Span now, const Served& server, bool heard) { rack_.told(now, server, heard); }
+  void configured(const Items& items) { table_.read(items); }
+  void told(Span now, const Served& server, bool heard) { pool_.told(now, server, heard); }
   /// How many data-plane processes share the allowance for further tries.
   void processes(std::size_t count);
-  CallActs asked(Span now, CallNo no, const Asked& asked);
+  RoutingActions asked(Span now, CallNo no, const Asked& asked);
   /// status: of the server's answer, if the verdict is that it ran.
-  CallActs hopped(Span now, CallNo no, TryNo sent, Hopped how, const HopTold& told, std::uint32_t status,
-                  std::shared_ptr<const void> bytes);
-  CallActs tick(Span now);
+  RoutingActions forwarded(Span now, CallNo no, TryNo sent, ForwardResult how, const ForwardReply& told,
+                           std::uint32_t status, std::shared_ptr<const void> bytes);
+  RoutingActions tick(Span now);
   [[nodiscard]] std::optional<Span> nextTick() const;
-  [[nodiscard]] const RouteBook& book() const { return book_; }
-  [[nodiscard]] const Rack& rack() const { return rack_; }
+  [[nodiscard]] const RouteTable& book() const { return table_; }
+  [[nodiscard]] const ServerPool& rack() const { return pool_; }
   [[nodiscard]] std::size_t atWork() const { return calls_.size(); }
 
  private:
@@ -91,25 +91,25 @@
     std::set<InstanceId> been;  // servers that it was sent to, or tried to be
     std::map<TryNo, Try> out;
     std::uint32_t reached = 0;   // servers that it may have reached
-    std::uint32_t doors = 0;     // that did not let it in
+    std::uint32_t refusals = 0;  // that did not let it in
     std::uint32_t voteless = 0;  // of these, for want of a quorum
     bool mayHaveRun = false;
-    Span quorumBack{};                      // until there may be a quorum, as doors told
-    Span wait = Span::max();                // the shortest until there may be room, as doors told
+    Span quorumBack{};                      // until there may be a quorum, as refusals told
+    Span wait = Span::max();                // the shortest until there may be room, as refusals told
     std::shared_ptr<const void> lastBytes;  // a server's answer that it failed, in case nothing better comes
   };
-  bool sendOn(Span now, CallNo no, Call& call, CallActs& acts);
-  void giveUp(Span now, CallNo no, Call& call, CallActs& acts);
-  void answer(CallNo no, std::uint32_t status, Span comeBack, CallActs& acts);
-  Budget& budget(const ServiceName& service);
+  bool sendOn(Span now, CallNo no, Call& call, RoutingActions& acts);
+  void giveUp(Span now, CallNo no, Call& call, RoutingActions& acts);
+  void answer(CallNo no, std::uint32_t status, Span comeBack, RoutingActions& acts);
+  RetryBudget& budget(const ServiceName& service);
   [[nodiscard]] Span hedgeAfter(const Route& route) const;
 
   Built built_;
-  RouteBook book_;
-  Rack rack_;
+  RouteTable table_;
+  ServerPool pool_;
   std::mt19937_64 chance_;
   std::map<CallNo, Call> calls_;
-  std::map<ServiceName, Budget> budgets_;
+  std::map<ServiceName, RetryBudget> budgets_;
   std::map<std::string, double> meanAnswer_;  // seconds, by route
   std::size_t processes_;
   std::uint64_t tries_ = 0;
--- a/src/mesh/shuttle/feed.cpp
+++ b/src/mesh/sidecar/control_client.cpp
@@ -1,4 +1,4 @@
-#include "mesh/shuttle/feed.hpp"
+#include "mesh/sidecar/control_client.hpp"
 
 #include <xxhash.h>
 
@@ -24,50 +24,51 @@
 
 }  // namespace
 
-Span Feed::tickEvery() { return kTick; }
+Span ControlClient::tickEvery() { return kTick; }
 
-Feed::Feed(Built built) : built_(std::move(built)) {
+ControlClient::ControlClient(Built built) : built_(std::move(built)) {
   for (const Address& seed : built_.seeds) controls_[seed];
 }
 
-void Feed::seeds(std::vector<Address> seeds) {
+void ControlClient::seeds(std::vector<Address> seeds) {
   built_.seeds = std::move(seeds);
   for (const Address& seed : built_.seeds) {
     if (controls_.size() < kMostControls) controls_[seed];
   }
 }
 
-void Feed::learn(const json& list) {
+void ControlClient::learn(const json& list) {
   for (const json& address : list) {
     if (controls_.size() < kMostControls) controls_[{address.get<std::string>()}];
   }
 }
 
-void Feed::say(const Address& to, std::shared_ptr<const std::string> text, FeedActs& acts) {
+void ControlClient::say(const Address& to, std::shared_ptr<const std::string> text,
+                        ControlClientActions& acts) {
   controls_.at(to).lastSaid = now_;
-  FeedAct act;
-  act.kind = FeedAct::Kind::say;
+  ControlClientAction act;
+  act.kind = ControlClientAction::Kind::say;
   act.at = to;
   act.text = std::move(text);
   acts.push_back(std::move(act));
 }
 
-void Feed::say(const Address& to, const json& word, FeedActs& acts) {
+void ControlClient::say(const Address& to, const json& word, ControlClientActions& acts) {
   say(to, std::make_shared<const std::string>(word.dump()), acts);
 }
 
-FeedActs Feed::sayAll(const json& word) {
+ControlClientActions ControlClient::sayAll(const json& word) {
   const auto text = std::make_shared<const std::string>(word.dump());
-  FeedActs acts;
+  ControlClientActions acts;
   for (const auto& [at, control] : controls_) {
     if (control.up) say(at, text, acts);
   }
   return acts;
 }
 
-FeedActs Feed::reached(Span now, const Address& at) {
+ControlClientActions ControlClient::reached(Span now, const Address& at) {
   now_ = now;
-  FeedActs acts;
+  ControlClientActions acts;
   Control& control = controls_[at];
   control = Control{};
   control.up = true;
@@ -85,16 +86,16 @@
     wantedAt_ = now;
     say(at, {{"t", "want"}, {"versions", items_.versions()}}, acts);
   }
-  FeedAct act;
-  act.kind = FeedAct::Kind::standing;
+  ControlClientAction act;
+  act.kind = ControlClientAction::Kind::standing;
   act.at = at;
   acts.push_back(std::move(act));
   return acts;
 }
 
-FeedActs Feed::ended(Span now, const Address& at) {
+ControlClientActions ControlClient::ended(Span now, const Address& at) {
   now_ = now;
-  FeedActs acts;
+  ControlClientActions acts;
   Control& control = controls_[at];
   const bool was = control.up;
   control.up = false;
@@ -104,14 +105,14 @@
   return acts;
 }
 
-void Feed::alive(Span now, const Address& at) {
+void ControlClient::alive(Span now, const Address& at) {
   const auto found = controls_.find(at);
   if (found != controls_.end()) found->second.lastHeard = now;
 }
 
-FeedActs Feed::heard(Span now, const Address& at, const json& word) {
+ControlClientActions ControlClient::heard(Span now, const Address& at, const json& word) {
   now_ = now;
-  FeedActs acts;
+  ControlClientActions acts;
   const auto found = controls_.find(at);
   if (found == controls_.end() || !found->second.up) return acts;
   Control& control = found->second;
@@ -122,8 +123,8 @@
     voters_ = word.at("voters").get<std::size_t>();
     quorum_ = word.at("quorum").get<std::size_t>();
     learn(word.at("core"));
-    FeedAct act;
-    act.kind = FeedAct::Kind::told;
+    ControlClientAction act;
+    act.kind = ControlClientAction::Kind::told;
     acts.push_back(std::move(act));
   } else if (kind == "core") {
     learn(word.at("list"));
@@ -135,8 +136,8 @@
     if (members != members_) {
       // The largest of what is told is the careful one: more processes, a smaller part for each.
       members_ = std::max(members, controls_.size() > 1 ? members_ : 0);
-      FeedAct act;
-      act.kind = FeedAct::Kind::told;
+      ControlClientAction act;
+      act.kind = ControlClientAction::Kind::told;
       acts.push_back(std::move(act));
     }
     if (before != (control.whole && control.settled)) assign(acts);
@@ -165,21 +166,21 @@
     // Others may have told already that they hold just this; their next word of it is half a second away.
     for (auto& entry : controls_) compare(entry.second);
     if (changed) {
-      FeedAct act;
-      act.kind = FeedAct::Kind::configured;
+      ControlClientAction act;
+      act.kind = ControlClientAction::Kind::configured;
       acts.push_back(std::move(act));
     }
   } else if (kind == "servers") {
     for (const json& entry : word.at("list")) {
-      FeedAct act;
-      act.kind = FeedAct::Kind::server;
+      ControlClientAction act;
+      act.kind = ControlClientAction::Kind::server;
       act.news = newsFrom(entry);
       acts.push_back(std::move(act));
     }
   } else if (kind == "votes") {
     for (const json& vote : word.at("list")) {
-      FeedAct act;
-      act.kind = FeedAct::Kind::vote;
+      ControlClientAction act;
+      act.kind = ControlClientAction::Kind::vote;
       act.at = at;
       act.claim = {vote.at(0).get<std::uint64_t>()};
       act.granted = vote.size() == 1;
@@ -191,22 +192,22 @@
 }
 
 // What it told of its items is what is held here: it has nothing more to give.
-void Feed::compare(Control& control) {
+void ControlClient::compare(Control& control) {
   if (!control.up || !control.whole || control.digest != items_.digest()) return;
   control.answered = true;
   if (!items_.all().empty() && !firstItems_) firstItems_ = now_;
 }
 
-FeedActs Feed::follow(const std::vector<ServiceName>& services) {
+ControlClientActions ControlClient::follow(const std::vector<ServiceName>& services) {
   services_ = services;
-  FeedActs acts;
+  ControlClientActions acts;
   assign(acts);
   return acts;
 }
 
 // Each service has a home in the zone, a control process there that stands; where there is none, one further
 // away. All in the zone choose alike, so news crosses between zones once.
-void Feed::assign(FeedActs& acts) {
+void ControlClient::assign(ControlClientActions& acts) {
   std::map<Address, std::set<ServiceName>> homes;
   for (const ServiceName& service : services_) {
     const Address* best = nullptr;
@@ -234,21 +235,21 @@
   }
 }
 
-bool Feed::ready(Span now) const {
+bool ControlClient::ready(Span now) const {
   if (!firstItems_) return false;
   const auto answered = static_cast<std::size_t>(std::count_if(
       controls_.begin(), controls_.end(), [](const auto& entry) { return entry.second.answered; }));
   return (quorum_ > 0 && answered >= quorum_) || *firstItems_ + kFewest <= now;
 }
 
-std::size_t Feed::sessions() const {
+std::size_t ControlClient::sessions() const {
   return static_cast<std::size_t>(
       std::count_if(controls_.begin(), controls_.end(), [](const auto& entry) { return entry.second.up; }));
 }
 
-FeedActs Feed::tick(Span now) {
+ControlClientActions ControlClient::tick(Span now) {
   now_ = now;
-  FeedActs acts;
+  ControlClientActions acts;
   std::vector<Address> silent;
   for (auto& [at, control] : controls_) {
     if (control.up) {
@@ -259,18 +260,18 @@
       }
     } else if (control.next <= now) {
       control.next = now + kDialTime;
-      FeedAct act;
-      act.kind = FeedAct::Kind::dial;
+      ControlClientAction act;
+      act.kind = ControlClientAction::Kind::dial;
       act.at = at;
       acts.push_back(std::move(act));
     }
   }
   for (const Address& at : silent) {
-    FeedAct act;
-    act.kind = FeedAct::Kind::hangUp;
+    ControlClientAction act;
+    act.kind = ControlClientAction::Kind::hangUp;
     act.at = at;
     acts.push_back(std::move(act));
-    const FeedActs more = ended(now, at);
+    const ControlClientActions more = ended(now, at);
     acts.insert(acts.end(), more.begin(), more.end());
   }
   return acts;
--- a/src/mesh/shuttle/feed.hpp
+++ b/src/mesh/sidecar/control_client.hpp
@@ -14,13 +14,13 @@
 #include <string>
 #include <vector>
 
-#include "mesh/latch/latches.hpp"
-#include "mesh/plan/items.hpp"
-#include "mesh/roster/words.hpp"
+#include "mesh/claims/claims.hpp"
+#include "mesh/configuration/items.hpp"
+#include "mesh/registry/registry_messages.hpp"
 
 namespace rackroute::mesh {
 
-struct FeedAct {
+struct ControlClientAction {
   enum class Kind { say, dial, hangUp, server, configured, vote, standing, told };
   Kind kind = Kind::say;
   Address at{};                               // say, dial, hangUp, standing: the control process
@@ -30,30 +30,30 @@
   bool granted = false;                       // vote
   std::optional<Holder> holder{};             // vote
 };
-using FeedActs = std::vector<FeedAct>;
+using ControlClientActions = std::vector<ControlClientAction>;
 
-class Feed {
+class ControlClient {
  public:
   struct Built {
     NodeName node;
     Address at;  // where others of the mesh reach this process
     std::string zone;
     LifeNo life;
-    std::vector<Address> seeds;  // of the control plane's own talk
+    std::vector<Address> seeds;  // of the control plane's own session
   };
-  explicit Feed(Built built);
+  explicit ControlClient(Built built);
 
-  FeedActs reached(Span now, const Address& at);
-  FeedActs ended(Span now, const Address& at);  // a session, or a dial that failed
-  FeedActs heard(Span now, const Address& at, const nlohmann::json& word);
+  ControlClientActions reached(Span now, const Address& at);
+  ControlClientActions ended(Span now, const Address& at);  // a session, or a dial that failed
+  ControlClientActions heard(Span now, const Address& at, const nlohmann::json& word);
   /// Bytes of a word that is not whole yet.
   void alive(Span now, const Address& at);
-  FeedActs tick(Span now);
+  ControlClientActions tick(Span now);
   void seeds(std::vector<Address> seeds);
   /// The services whose servers are wanted.
-  FeedActs follow(const std::vector<ServiceName>& services);
+  ControlClientActions follow(const std::vector<ServiceName>& services);
   /// The same word to every control process that is reached.
-  FeedActs sayAll(const nlohmann::json& word);
+  ControlClientActions sayAll(const nlohmann::json& word);
   [[nodiscard]] static Span tickEvery();
   [[nodiscard]] const Items& items() const { return items_; }
   /// Whether what is in force came from as many control processes as are needed to know the newest.
@@ -77,11 +77,11 @@
     Span differsSince = Span::max();
     std::set<ServiceName> followed;
   };
-  void say(const Address& to, const nlohmann::json& word, FeedActs& acts);
-  void say(const Address& to, std::shared_ptr<const std::string> text, FeedActs& acts);
+  void say(const Address& to, const nlohmann::json& word, ControlClientActions& acts);
+  void say(const Address& to, std::shared_ptr<const std::string> text, ControlClientActions& acts);
   void learn(const nlohmann::json& list);
   void compare(Control& control);
-  void assign(FeedActs& acts);
+  void assign(ControlClientActions& acts);
 
   Built built_;
   Items items_;
--- /dev/null
+++ b/src/mesh/sidecar/sidecar.hpp
@@ -0,0 +1,76 @@
+#pragma once
+
+// The data-plane process as one state machine: the caller's decisions, the door of the server here, and what
+// is heard from the control plane, put together. It owns these three and decides nothing of its own; no I/O,
+// no clock.
+
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "mesh/admission/admission.hpp"
+#include "mesh/routing/request_router.hpp"
+#include "mesh/sidecar/control_client.hpp"
+
+namespace rackroute::mesh {
+
+/// All that the process is to do after an input, in this order.
+struct SidecarActions {
+  RoutingActions calls;
+  AdmissionActions door;      // run and answer only
+  ControlClientActions feed;  // say, dial and hangUp only
+};
+
+class Sidecar {
+ public:
+  struct Built {
+    RequestRouter::Built caller;
+    Admission::Built door;
+    ControlClient::Built feed;
+  };
+  explicit Sidecar(Built built);
+
+  SidecarActions asked(Span now, CallNo no, const Asked& asked);
+  SidecarActions forwarded(Span now, CallNo no, TryNo sent, ForwardResult how, const ForwardReply& told,
+                           std::uint32_t status, std::shared_ptr<const void> bytes);
+  SidecarActions forwardRequested(Span now, AskNo no, const ForwardRequest& ask,
+                                  const std::optional<std::string>& key);
+  SidecarActions ran(Span now, AskNo no, AtServer how, const ServerAnswer& answer);
+  SidecarActions beat(Span now, const Beat& beat);
+  SidecarActions reached(Span now, const Address& control);
+  SidecarActions ended(Span now, const Address& control);
+  SidecarActions heard(Span now, const Address& control, const nlohmann::json& word);
+  void alive(Span now, const Address& control) { controlClient_.alive(now, control); }
+  SidecarActions tick(Span now);
+  /// The process leaves: not ready from now on; its server gets new work for a while yet.
+  SidecarActions leave(Span now);
+  void seeds(std::vector<Address> seeds) { controlClient_.seeds(std::move(seeds)); }
+  /// When tick() is to be called at the latest.
+  [[nodiscard]] Span nextTick(Span now) const;
+  /// Whether requests are taken: what is in force is known, and read as routes.
+  [[nodiscard]] bool serving(Span now) const { return controlClient_.ready(now) && (served_ || !readsAt_); }
+  [[nodiscard]] bool ready(Span now) const { return !leaving_ && serving(now); }
+  [[nodiscard]] std::size_t atWork() const { return router_.atWork() + admission_.atWork(); }
+  [[nodiscard]] const RequestRouter& caller() const { return router_; }
+  [[nodiscard]] const Admission& door() const { return admission_; }
+  [[nodiscard]] const ControlClient& feed() const { return controlClient_; }
+
+ private:
+  void take(Span now, AdmissionActions acts, SidecarActions& out);
+  void take(Span now, ControlClientActions acts, SidecarActions& out);
+  void configure(Span now, SidecarActions& out);
+
+  Built built_;
+  RequestRouter router_;
+  Admission admission_;
+  ControlClient controlClient_;
+  Span controlClientTick_{};
+  std::optional<Span> readsAt_;          // when the items in force are to be read as routes
+  std::optional<Span> admissionCloses_;  // when the door is to shut
+  bool served_ = false;                  // requests were taken before
+  bool leaving_ = false;
+};
+
+}  // namespace rackroute::mesh
--- a/src/mesh/shop/store.cpp
+++ b/src/mesh/storage/store.cpp
@@ -1,4 +1,4 @@
-#include "mesh/shop/store.hpp"
+#include "mesh/storage/store.hpp"
 
 #include <leveldb/db.h>
 #include <leveldb/write_batch.h>
@@ -39,7 +39,7 @@
   options.compression = leveldb::kNoCompression;
   leveldb::DB* database = nullptr;
   const leveldb::Status status = leveldb::DB::Open(options, folder_ + kFolder, &database);
-  if (!status.ok()) return mishap("store", status.ToString(), folder_);
+  if (!status.ok()) return failure("store", status.ToString(), folder_);
   database_.reset(database);
   return boost::outcome_v2::success();
 }
@@ -50,11 +50,11 @@
   std::map<std::string, std::string> all;
   const std::unique_ptr<leveldb::Iterator> at(database_->NewIterator(leveldb::ReadOptions()));
   for (at->SeekToFirst(); at->Valid(); at->Next()) all[at->key().ToString()] = at->value().ToString();
-  if (!at->status().ok()) return mishap("store", at->status().ToString(), folder_);
+  if (!at->status().ok()) return failure("store", at->status().ToString(), folder_);
   const auto mark = all.find(kMark);
   if (!all.empty() && (mark == all.end() || mark->second != kVersion)) {
     foreign = true;
-    return mishap("store", "it holds something else, or was written by a newer version", folder_);
+    return failure("store", "it holds something else, or was written by a newer version", folder_);
   }
   all.erase(kMark);
   return all;
--- a/src/mesh/shop/store.hpp
+++ b/src/mesh/storage/store.hpp
@@ -14,7 +14,7 @@
 #include <thread>
 #include <vector>
 
-#include "mesh/plan/mishap.hpp"
+#include "mesh/configuration/error.hpp"
 
 namespace leveldb {
 class DB;
--- a/src/mesh/shop/calls.hpp
+++ b/src/mesh/transport/calls.hpp
@@ -10,26 +10,26 @@
 namespace rackroute::mesh {
 
 enum class CallKind { beat, signOff, changeItems, readItems, readiness };
-enum class CallDoor { control, ready };  // the address that it comes to
-enum class CallBy { auxiliary, core };   // the kind of machine whose address that is
+enum class CallSocket { control, ready };  // the address that it comes to
+enum class CallBy { auxiliary, core };     // the kind of machine whose address that is
 
 struct CallRow {
   CallKind kind;
   std::string_view method;
   std::string_view path;
   bool named;  // the path goes on with a name
-  CallDoor door;
+  CallSocket door;
   CallBy by;
   std::size_t mostBytes;  // of its body
 };
 
 inline constexpr std::array<CallRow, 5> kCalls{{
-    {CallKind::beat, "PUT", "/rackroute/instances/", true, CallDoor::control, CallBy::auxiliary, 64 << 10},
-    {CallKind::signOff, "DELETE", "/rackroute/instances/", true, CallDoor::control, CallBy::auxiliary,
+    {CallKind::beat, "PUT", "/rackroute/instances/", true, CallSocket::control, CallBy::auxiliary, 64 << 10},
+    {CallKind::signOff, "DELETE", "/rackroute/instances/", true, CallSocket::control, CallBy::auxiliary,
      64 << 10},
-    {CallKind::changeItems, "PATCH", "/rackroute/config", false, CallDoor::control, CallBy::core, 16 << 20},
-    {CallKind::readItems, "GET", "/rackroute/config", false, CallDoor::control, CallBy::core, 0},
-    {CallKind::readiness, "GET", "/rackroute/readiness", false, CallDoor::ready, CallBy::auxiliary, 0},
+    {CallKind::changeItems, "PATCH", "/rackroute/config", false, CallSocket::control, CallBy::core, 16 << 20},
+    {CallKind::readItems, "GET", "/rackroute/config", false, CallSocket::control, CallBy::core, 0},
+    {CallKind::readiness, "GET", "/rackroute/readiness", false, CallSocket::ready, CallBy::auxiliary, 0},
 }};
 
 struct Called {
@@ -38,7 +38,7 @@
 };
 
 /// The row that a request at this door means; pathKnown: some row has the path, whatever the method.
-inline std::optional<Called> findCall(CallDoor door, CallBy by, std::string_view method,
+inline std::optional<Called> findCall(CallSocket door, CallBy by, std::string_view method,
                                       std::string_view path, bool& pathKnown) {
   path = path.substr(0, path.find('?'));
   pathKnown = false;
--- a/src/mesh/shop/pack.cpp
+++ b/src/mesh/transport/compression.cpp
@@ -1,4 +1,4 @@
-#include "mesh/shop/pack.hpp"
+#include "mesh/transport/compression.hpp"
 
 #include <zlib.h>
 
@@ -14,7 +14,7 @@
 
 bool worthPacking(const std::string& word) { return word.size() >= kWorth; }
 
-std::shared_ptr<const std::string> Packer::packed(const std::shared_ptr<const std::string>& word) {
+std::shared_ptr<const std::string> Compressor::packed(const std::shared_ptr<const std::string>& word) {
   const auto found = kept_.find(word.get());
   if (found != kept_.end() && found->second.word.lock() == word) {
     if (auto made = found->second.packed.lock()) return made;
--- a/src/mesh/shop/pack.hpp
+++ b/src/mesh/transport/compression.hpp
@@ -1,8 +1,8 @@
 #pragma once
 
-// Long words of the mesh's own talk, made short for thin links: a configuration of a thousand routes is half
-// a megabyte that repeats itself. It owns what it packed last, as the same word goes to many; it must never
-// take more bytes out of a packed word than that word said beforehand.
+// Long words of the mesh's own session, made short for thin links: a configuration of a thousand routes is
+// half a megabyte that repeats itself. It owns what it packed last, as the same word goes to many; it must
+// never take more bytes out of a packed word than that word said beforehand.
 
 #include <cstddef>
 #include <map>
@@ -16,7 +16,7 @@
 /// Whether a word is worth packing at all.
 [[nodiscard]] bool worthPacking(const std::string& word);
 
-class Packer {
+class Compressor {
  public:
   /// The packed form, made once for all to whom the same word is said; shared, so that none copies it.
   std::shared_ptr<const std::string> packed(const std::shared_ptr<const std::string>& word);
--- a/src/mesh/shop/mesh_loop.hpp
+++ b/src/mesh/transport/event_loop.hpp
@@ -11,7 +11,7 @@
 
 namespace rackroute::mesh {
 
-class MeshLoop : public sidecar::Loop {
+class EventLoop : public sidecar::Loop {
  public:
   /// From any thread; the task runs in a turn of the loop.
   void post(Task task) {
--- a/src/mesh/shop/errand.cpp
+++ b/src/mesh/transport/http_client.cpp
@@ -1,4 +1,4 @@
-#include "mesh/shop/errand.hpp"
+#include "mesh/transport/http_client.hpp"
 
 #include <Poco/Exception.h>
 #include <netinet/in.h>
@@ -9,7 +9,7 @@
 #include <charconv>
 #include <utility>
 
-#include "mesh/hop/hop.hpp"
+#include "mesh/forwarding/forwarding.hpp"
 
 namespace rackroute::mesh {
 namespace {
@@ -35,15 +35,15 @@
 
 }  // namespace
 
-class Errands::Way : public sidecar::Connection {
+class HttpClient::ClientConnection : public sidecar::Connection {
  public:
-  Way(Errands& errands, Address to)
-      : Connection(errands.loop_, "errand", Poco::Net::StreamSocket(), to.value),
-        errands_(errands),
+  ClientConnection(HttpClient& httpClient, Address to)
+      : Connection(httpClient.loop_, "http client", Poco::Net::StreamSocket(), to.value),
+        httpClient_(httpClient),
         to_(std::move(to)) {}
 
   void connect() {
-    timer_ = loop_.in(errands_.terms_.dial, [this] {
+    timer_ = loop_.in(httpClient_.terms_.dial, [this] {
       timer_ = {};
       end(Reason::dialTimeout);
     });
@@ -56,7 +56,7 @@
     until_ = until;
     skipped_ = false;
     keeps_ = true;
-    reader_ = http::Reader(http::Reader::Kind::answer, errands_.terms_.mostAnswer);
+    reader_ = http::Reader(http::Reader::Kind::answer, httpClient_.terms_.mostAnswer);
     send(std::move(pieces));
     if (!dialing() && !ended()) watch();
   }
@@ -74,8 +74,8 @@
   void opened() override {
     up_ = true;
     loop_.cancel(timer_);
-    if (errands_.terms_.unread > Span{0}) {
-      const int milliseconds = static_cast<int>(errands_.terms_.unread / 1ms);
+    if (httpClient_.terms_.unread > Span{0}) {
+      const int milliseconds = static_cast<int>(httpClient_.terms_.unread / 1ms);
       const int one = 1;
       const int seconds = kProbeAfter;
       ::setsockopt(descriptor(), IPPROTO_TCP, TCP_USER_TIMEOUT, &milliseconds, sizeof(milliseconds));
@@ -109,25 +109,25 @@
       }
       ++messages_;
       keeps_ = answer->keepsOpen() && in_.empty() && !skipped_;
-      idle_ = errands_.terms_.idle;
+      idle_ = httpClient_.terms_.idle;
       if (const auto promised = promisedIdle(*answer)) idle_ = std::min(idle_, *promised - kKeepAliveMargin);
       if (idle_ <= Span{0}) keeps_ = false;
       loop_.cancel(timer_);
-      tell(Errand::answered, std::move(answer));
-      if (keeps_) return errands_.release(std::static_pointer_cast<Way>(shared_from_this()));
+      tell(RequestOutcome::answered, std::move(answer));
+      if (keeps_) return httpClient_.release(std::static_pointer_cast<ClientConnection>(shared_from_this()));
       return end(Reason::closeAsked);
     }
   }
   void gone(Reason reason) override {
     loop_.cancel(timer_);
     if (done_) {
-      Errand how = Errand::broken;
-      if (!up_) how = Errand::notSent;
-      if (spoilt_) how = Errand::spoilt;
-      if (up_ && reason == Reason::executionTimeout) how = Errand::silent;
+      RequestOutcome how = RequestOutcome::broken;
+      if (!up_) how = RequestOutcome::notSent;
+      if (spoilt_) how = RequestOutcome::spoilt;
+      if (up_ && reason == Reason::executionTimeout) how = RequestOutcome::silent;
       tell(how, nullptr);
     }
-    errands_.forget(this);
+    httpClient_.forget(this);
   }
 
  private:
@@ -138,12 +138,12 @@
       end(Reason::executionTimeout);
     });
   }
-  void tell(Errand how, std::shared_ptr<const http::Message> answer) {
+  void tell(RequestOutcome how, std::shared_ptr<const http::Message> answer) {
     loop_.soon(
         [done = std::exchange(done_, nullptr), how, answer = std::move(answer)] { done(how, answer); });
   }
 
-  Errands& errands_;
+  HttpClient& httpClient_;
   Address to_;
   http::Reader reader_{http::Reader::Kind::answer};
   Done done_;
@@ -158,14 +158,14 @@
   bool keeps_ = true;
 };
 
-Errands::~Errands() = default;
+HttpClient::~HttpClient() = default;
 
-void Errands::send(const Address& to, http::Gather request, std::string attempt, bool headOnly, Span until,
-                   Done done) {
+void HttpClient::send(const Address& to, http::Gather request, std::string attempt, bool headOnly, Span until,
+                      Done done) {
   for (;;) {
     const auto kept = idle_.find(to);
     if (kept == idle_.end() || kept->second.empty()) break;
-    const std::shared_ptr<Way> way =
+    const std::shared_ptr<ClientConnection> way =
         kept->second.back();  // the one used last: the others may end of idleness
     kept->second.pop_back();
     if (way->ended()) continue;
@@ -178,13 +178,13 @@
     return;
   }
   ++dialled_;
-  const auto way = std::make_shared<Way>(*this, to);
+  const auto way = std::make_shared<ClientConnection>(*this, to);
   busy_[way.get()] = way;
   way->connect();
   way->request(std::move(request), std::move(attempt), headOnly, until, std::move(done));
 }
 
-void Errands::release(const std::shared_ptr<Way>& way) {
+void HttpClient::release(const std::shared_ptr<ClientConnection>& way) {
   auto& kept = idle_[way->to()];
   if (kept.size() >= terms_.mostIdle) return way->end(Reason::crowded);
   busy_.erase(way.get());
@@ -192,7 +192,7 @@
   way->keep(way->idle());
 }
 
-void Errands::forget(const Way* way) {
+void HttpClient::forget(const ClientConnection* way) {
   const auto kept = idle_.find(way->to());
   if (kept != idle_.end()) {
     auto& list = kept->second;
--- a/src/mesh/shop/errand.hpp
+++ b/src/mesh/transport/http_client.hpp
@@ -17,9 +17,9 @@
 
 namespace rackroute::mesh {
 
-enum class Errand { answered, notSent, broken, silent, spoilt };
+enum class RequestOutcome { answered, notSent, broken, silent, spoilt };
 
-class Errands {
+class HttpClient {
  public:
   struct Terms {
     Span dial{};    // for a connection to come up
@@ -28,12 +28,12 @@
     std::size_t mostAnswer = 0;  // bytes of a body
     std::size_t mostIdle = 0;    // connections kept for one address
   };
-  using Done = std::function<void(Errand, std::shared_ptr<const http::Message>)>;
+  using Done = std::function<void(RequestOutcome, std::shared_ptr<const http::Message>)>;
 
-  Errands(sidecar::Loop& loop, Terms terms) : loop_(loop), terms_(terms) {}
-  Errands(const Errands&) = delete;
-  Errands& operator=(const Errands&) = delete;
-  ~Errands();
+  HttpClient(sidecar::Loop& loop, Terms terms) : loop_(loop), terms_(terms) {}
+  HttpClient(const HttpClient&) = delete;
+  HttpClient& operator=(const HttpClient&) = delete;
+  ~HttpClient();
 
   /// attempt: what an answer must name to be this request's; empty: any does. done is called exactly once, in
   /// a later turn; until: silence is the end of it then.
@@ -42,14 +42,14 @@
   [[nodiscard]] std::size_t dialled() const { return dialled_; }
 
  private:
-  class Way;
-  void release(const std::shared_ptr<Way>& way);
-  void forget(const Way* way);
+  class ClientConnection;
+  void release(const std::shared_ptr<ClientConnection>& way);
+  void forget(const ClientConnection* way);
 
   sidecar::Loop& loop_;
   Terms terms_;
-  std::map<Address, std::vector<std::shared_ptr<Way>>> idle_;
-  std::map<const Way*, std::shared_ptr<Way>> busy_;
+  std::map<Address, std::vector<std::shared_ptr<ClientConnection>>> idle_;
+  std::map<const ClientConnection*, std::shared_ptr<ClientConnection>> busy_;
   std::size_t dialled_ = 0;
 };
 
