--- a/src/mesh/shop/guest.cpp
+++ b/src/mesh/transport/http_server_connection.cpp
@@ -1,4 +1,4 @@
-#include "mesh/shop/guest.hpp"
+#include "mesh/transport/http_server_connection.hpp"
 
 #include <utility>
 
@@ -41,25 +41,25 @@
   }
 }
 
-Guest::Guest(sidecar::Loop& loop, std::shared_ptr<House> house, Poco::Net::StreamSocket socket,
-             std::string peer)
-    : Connection(loop, "guest", std::move(socket), std::move(peer)),
-      house_(std::move(house)),
-      reader_(http::Reader::Kind::query, house_->mostBody) {}
+HttpServerConnection::HttpServerConnection(sidecar::Loop& loop, std::shared_ptr<Shared> shared,
+                                           Poco::Net::StreamSocket socket, std::string peer)
+    : Connection(loop, "connection", std::move(socket), std::move(peer)),
+      shared_(std::move(shared)),
+      reader_(http::Reader::Kind::query, shared_->mostBody) {}
 
-void Guest::start() {
-  house_->guests[this] = std::static_pointer_cast<Guest>(shared_from_this());
+void HttpServerConnection::start() {
+  shared_->connections[this] = std::static_pointer_cast<HttpServerConnection>(shared_from_this());
   await();
   open();
   readNow();  // most often the request is there already
 }
 
 // One timer: for the next request's first byte, then for its head, then for its body.
-void Guest::await() {
+void HttpServerConnection::await() {
   loop_.cancel(timer_);
-  Span wait = house_->idle;
+  Span wait = shared_->idle;
   const bool begun = reader_.begun(in_);
-  if (begun) wait = headerSeen_ ? house_->body : house_->header;
+  if (begun) wait = headerSeen_ ? shared_->body : shared_->header;
   timer_ = loop_.in(wait, [this, begun] {
     timer_ = {};
     if (begun) return refuse(408);
@@ -67,7 +67,7 @@
   });
 }
 
-void Guest::received() {
+void HttpServerConnection::received() {
   if (request_) {
     if (in_.size() > kMostAhead) pauseReading(true);
     return;
@@ -98,10 +98,10 @@
   headerSeen_ = false;
   request_ = std::make_shared<const http::Message>(reader_.take(in_));
   ++messages_;
-  house_->asked(std::static_pointer_cast<Guest>(shared_from_this()), request_);
+  shared_->asked(std::static_pointer_cast<HttpServerConnection>(shared_from_this()), request_);
 }
 
-void Guest::refuse(std::uint32_t status) {
+void HttpServerConnection::refuse(std::uint32_t status) {
   http::Gather pieces;
   pieces.text("HTTP/1.1 " + std::string(phraseOf(status)) +
               "\r\nContent-Length: 0\r\nConnection: close\r\n\r\n");
@@ -110,9 +110,9 @@
   finish(Reason::badMessage);
 }
 
-bool Guest::closes() const { return house_->closing || !request_->keepsOpen(); }
+bool HttpServerConnection::closes() const { return shared_->closing || !request_->keepsOpen(); }
 
-void Guest::answered(http::Gather pieces, bool close) {
+void HttpServerConnection::answered(http::Gather pieces, bool close) {
   request_.reset();
   send(std::move(pieces));
   if (ended()) return;
@@ -121,13 +121,13 @@
   pauseReading(false);
   // The next request may be there already; in a turn of its own, as this is often a call out of received().
   if (!in_.empty()) {
-    loop_.soon([self = std::static_pointer_cast<Guest>(shared_from_this())] {
+    loop_.soon([self = std::static_pointer_cast<HttpServerConnection>(shared_from_this())] {
       if (!self->ended() && !self->finishing() && !self->request_) self->received();
     });
   }
 }
 
-void Guest::answer(std::uint32_t status, std::string_view fields, std::string body) {
+void HttpServerConnection::answer(std::uint32_t status, std::string_view fields, std::string body) {
   if (!request_ || ended() || finishing()) return;
   const bool close = closes();
   std::string text = "HTTP/1.1 ";
@@ -142,8 +142,8 @@
   answered(std::move(pieces), close);
 }
 
-void Guest::pass(const std::shared_ptr<const http::Message>& message, std::string_view fields,
-                 std::string_view but) {
+void HttpServerConnection::pass(const std::shared_ptr<const http::Message>& message, std::string_view fields,
+                                std::string_view but) {
   if (!request_ || ended() || finishing()) return;
   const bool close = closes();
   std::string head = "HTTP/1.1 ";
@@ -167,10 +167,10 @@
   answered(std::move(pieces), close);
 }
 
-void Guest::gone(Reason) {
+void HttpServerConnection::gone(Reason) {
   loop_.cancel(timer_);
-  if (request_) house_->left(*this);
-  house_->guests.erase(this);
+  if (request_) shared_->left(*this);
+  shared_->connections.erase(this);
 }
 
 }  // namespace rackroute::mesh
--- a/src/mesh/shop/guest.hpp
+++ b/src/mesh/transport/http_server_connection.hpp
@@ -15,19 +15,22 @@
 
 namespace rackroute::mesh {
 
-class Guest : public sidecar::Connection {
+class HttpServerConnection : public sidecar::Connection {
  public:
-  struct House {  // what all guests at one address share
-    std::function<void(const std::shared_ptr<Guest>&, std::shared_ptr<const http::Message>)> asked;
-    std::function<void(Guest&)> left;  // before its answer
+  struct Shared {  // what all connections at one address share
+    std::function<void(const std::shared_ptr<HttpServerConnection>&, std::shared_ptr<const http::Message>)>
+        asked;
+    std::function<void(HttpServerConnection&)> left;  // before its answer
     std::size_t mostBody = http::kLongestBody;
     Span header = std::chrono::seconds(3);  // from a request's first byte to its head's last
     Span body = std::chrono::seconds(10);   // from there to its body's last byte
     Span idle = std::chrono::seconds(15);
     bool closing = false;  // the process leaves: each connection ends with its next answer
-    std::map<const Guest*, std::shared_ptr<Guest>> guests{};  // all that are there
+    std::map<const HttpServerConnection*, std::shared_ptr<HttpServerConnection>>
+        connections{};  // all that are there
   };
-  Guest(sidecar::Loop& loop, std::shared_ptr<House> house, Poco::Net::StreamSocket socket, std::string peer);
+  HttpServerConnection(sidecar::Loop& loop, std::shared_ptr<Shared> shared, Poco::Net::StreamSocket socket,
+                       std::string peer);
 
   void start();
   /// fields: whole lines. The body goes out with its length.
@@ -47,7 +50,7 @@
   void answered(http::Gather pieces, bool close);
   [[nodiscard]] bool closes() const;
 
-  std::shared_ptr<House> house_;
+  std::shared_ptr<Shared> shared_;
   http::Reader reader_;
   std::shared_ptr<const http::Message> request_;
   sidecar::Loop::TimerId timer_;
--- a/src/mesh/shop/listener.cpp
+++ b/src/mesh/transport/listener.cpp
@@ -1,4 +1,4 @@
-#include "mesh/shop/listener.hpp"
+#include "mesh/transport/listener.hpp"
 
 #include <Poco/Exception.h>
 #include <Poco/Net/StreamSocketImpl.h>
@@ -8,7 +8,7 @@
 #include <cerrno>
 #include <utility>
 
-#include "mesh/shop/log.hpp"
+#include "mesh/transport/log.hpp"
 
 namespace rackroute::mesh {
 namespace {
--- a/src/mesh/shop/log.cpp
+++ b/src/mesh/transport/log.cpp
@@ -1,4 +1,4 @@
-#include "mesh/shop/log.hpp"
+#include "mesh/transport/log.hpp"
 
 #include <easylogging++.h>
 
--- a/src/mesh/shop/start.cpp
+++ b/src/mesh/transport/process_start.cpp
@@ -1,4 +1,4 @@
-#include "mesh/shop/start.hpp"
+#include "mesh/transport/process_start.hpp"
 
 #include <Poco/Exception.h>
 #include <sys/resource.h>
@@ -17,30 +17,30 @@
 
 }  // namespace
 
-std::string sheetPath(const std::string& given) {
+std::string settingsPath(const std::string& given) {
   if (!given.empty()) return given;
   const char* told = std::getenv("RACKROUTE_CONFIG");
   return told != nullptr && *told != '\0' ? told : kUsualPlace;
 }
 
-Result<JobSheet> readSheetFile(const std::string& path) {
+Result<Settings> readSettingsFile(const std::string& path) {
   std::ifstream file(path);
-  if (!file) return mishap("settings", "can't be read", path);
+  if (!file) return failure("settings", "can't be read", path);
   const std::string text{std::istreambuf_iterator<char>(file), std::istreambuf_iterator<char>()};
-  Result<JobSheet> sheet = readJobSheet(text);
-  if (!sheet) {
-    Mishap wrong = sheet.error();
+  Result<Settings> settings = readSettings(text);
+  if (!settings) {
+    Error wrong = settings.error();
     wrong.peer = path;
     return wrong;
   }
-  return sheet;
+  return settings;
 }
 
-void limitDescriptors(const JobSheet& sheet) {
-  if (sheet.descriptors == 0) return;
+void limitDescriptors(const Settings& settings) {
+  if (settings.descriptors == 0) return;
   rlimit limit{};
   if (::getrlimit(RLIMIT_NOFILE, &limit) != 0) return;
-  limit.rlim_cur = std::min<rlim_t>(limit.rlim_max, sheet.descriptors);
+  limit.rlim_cur = std::min<rlim_t>(limit.rlim_max, settings.descriptors);
   ::setrlimit(RLIMIT_NOFILE, &limit);
 }
 
--- a/src/mesh/shop/talk.cpp
+++ b/src/mesh/transport/session_connection.cpp
@@ -1,4 +1,4 @@
-#include "mesh/shop/talk.hpp"
+#include "mesh/transport/session_connection.hpp"
 
 #include <Poco/Net/SocketAddress.h>
 #include <netinet/in.h>
@@ -10,7 +10,7 @@
 #include <string_view>
 #include <utility>
 
-#include "mesh/shop/log.hpp"
+#include "mesh/transport/log.hpp"
 
 namespace rackroute::mesh {
 namespace {
@@ -25,13 +25,13 @@
 
 }  // namespace
 
-void Talk::accepted(Ends ends) {
+void SessionConnection::accepted(Ends ends) {
   ends_ = std::move(ends);
   open();
   opened();
 }
 
-void Talk::connect(const Address& to, Span within, Ends ends) {
+void SessionConnection::connect(const Address& to, Span within, Ends ends) {
   ends_ = std::move(ends);
   dialTimer_ = loop_.in(within, [this] {
     dialTimer_ = {};
@@ -40,19 +40,19 @@
   dial(Poco::Net::SocketAddress(to.value));
 }
 
-void Talk::opened() {
+void SessionConnection::opened() {
   loop_.cancel(dialTimer_);
   ::setsockopt(descriptor(), IPPROTO_TCP, TCP_USER_TIMEOUT, &kUnread, sizeof(kUnread));
   if (ends_.up) ends_.up();
 }
 
-void Talk::say(std::shared_ptr<const std::string> text) {
+void SessionConnection::say(std::shared_ptr<const std::string> text) {
   if (ended()) return;
   // Guards against a peer that reads nothing: what waits for it must not eat the memory.
   if (backlog() > kMostBacklog) return end(Reason::stalled);
   http::Gather pieces;
   if (worthPacking(*text)) {
-    if (auto packed = packer_.packed(text)) {
+    if (auto packed = compressor_.packed(text)) {
       pieces.text(std::string(kPacked) + std::to_string(packed->size()) + ' ' + std::to_string(text->size()) +
                   '\n');
       pieces.view(*packed);
@@ -66,24 +66,24 @@
   send(std::move(pieces));
 }
 
-bool Talk::hear(std::string_view text) {
+bool SessionConnection::hear(std::string_view text) {
   const nlohmann::json word = nlohmann::json::parse(text, nullptr, false);
   if (word.is_discarded() || !word.is_object()) {
-    log(Weight::warning, "talk", name_, "a word that can't be read");
+    log(Weight::warning, "session", name_, "a word that can't be read");
     end(Reason::badMessage);
     return false;
   }
   try {
     ends_.heard(word);
   } catch (const nlohmann::json::exception& error) {
-    log(Weight::warning, "talk", name_, error.what());
+    log(Weight::warning, "session", name_, error.what());
     end(Reason::badMessage);
   }
   return !ended();
 }
 
 // The line with the sizes ends at line; the packed bytes follow it.
-Talk::Piece Talk::packedWord(std::size_t& from, std::size_t line) {
+SessionConnection::Piece SessionConnection::packedWord(std::size_t& from, std::size_t line) {
   const char* const last = in_.data() + line;
   std::size_t packed = 0;
   std::size_t plain = 0;
@@ -99,7 +99,7 @@
   return hear(*word) ? Piece::word : Piece::none;
 }
 
-void Talk::received() {
+void SessionConnection::received() {
   std::size_t from = 0;
   for (;;) {
     const std::size_t line = in_.find('\n', std::max(from, scanned_));
@@ -111,7 +111,7 @@
     if (packedNow) {
       const Piece piece = packedWord(from, line);
       if (piece == Piece::bad) {
-        log(Weight::warning, "talk", name_, "a packed word that can't be read");
+        log(Weight::warning, "session", name_, "a packed word that can't be read");
         return end(Reason::badMessage);
       }
       if (ended()) return;
@@ -128,7 +128,7 @@
     // Guards against a large configuration that holds up a slow machine's requests: what else has come goes
     // between two of its parts.
     if (packedNow && from < in_.size()) {
-      loop_.in(kBetween, [self = std::static_pointer_cast<Talk>(shared_from_this())] {
+      loop_.in(kBetween, [self = std::static_pointer_cast<SessionConnection>(shared_from_this())] {
         if (!self->ended()) self->received();
       });
       break;
@@ -140,7 +140,7 @@
   if (in_.size() > kLongestWord) end(Reason::badMessage);
 }
 
-void Talk::gone(Reason) {
+void SessionConnection::gone(Reason) {
   loop_.cancel(dialTimer_);
   if (const auto over = std::exchange(ends_.over, nullptr)) over();
 }
--- a/src/mesh/shop/talk.hpp
+++ b/src/mesh/transport/session_connection.hpp
@@ -1,7 +1,7 @@
 #pragma once
 
-// One session of the mesh's own talk: words as JSON, a line each; long ones packed, behind a line with their
-// sizes. It owns what is read and not yet a whole word; it must never hand on half a word, nor take one
+// One session of the mesh's own session: words as JSON, a line each; long ones packed, behind a line with
+// their sizes. It owns what is read and not yet a whole word; it must never hand on half a word, nor take one
 // without end.
 
 #include <functional>
@@ -10,12 +10,12 @@
 #include <string>
 
 #include "mesh/names.hpp"
-#include "mesh/shop/pack.hpp"
+#include "mesh/transport/compression.hpp"
 #include "sidecar/connection.hpp"
 
 namespace rackroute::mesh {
 
-class Talk : public sidecar::Connection {
+class SessionConnection : public sidecar::Connection {
  public:
   struct Ends {
     std::function<void()> up;
@@ -23,9 +23,12 @@
     std::function<void()> some;  // bytes of a word that is not whole yet
     std::function<void()> over;  // once, also for a dial that failed
   };
-  /// packer: of the whole process; it must outlive the talk.
-  Talk(sidecar::Loop& loop, Packer& packer, Poco::Net::StreamSocket socket, std::string peer)
-      : Connection(loop, "talk", std::move(socket), peer), packer_(packer), name_(std::move(peer)) {}
+  /// compressor: of the whole process; it must outlive the session.
+  SessionConnection(sidecar::Loop& loop, Compressor& compressor, Poco::Net::StreamSocket socket,
+                    std::string peer)
+      : Connection(loop, "session", std::move(socket), peer),
+        compressor_(compressor),
+        name_(std::move(peer)) {}
 
   void accepted(Ends ends);
   void connect(const Address& to, Span within, Ends ends);
@@ -44,7 +47,7 @@
   enum class Piece { none, word, bad };
   Piece packedWord(std::size_t& from, std::size_t line);
 
-  Packer& packer_;
+  Compressor& compressor_;
   std::string name_;
   Ends ends_;
   sidecar::Loop::TimerId dialTimer_;
--- a/tests/mesh_test.cpp
+++ b/tests/mesh_test.cpp
@@ -6,15 +6,15 @@
 
 #include "lab/mesh/explorer.hpp"
 #include "lab/mesh/world.hpp"
-#include "mesh/caller/caller.hpp"
-#include "mesh/door/door.hpp"
-#include "mesh/gauge/explain.hpp"
-#include "mesh/plan/job_sheet.hpp"
-#include "mesh/shop/calls.hpp"
-#include "mesh/shop/pack.hpp"
-#include "mesh/shop/store.hpp"
-#include "mesh/shuttle/shuttle.hpp"
-#include "mesh/vise/vise.hpp"
+#include "mesh/admission/admission.hpp"
+#include "mesh/checker/explain.hpp"
+#include "mesh/configuration/settings.hpp"
+#include "mesh/control/control_node.hpp"
+#include "mesh/routing/request_router.hpp"
+#include "mesh/sidecar/sidecar.hpp"
+#include "mesh/storage/store.hpp"
+#include "mesh/transport/calls.hpp"
+#include "mesh/transport/compression.hpp"
 
 using namespace rackroute;
 using namespace rackroute::mesh;
@@ -71,15 +71,15 @@
   return told;
 }
 
-Door door() {
-  Door made({{"n"}, {"here:1"}, "z", {7}, {"desk"}, {"app"}, 2500ms, 60s, 1 << 20});
+Admission door() {
+  Admission made({{"n"}, {"here:1"}, "z", {7}, {"desk"}, {"app"}, 2500ms, 60s, 1 << 20});
   made.claims().electorate(3, 2);
   made.claims().reach(3);
   return made;
 }
 
-HopAsk ask(RouteKind kind, std::uint32_t priority = 1, const std::string& route = "r") {
-  HopAsk made;
+ForwardRequest ask(RouteKind kind, std::uint32_t priority = 1, const std::string& route = "r") {
+  ForwardRequest made;
   made.instance = {"i1"};
   made.service = {"desk"};
   made.left = 2s;
@@ -96,7 +96,7 @@
       std::count_if(acts.begin(), acts.end(), [&](const auto& a) { return a.kind == kind; }));
 }
 
-Claims::Ended wonBy(Door& door, ClaimNo no) {
+Claims::Ended wonBy(Admission& door, ClaimNo no) {
   REQUIRE_FALSE(door.claims().vote({"v0"}, no, true, std::nullopt));
   const auto ended = door.claims().vote({"v1"}, no, true, std::nullopt);
   REQUIRE(ended);
@@ -104,8 +104,8 @@
   return *ended;
 }
 
-Caller caller(RouteKind kind, double slack = 100) {
-  Caller made({{"n"}, "z", {"line"}, {0.2, slack, 10s}, 5});
+RequestRouter caller(RouteKind kind, double slack = 100) {
+  RequestRouter made({{"n"}, "z", {"line"}, {0.2, slack, 10s}, 5});
   made.processes(1);
   Items items;
   Item item = route("look", 1);
@@ -198,7 +198,7 @@
     item.value["path_prefix"] = prefix;
     items.merge(item);
   }
-  RouteBook book;
+  RouteTable book;
   book.read(items);
   CHECK(book.find("A.example:80", "/a/b/c?x=/z/")->name == "ab");
   CHECK(book.find("a.example", "/a/b")->name == "a");
@@ -223,7 +223,7 @@
 }
 
 TEST_CASE("five failures in a row eject, up to half of the servers, and one trial re-admits") {
-  Rack rack("z", {"n"}, 1);
+  ServerPool rack("z", {"n"}, 1);
   for (const char* id : {"a", "b", "c", "d"}) rack.told(0s, served(id), true);
   const auto failUntilOut = [&](const char* id) {
     for (int i = 0; i < 5; ++i) rack.ended(1s, {id}, Ending::failed, std::nullopt);
@@ -245,7 +245,7 @@
 }
 
 TEST_CASE("draining and sign-offs bind, silence of half the servers is doubted") {
-  Rack rack("z", {"n"}, 1);
+  ServerPool rack("z", {"n"}, 1);
   for (const char* id : {"a", "b", "c", "d"}) rack.told(0s, served(id), true);
   Served leaving = served("a", 2);
   leaving.draining = true;
@@ -271,11 +271,11 @@
 TEST_CASE("the budgets of all processes together keep the fleet's allowance in every window") {
   std::mt19937_64 chance(11);
   const Allowance all{0.2, 60, 10s};
-  std::vector<Budget> budgets(10);
-  for (Budget& budget : budgets) budget.share(all, budgets.size());
+  std::vector<RetryBudget> budgets(10);
+  for (RetryBudget& budget : budgets) budget.share(all, budgets.size());
   std::vector<std::pair<Span, bool>> events;  // further or not
   for (Span now{}; now < 60s; now += 5ms) {
-    Budget& budget = budgets[chance() % budgets.size()];
+    RetryBudget& budget = budgets[chance() % budgets.size()];
     if (now < 40s || chance() % 20 == 0) {
       budget.request(now);
       events.emplace_back(now, false);
@@ -300,10 +300,10 @@
 }
 
 TEST_CASE("the door lets in what its server has room for, the most worth for its time first") {
-  Door here = door();
+  Admission here = door();
   here.beat(0s, beat("i1", 1));
-  const auto running = [&](std::uint64_t no, const HopAsk& ask) {
-    return countOf(here.asked(0s, {no}, ask, std::nullopt), DoorAct::Kind::run) == 1;
+  const auto running = [&](std::uint64_t no, const ForwardRequest& ask) {
+    return countOf(here.asked(0s, {no}, ask, std::nullopt), AdmissionAction::Kind::run) == 1;
   };
   // It learns that one route's work is long and the other's quick.
   CHECK(running(1, ask(RouteKind::pure, 1, "long")));
@@ -314,148 +314,151 @@
   CHECK(running(4, ask(RouteKind::pure, 1, "long")));
   CHECK_FALSE(running(5, ask(RouteKind::pure, 1, "long")));
   CHECK_FALSE(running(6, ask(RouteKind::pure, 1, "quick")));
-  const DoorActs acts = here.ran(30ms, {3}, AtServer::answered, {200, false, nullptr, 0});
-  REQUIRE(countOf(acts, DoorAct::Kind::run) == 1);
-  CHECK(std::find_if(acts.begin(), acts.end(), [](const DoorAct& a) {
-          return a.kind == DoorAct::Kind::run;
+  const AdmissionActions acts = here.ran(30ms, {3}, AtServer::answered, {200, false, nullptr, 0});
+  REQUIRE(countOf(acts, AdmissionAction::Kind::run) == 1);
+  CHECK(std::find_if(acts.begin(), acts.end(), [](const AdmissionAction& a) {
+          return a.kind == AdmissionAction::Kind::run;
         })->ask == AskNo{6});
   // What can't be started in time goes at once.
-  const DoorActs refused = here.asked(
+  const AdmissionActions refused = here.asked(
       0s, {7},
       [] {
-        HopAsk late = ask(RouteKind::pure, 2, "long");
+        ForwardRequest late = ask(RouteKind::pure, 2, "long");
         late.aim = 100ms;
         return late;
       }(),
       std::nullopt);
-  REQUIRE(countOf(refused, DoorAct::Kind::answer) == 1);
+  REQUIRE(countOf(refused, AdmissionAction::Kind::answer) == 1);
   CHECK(refused.back().told.verdict == Verdict::full);
 }
 
 TEST_CASE("a server that drains, is gone or is another gets nothing, and late calls change nothing") {
-  Door here = door();
+  Admission here = door();
   CHECK(here.asked(0s, {1}, ask(RouteKind::pure), std::nullopt).back().told.verdict == Verdict::strange);
   here.beat(0s, beat("i1", 5));
   Beat leaving = beat("i1", 6);
   leaving.draining = true;
-  CHECK(countOf(here.beat(1s, leaving), DoorAct::Kind::tell) == 1);
-  CHECK(countOf(here.beat(1s, beat("i1", 5)), DoorAct::Kind::tell) == 0);
-  CHECK(countOf(here.asked(1500ms, {2}, ask(RouteKind::pure), std::nullopt), DoorAct::Kind::run) == 1);
+  CHECK(countOf(here.beat(1s, leaving), AdmissionAction::Kind::tell) == 1);
+  CHECK(countOf(here.beat(1s, beat("i1", 5)), AdmissionAction::Kind::tell) == 0);
+  CHECK(countOf(here.asked(1500ms, {2}, ask(RouteKind::pure), std::nullopt), AdmissionAction::Kind::run) ==
+        1);
   CHECK(here.asked(3400ms, {3}, ask(RouteKind::pure), std::nullopt).back().told.verdict == Verdict::leaving);
-  HopAsk elsewhere = ask(RouteKind::pure);
+  ForwardRequest elsewhere = ask(RouteKind::pure);
   elsewhere.service = {"line"};
   CHECK(here.asked(1s, {4}, elsewhere, std::nullopt).back().told.verdict == Verdict::strange);
 }
 
 TEST_CASE("a key runs once here, repeats get its answer or wait for it, and a return is told to the voters") {
-  Door here = door();
+  Admission here = door();
   here.beat(0s, beat("i1", 1, 1));
-  const DoorActs claiming = here.asked(0s, {1}, ask(RouteKind::keyed), "k");
+  const AdmissionActions claiming = here.asked(0s, {1}, ask(RouteKind::keyed), "k");
   REQUIRE(claiming.size() == 1);
-  REQUIRE(claiming[0].kind == DoorAct::Kind::claim);
+  REQUIRE(claiming[0].kind == AdmissionAction::Kind::claim);
   // Votes hold no slot: other work runs meanwhile, and the key waits its turn.
-  CHECK(countOf(here.asked(0s, {2}, ask(RouteKind::pure), std::nullopt), DoorAct::Kind::run) == 1);
-  CHECK(countOf(here.claimEnded(1ms, wonBy(here, claiming[0].claim)), DoorAct::Kind::run) == 0);
-  CHECK(countOf(here.ran(2ms, {2}, AtServer::answered, {200, false, nullptr, 0}), DoorAct::Kind::run) == 1);
+  CHECK(countOf(here.asked(0s, {2}, ask(RouteKind::pure), std::nullopt), AdmissionAction::Kind::run) == 1);
+  CHECK(countOf(here.claimEnded(1ms, wonBy(here, claiming[0].claim)), AdmissionAction::Kind::run) == 0);
+  CHECK(countOf(here.ran(2ms, {2}, AtServer::answered, {200, false, nullptr, 0}),
+                AdmissionAction::Kind::run) == 1);
   CHECK(here.asked(3ms, {3}, ask(RouteKind::keyed), "k").empty());
   const auto bytes = std::make_shared<int>(5);
-  const DoorActs done = here.ran(9ms, {1}, AtServer::answered, {200, false, bytes, 100});
-  REQUIRE(countOf(done, DoorAct::Kind::answer) == 2);
-  for (const DoorAct& act : done) CHECK(act.bytes == bytes);
+  const AdmissionActions done = here.ran(9ms, {1}, AtServer::answered, {200, false, bytes, 100});
+  REQUIRE(countOf(done, AdmissionAction::Kind::answer) == 2);
+  for (const AdmissionAction& act : done) CHECK(act.bytes == bytes);
   CHECK(here.asked(1s, {4}, ask(RouteKind::keyed), "k").back().bytes == bytes);
   // Turned away by its server: surely not run, so the promise goes back and another server may try.
-  const DoorActs second = here.asked(1s, {5}, ask(RouteKind::keyed), "k2");
+  const AdmissionActions second = here.asked(1s, {5}, ask(RouteKind::keyed), "k2");
   here.claimEnded(1s, wonBy(here, second[0].claim));
-  const DoorActs turned = here.ran(1s, {5}, AtServer::answered, {503, true, nullptr, 0});
-  CHECK(countOf(turned, DoorAct::Kind::giveBack) == 1);
+  const AdmissionActions turned = here.ran(1s, {5}, AtServer::answered, {503, true, nullptr, 0});
+  CHECK(countOf(turned, AdmissionAction::Kind::giveBack) == 1);
   CHECK(turned.back().told.verdict == Verdict::turnedAway);
   // Broken off: nobody knows, and nobody runs it again.
-  const DoorActs third = here.asked(2s, {6}, ask(RouteKind::keyed), "k3");
+  const AdmissionActions third = here.asked(2s, {6}, ask(RouteKind::keyed), "k3");
   here.claimEnded(2s, wonBy(here, third[0].claim));
-  CHECK(countOf(here.ran(2s, {6}, AtServer::broken, {}), DoorAct::Kind::giveBack) == 0);
+  CHECK(countOf(here.ran(2s, {6}, AtServer::broken, {}), AdmissionAction::Kind::giveBack) == 0);
   CHECK(here.asked(3s, {7}, ask(RouteKind::keyed), "k3").back().told.verdict == Verdict::unknown);
 }
 
 TEST_CASE("without a quorum a key is refused at once, and room at the door is not spent on it") {
-  Door here = door();
+  Admission here = door();
   here.beat(0s, beat("i1", 1, 1));
-  const DoorActs claiming = here.asked(0s, {1}, ask(RouteKind::keyed), "k");
-  REQUIRE(countOf(claiming, DoorAct::Kind::claim) == 1);
-  const DoorActs over = here.tick(500ms);
-  CHECK(countOf(over, DoorAct::Kind::giveBack) == 1);
+  const AdmissionActions claiming = here.asked(0s, {1}, ask(RouteKind::keyed), "k");
+  REQUIRE(countOf(claiming, AdmissionAction::Kind::claim) == 1);
+  const AdmissionActions over = here.tick(500ms);
+  CHECK(countOf(over, AdmissionAction::Kind::giveBack) == 1);
   CHECK(over.back().told.verdict == Verdict::voteless);
-  const DoorActs next = here.asked(501ms, {2}, ask(RouteKind::keyed), "k2");
+  const AdmissionActions next = here.asked(501ms, {2}, ask(RouteKind::keyed), "k2");
   REQUIRE(next.size() == 1);
   CHECK(next[0].told.verdict == Verdict::voteless);
   // Voters that are there may only be slow; without any decision for longer they are taken for gone, and
   // clients that came back at once would use up their tries before the core is back.
   CHECK(next[0].told.wait < 500ms);
-  const DoorActs again = here.asked(800ms, {4}, ask(RouteKind::keyed), "k4");
-  REQUIRE(countOf(again, DoorAct::Kind::claim) == 1);
+  const AdmissionActions again = here.asked(800ms, {4}, ask(RouteKind::keyed), "k4");
+  REQUIRE(countOf(again, AdmissionAction::Kind::claim) == 1);
   CHECK(here.tick(1300ms).back().told.wait >= 1s);
   here.claims().reach(1);
-  const DoorActs alone = here.asked(5s, {3}, ask(RouteKind::keyed), "k3");
+  const AdmissionActions alone = here.asked(5s, {3}, ask(RouteKind::keyed), "k3");
   CHECK(alone.back().told.verdict == Verdict::voteless);
   CHECK(alone.back().told.wait >= 1s);
   here.claims().reach(3);
-  const DoorActs back = here.asked(6s, {5}, ask(RouteKind::keyed), "k5");
+  const AdmissionActions back = here.asked(6s, {5}, ask(RouteKind::keyed), "k5");
   here.claimEnded(6s, wonBy(here, back[0].claim));
   CHECK(here.claims().comeBack(6s) < 500ms);
 }
 
 TEST_CASE(
     "what may have run is sent again only where that is allowed, and is never promised not to have run") {
-  const auto send = [](const CallActs& acts) {
+  const auto send = [](const RoutingActions& acts) {
     REQUIRE(acts.size() == 1);
-    REQUIRE(acts[0].kind == CallAct::Kind::send);
+    REQUIRE(acts[0].kind == RoutingAction::Kind::send);
     return acts[0].sent;
   };
   SECTION("an effectful request that broke off ends with 502") {
-    Caller here = caller(RouteKind::effectful);
+    RequestRouter here = caller(RouteKind::effectful);
     const TryNo sent = send(here.asked(1s, {1}, kAsked));
-    const CallActs acts = here.hopped(1s, {1}, sent, Hopped::broken, {}, 0, nullptr);
+    const RoutingActions acts = here.forwarded(1s, {1}, sent, ForwardResult::broken, {}, 0, nullptr);
     REQUIRE(acts.size() == 1);
     CHECK(acts[0].status == 502);
   }
   SECTION("one that no door let in goes on, and is refused with the time to come back") {
-    Caller here = caller(RouteKind::effectful);
+    RequestRouter here = caller(RouteKind::effectful);
     TryNo sent = send(here.asked(1s, {1}, kAsked));
-    HopTold full;
+    ForwardReply full;
     full.verdict = Verdict::full;
-    sent = send(here.hopped(1s, {1}, sent, Hopped::told, full, 503, nullptr));
-    const CallActs acts = here.hopped(1s, {1}, sent, Hopped::told, full, 503, nullptr);
+    sent = send(here.forwarded(1s, {1}, sent, ForwardResult::told, full, 503, nullptr));
+    const RoutingActions acts = here.forwarded(1s, {1}, sent, ForwardResult::told, full, 503, nullptr);
     CHECK(acts[0].status == 503);
     CHECK(acts[0].comeBack > 0s);
   }
   SECTION("a pure one is sent again while the budget lasts") {
-    Caller here = caller(RouteKind::pure, 0);
+    RequestRouter here = caller(RouteKind::pure, 0);
     const TryNo sent = send(here.asked(1s, {1}, kAsked));
-    CHECK(here.hopped(1s, {1}, sent, Hopped::broken, {}, 0, nullptr)[0].status == 502);
-    Caller rich = caller(RouteKind::pure);
-    CallActs acts;
+    CHECK(here.forwarded(1s, {1}, sent, ForwardResult::broken, {}, 0, nullptr)[0].status == 502);
+    RequestRouter rich = caller(RouteKind::pure);
+    RoutingActions acts;
     for (std::uint64_t i = 1; i < 60; ++i) acts = rich.asked(20s + i * 1ms, {i}, kAsked);
-    send(rich.hopped(20200ms, {59}, acts[0].sent, Hopped::broken, {}, 0, nullptr));
+    send(rich.forwarded(20200ms, {59}, acts[0].sent, ForwardResult::broken, {}, 0, nullptr));
   }
   SECTION("a key that another holds is asked for there, and a dead holder's is not known") {
-    Caller here = caller(RouteKind::keyed);
+    RequestRouter here = caller(RouteKind::keyed);
     const TryNo sent = send(here.asked(1s, {1}, kAsked));
-    HopTold held;
+    ForwardReply held;
     held.verdict = Verdict::held;
     held.holder = Holder{{"there:1"}, {4}, {9}};
-    const CallActs asking = here.hopped(1s, {1}, sent, Hopped::told, held, 503, nullptr);
+    const RoutingActions asking = here.forwarded(1s, {1}, sent, ForwardResult::told, held, 503, nullptr);
     REQUIRE(asking.size() == 1);
     CHECK(asking[0].at.value == "there:1");
     CHECK(asking[0].ask.holder == LifeNo{4});
-    CHECK(here.hopped(1s, {1}, asking[0].sent, Hopped::notSent, {}, 0, nullptr)[0].status == 502);
+    CHECK(here.forwarded(1s, {1}, asking[0].sent, ForwardResult::notSent, {}, 0, nullptr)[0].status == 502);
   }
   SECTION("no route is 404 at once") {
-    Caller here = caller(RouteKind::pure);
+    RequestRouter here = caller(RouteKind::pure);
     CHECK(here.asked(1s, {1}, {"a.example", "/other/", 1s})[0].status == 404);
   }
 }
 
-TEST_CASE("a change is acknowledged once a quorum has it on disk, and a vise without its disk has no vote") {
-  Vise::Built built;
+TEST_CASE(
+    "a change is acknowledged once a quorum has it on disk, and a control without its disk has no vote") {
+  ControlNode::Built built;
   built.node = {"v0"};
   built.at = {"v0:1"};
   built.zone = "z";
@@ -463,34 +466,35 @@
   built.voters = 3;
   built.keyWindow = 60s;
   built.firstBoot = true;
-  Vise here(built);
+  ControlNode here(built);
   here.read({});
   here.start(0s);
   const json hello{{"t", "hello"}, {"kind", "core"}, {"node", "v1"}, {"life", 1}, {"at", "v1:1"}};
   here.came(0s, {1});
   here.heard(0s, {1}, hello);
   here.reached(0s, {2}, {"v1:1"});
-  const auto answers = [](const ViseActs& acts) { return countOf(acts, ViseAct::Kind::answer); };
-  const ViseActs acts = here.change(1s, {1}, changeOf(route("look", 4).value));
+  const auto answers = [](const ControlActions& acts) { return countOf(acts, ControlAction::Kind::answer); };
+  const ControlActions acts = here.change(1s, {1}, changeOf(route("look", 4).value));
   CHECK(answers(acts) == 0);
   CHECK(answers(here.heard(1s, {2}, {{"t", "stored"}, {"call", 1}})) == 0);
-  const auto batch =
-      std::find_if(acts.begin(), acts.end(), [](const ViseAct& a) { return a.kind == ViseAct::Kind::write; });
+  const auto batch = std::find_if(
+      acts.begin(), acts.end(), [](const ControlAction& a) { return a.kind == ControlAction::Kind::write; });
   REQUIRE(batch != acts.end());
   SECTION("with its own write") {
-    const ViseActs done = here.written(1s, batch->batch, true);
+    const ControlActions done = here.written(1s, batch->batch, true);
     REQUIRE(answers(done) == 1);
     CHECK(done.back().status == 200);
   }
   SECTION("not when its disk refused it") {
     CHECK(answers(here.written(1s, batch->batch, false)) == 0);
-    const ViseActs late = here.tick(2s);
-    CHECK(std::any_of(late.begin(), late.end(),
-                      [](const ViseAct& a) { return a.kind == ViseAct::Kind::answer && a.status == 503; }));
+    const ControlActions late = here.tick(2s);
+    CHECK(std::any_of(late.begin(), late.end(), [](const ControlAction& a) {
+      return a.kind == ControlAction::Kind::answer && a.status == 503;
+    }));
   }
   SECTION("a blank one") {
     built.firstBoot = false;
-    Vise blank(built);
+    ControlNode blank(built);
     blank.read({});
     blank.start(0s);
     CHECK_FALSE(blank.whole());
@@ -501,7 +505,7 @@
     blank.heard(0s, {1}, side);
     CHECK(blank.heard(0s, {1}, claim).empty());
     // A copy that it keeps for another's change makes it no witness of its promises after one more start.
-    Vise again(built);
+    ControlNode again(built);
     again.read({{"i/route/look", toJson(route("look", 4)).dump()}});
     CHECK_FALSE(again.whole());
     CHECK(again.items().find({ItemKind::route, "look"}) != nullptr);
@@ -515,13 +519,14 @@
     blank.heard(0s, {2}, promised);
     CHECK_FALSE(blank.whole());
     blank.reached(0s, {3}, {"v2:1"});
-    const ViseActs whole = blank.heard(0s, {3}, promised);
-    const auto write = std::find_if(whole.begin(), whole.end(),
-                                    [](const ViseAct& a) { return a.kind == ViseAct::Kind::write; });
+    const ControlActions whole = blank.heard(0s, {3}, promised);
+    const auto write = std::find_if(whole.begin(), whole.end(), [](const ControlAction& a) {
+      return a.kind == ControlAction::Kind::write;
+    });
     REQUIRE(write != whole.end());
     CHECK(blank.heard(0s, {1}, claim).empty());
     blank.written(0s, write->batch, true);
-    const ViseActs vote = blank.heard(0s, {1}, claim);
+    const ControlActions vote = blank.heard(0s, {1}, claim);
     REQUIRE(vote.size() == 1);
     CHECK(json::parse(*vote[0].text).at("list").at(0).size() == 2);  // refused, with the holder
   }
@@ -573,11 +578,11 @@
   const auto word = std::make_shared<const std::string>(routes.dump());
   REQUIRE(worthPacking(*word));
   CHECK_FALSE(worthPacking("{}"));
-  Packer packer;
-  const auto packed = packer.packed(word);
+  Compressor compressor;
+  const auto packed = compressor.packed(word);
   REQUIRE(packed);
   CHECK(packed->size() * 8 < word->size());
-  CHECK(packer.packed(word) == packed);
+  CHECK(compressor.packed(word) == packed);
   CHECK(unpacked(*packed, word->size()) == *word);
   // More bytes than were said, fewer, and others than were sent.
   CHECK_FALSE(unpacked(*packed, word->size() - 1));
@@ -598,9 +603,9 @@
   const auto words = wordsOf({{"t", "items"}, {"whole", true}}, list);
   REQUIRE(words.size() > 1);
   REQUIRE(wordsOf({{"t", "items"}}, {}).size() == 1);
-  Shuttle::Built built;
+  Sidecar::Built built;
   built.feed = {{"s"}, {"s:1"}, "z", {1}, {{"v0"}}};
-  Shuttle here(built);
+  Sidecar here(built);
   here.reached(0s, {"v0"});
   here.heard(
       0s, {"v0"},
@@ -626,24 +631,24 @@
   known.node = {"n"};
   known.life = {6};
   known.leaving = true;  // the process that told of it did
-  Door here = door();
-  const DoorActs told = here.adopt(0s, known);
-  REQUIRE(countOf(told, DoorAct::Kind::tell) == 1);
+  Admission here = door();
+  const AdmissionActions told = here.adopt(0s, known);
+  REQUIRE(countOf(told, AdmissionAction::Kind::tell) == 1);
   CHECK(told[0].served.life == LifeNo{7});
   CHECK_FALSE(told[0].served.leaving);
-  const DoorActs run = here.asked(0s, {1}, ask(RouteKind::pure), std::nullopt);
-  REQUIRE(countOf(run, DoorAct::Kind::run) == 1);
+  const AdmissionActions run = here.asked(0s, {1}, ask(RouteKind::pure), std::nullopt);
+  REQUIRE(countOf(run, AdmissionAction::Kind::run) == 1);
   CHECK(run[0].server.value == "app");
   // Its first beat changes nothing; one of another server at its address ends it.
   CHECK(here.beat(1s, beat("i1", 9, 10)).empty());
-  const DoorActs replaced = here.beat(2s, beat("i2", 1));
-  REQUIRE(countOf(replaced, DoorAct::Kind::tell) == 2);
+  const AdmissionActions replaced = here.beat(2s, beat("i2", 1));
+  REQUIRE(countOf(replaced, AdmissionAction::Kind::tell) == 2);
   CHECK(replaced[0].served.gone);
   CHECK(here.asked(2s, {2}, ask(RouteKind::pure), std::nullopt).back().told.verdict == Verdict::leaving);
   CHECK(here.adopt(3s, served("i3")).empty());
 
   // Not one that leaves, not another's; of two, the one told of last; and 421 is word of its end.
-  Door there = door();
+  Admission there = door();
   Served drains = known;
   drains.draining = true;
   CHECK(there.adopt(0s, drains).empty());
@@ -654,13 +659,13 @@
   older.seq = 3;
   CHECK(there.adopt(0s, older).empty());
   there.asked(0s, {1}, ask(RouteKind::pure), std::nullopt);
-  const DoorActs other = there.ran(0s, {1}, AtServer::answered, {421, true, nullptr, 0});
-  REQUIRE(countOf(other, DoorAct::Kind::tell) == 1);
+  const AdmissionActions other = there.ran(0s, {1}, AtServer::answered, {421, true, nullptr, 0});
+  REQUIRE(countOf(other, AdmissionAction::Kind::tell) == 1);
   CHECK(there.servers()[0].gone);
 }
 
 TEST_CASE("a process that starts is ready once the first items are what a quorum has told of") {
-  Feed feed({{"s"}, {"s:1"}, "z", {1}, {{"v0"}, {"v1"}, {"v2"}}});
+  ControlClient feed({{"s"}, {"s:1"}, "z", {1}, {{"v0"}, {"v1"}, {"v2"}}});
   Items items;
   items.merge(route("look", 4));
   const json welcome{{"t", "welcome"},        {"at", "v0"},  {"zone", "z"},
@@ -686,24 +691,24 @@
 }
 
 TEST_CASE("settings are checked whole, and unknown fields ignored") {
-  json sheet{{"node_name", "n"},
-             {"ip", "10.0.0.1"},
-             {"zone", "a"},
-             {"zones", {{"a", "r"}, {"b", "r"}}},
-             {"listen_addrs", {{"control_addr", "10.0.0.1:8144"}}},
-             {"port_range", {7000, 7010}},
-             {"seed_list", json::array()},
-             {"bound_map", {{"drain", "2.5s"}, {"new_bound", "7q"}}},
-             {"data_dir", nullptr},
-             {"something_new", 1}};
-  const auto read = readJobSheet(sheet.dump());
+  json settings{{"node_name", "n"},
+                {"ip", "10.0.0.1"},
+                {"zone", "a"},
+                {"zones", {{"a", "r"}, {"b", "r"}}},
+                {"listen_addrs", {{"control_addr", "10.0.0.1:8144"}}},
+                {"port_range", {7000, 7010}},
+                {"seed_list", json::array()},
+                {"bound_map", {{"drain", "2.5s"}, {"new_bound", "7q"}}},
+                {"data_dir", nullptr},
+                {"something_new", 1}};
+  const auto read = readSettings(settings.dump());
   REQUIRE(read);
   CHECK(read.value().drain == 2500ms);
   CHECK(read.value().zones == 2);
-  sheet["bound_map"]["drain"] = "2.5";
-  CHECK(readJobSheet(sheet.dump()).error().what.find("bound_map.drain") != std::string::npos);
-  sheet.erase("zone");
-  CHECK_FALSE(readJobSheet(sheet.dump()));
+  settings["bound_map"]["drain"] = "2.5";
+  CHECK(readSettings(settings.dump()).error().what.find("bound_map.drain") != std::string::npos);
+  settings.erase("zone");
+  CHECK_FALSE(readSettings(settings.dump()));
 }
 
 TEST_CASE("the checker says what a change alters, and which route takes a path") {
@@ -737,12 +742,13 @@
 
 TEST_CASE("each call stands in the one table") {
   bool known = false;
-  const auto beat = findCall(CallDoor::control, CallBy::auxiliary, "PUT", "/rackroute/instances/i-1", known);
+  const auto beat =
+      findCall(CallSocket::control, CallBy::auxiliary, "PUT", "/rackroute/instances/i-1", known);
   REQUIRE(beat);
   CHECK(beat->name == "i-1");
-  CHECK_FALSE(findCall(CallDoor::control, CallBy::core, "DELETE", "/rackroute/config", known));
+  CHECK_FALSE(findCall(CallSocket::control, CallBy::core, "DELETE", "/rackroute/config", known));
   CHECK(known);
-  CHECK_FALSE(findCall(CallDoor::control, CallBy::core, "GET", "/rackroute/configs", known));
+  CHECK_FALSE(findCall(CallSocket::control, CallBy::core, "GET", "/rackroute/configs", known));
   CHECK_FALSE(known);
 }
 
