--- a/src/mesh/forwarding/forwarding.hpp
+++ b/src/mesh/forwarding/forwarding.hpp
@@ -18,7 +18,7 @@
 inline constexpr std::string_view kAttempt = "Rackroute-Attempt-Id";
 inline constexpr std::string_view kDeadline = "Rackroute-Deadline-Ms";
 inline constexpr std::string_view kExpect = "Rackroute-Expect-Instance";
-inline constexpr std::string_view kCaller = "Rackroute-RequestRouter-Service";
+inline constexpr std::string_view kCaller = "Rackroute-Caller-Service";
 inline constexpr std::string_view kOperation = "Rackroute-Operation-Key";
 inline constexpr std::string_view kNotRun = "Rackroute-Not-Run";
 
--- a/src/mesh/sidecar/main.cpp
+++ b/src/mesh/sidecar/main.cpp
@@ -301,7 +301,7 @@
     beginRequest(head, *inside.request, kForwardHeader);
     head += "Rackroute-Deadline-Ms: " + std::to_string(act.left / 1ms) +
             "\r\nRackroute-Expect-Instance: " + act.instance.value + "\r\n";
-    if (!act.caller.value.empty()) head += "Rackroute-RequestRouter-Service: " + act.caller.value + "\r\n";
+    if (!act.caller.value.empty()) head += std::string(kCaller) + ": " + act.caller.value + "\r\n";
     const std::string attempt(inside.request->field(kAttempt).value_or(""));
     servers_.send(
         act.server, endRequest(std::move(head), inside.request), attempt, inside.request->word(0) == "HEAD",
