Add the voter sets' single steps and the codec of the control plane's messages

Cause: the parts of the new control plane talk in typed messages, and a message that can't be read must be refused whole instead of crashing its reader.

Change: VoterSet's steps and VoteCount; encode/decode of all 22 kinds from one layout table each, items written through their shared text; decode checks types, ranges, list sizes and what must hold between fields, and names kind and field. Items of peers are checked for what their users rely on (item_check): a route without a target was undefined behaviour in the route table.

--- a/tests/control_messages_test.cpp
+++ b/tests/control_messages_test.cpp
@@ -1,1 +1,473 @@
+// The codec of the control plane's messages: drawn messages of every kind survive it, drawn damage is refused
+// or read as something valid.
+
+#include <algorithm>
 #include <catch2/catch.hpp>
+#include <random>
+#include <set>
+#include <tuple>
+
+#include "mesh/control/base64.hpp"
+#include "mesh/control/messages.hpp"
+
+using namespace rackroute;
+using namespace rackroute::mesh;
+using namespace std::chrono_literals;
+using nlohmann::json;
+
+namespace {
+
+/// Draws values; an empty or full range of each type turns up often.
+class Draw {
+ public:
+  explicit Draw(std::uint32_t seed) : random_(seed) {}
+  std::uint64_t below(std::uint64_t end) { return random_() % end; }
+  std::uint64_t number() { return random_() >> below(64); }
+  bool flag() { return below(2) == 0; }
+  std::string text() {
+    static const char* const parts[] = {"a", "\"", "\\", "\n", "ü", " ", "/", "zone-1", "]}"};
+    std::string text = "n";
+    for (std::uint64_t left = below(6); left > 0; --left) text += parts[below(std::size(parts))];
+    return text;
+  }
+  template <class Make>
+  auto list(Make make) {
+    std::vector<decltype(make())> list;
+    for (std::uint64_t left = below(4); left > 0; --left) list.push_back(make());
+    return list;
+  }
+  Address address() { return {"10.0.0." + std::to_string(below(200)) + ":8" + std::to_string(below(9))}; }
+  Epoch epoch() { return {number() >> 2}; }
+  Ballot ballot() { return {number() >> 2, {number()}}; }
+  VoterId voter() { return {address(), {number()}}; }
+  ClaimNo claim() { return {number()}; }
+  KeyPrint print() { return {number(), number()}; }
+  Holder holder() { return {address(), {number()}, {number()}}; }
+  VoterSet voterSet() {
+    std::map<Address, VoterId> byAddress;
+    for (std::uint64_t left = below(6) + 1; left > 0; --left) {
+      const VoterId drawn = voter();
+      byAddress[drawn.at] = drawn;
+    }
+    VoterSet set;
+    set.epoch = epoch();
+    for (const auto& [at, drawn] : byAddress) set.voters.push_back(drawn);
+    for (const VoterId& each : set.voters) {
+      if (flag()) set.readers.push_back(each);
+    }
+    set.previousSize = below(12);
+    set.foundingSize = below(12);
+    return set;
+  }
+  Item item() {
+    Item item;
+    item.generation = {number()};
+    item.print = number() | 1;
+    item.dropped = below(4) == 0;
+    const std::uint64_t kind = below(4);
+    item.key = {static_cast<ItemKind>(kind), text()};
+    if (item.dropped) return item;
+    if (item.key.kind == ItemKind::route) {
+      item.hostname = text();
+      item.value = {{"path_prefix", "/" + text()}, {"route_kind", "pure"}, {"timeout", "1s"}};
+      if (flag())
+        item.value["target"] = text();
+      else
+        item.value["weighted"] = json::array({{{"target", text()}, {"weight", 0.5}}});
+    } else if (item.key.kind == ItemKind::service) {
+      item.value = {{"name", item.key.name}, {"more", {{"within", number()}}}};
+    } else if (item.key.kind == ItemKind::limits) {
+      item.value = {{"body_bytes", below(1000)}};
+    } else {
+      VoterSet set = voterSet();
+      set.epoch = {below(1000) + 1};
+      item.generation = {set.epoch.value};
+      item.value = toJson(set);
+    }
+    return item;
+  }
+  std::vector<Item> items() {
+    return list([&] { return item(); });
+  }
+  OrderPtr order() {
+    std::vector<Item> drawn = items();
+    drawn.push_back(item());
+    return makeOrder(std::move(drawn));
+  }
+  AcceptedOrder accepted() { return {ballot(), order()}; }
+  RegisterId registerId() { return registerOf(item()); }
+  DecidedRegister decided() { return {registerId(), number()}; }
+  News news() {
+    News news;
+    news.served = {{text()}, {text()},   address(), {text()},
+                   text(),   {number()}, number(),  static_cast<std::uint32_t>(number()),
+                   flag(),   flag(),     flag(),    std::chrono::milliseconds(below(100000))};
+    news.heard = flag();
+    return news;
+  }
+  std::pair<ClaimNo, KeyPrint> claimOfKey() { return {claim(), print()}; }
+  json versions() {
+    json versions = json::object();
+    for (std::uint64_t left = below(4); left > 0; --left)
+      versions["route/" + text()] = json::array({number(), number()});
+    return versions;
+  }
+
+  /// The kinds in the order of Message's alternatives.
+  Message message(std::size_t kind) {
+    const auto address = [&] { return this->address(); };
+    const auto registerId = [&] { return this->registerId(); };
+    const auto accepted = [&] { return this->accepted(); };
+    const auto decided = [&] { return this->decided(); };
+    const auto news = [&] { return this->news(); };
+    const auto claims = [&] { return claimOfKey(); };
+    switch (kind) {
+      case 0:
+        return Hello{static_cast<std::uint32_t>(number()),
+                     flag(),
+                     {text()},
+                     {number()},
+                     address(),
+                     {number()},
+                     flag(),
+                     flag()};
+      case 1:
+        return Welcome{static_cast<std::uint32_t>(number()),
+                       voter(),
+                       flag(),
+                       flag(),
+                       text(),
+                       list(address),
+                       voterSet(),
+                       {number()}};
+      case 2:
+        return Heartbeat{number(), number(), epoch(), number(), flag(), flag(), number()};
+      case 3:
+        return ControlAddresses{list(address)};
+      case 4:
+        return VotersUpdate{voterSet()};
+      case 5:
+        return Prepare{ballot(), epoch(), list(registerId)};
+      case 6:
+        return PrepareReply{ballot(), epoch(),        voter(),       flag(),
+                            ballot(), list(accepted), list(decided), items()};
+      case 7:
+        return Accept{ballot(), epoch(), order()};
+      case 8:
+        return AcceptReply{ballot(), epoch(), voter(), flag(), ballot(), list(decided), items()};
+      case 9:
+        return Decided{order()};
+      case 10:
+        return ItemsRequest{versions(), number(), flag()};
+      case 11:
+        return ItemsReply{1, 3, number(), flag(), flag(), items()};
+      case 12:
+        return ReadRequest{number(), epoch()};
+      case 13:
+        return ReadReply{number(), epoch(), voter(), number(), list(accepted)};
+      case 14:
+        return RegistryUpdate{list([&] { return std::pair<NodeName, bool>{{text()}, flag()}; }), list(news)};
+      case 15:
+        return ServersUpdate{list(news)};
+      case 16:
+        return Follow{list([&] { return ServiceName{text()}; })};
+      case 17:
+        return ClaimRequest{epoch(), this->address(), list(claims)};
+      case 18:
+        return ReleaseRequest{this->address(), list(claims)};
+      case 19:
+        return Votes{epoch(), voter(), list([&] {
+                       return Vote{claim(), flag() ? std::optional<Holder>(holder()) : std::nullopt};
+                     })};
+      case 20:
+        return SnapshotRequest{epoch()};
+      default:
+        return SnapshotPart{epoch(),
+                            voter(),
+                            number(),
+                            flag(),
+                            list([&] { return static_cast<std::uint8_t>(below(256)); }),
+                            list(accepted),
+                            list(decided)};
+    }
+  }
+
+ private:
+  std::mt19937_64 random_;
+};
+
+/// Converts to whatever a field of a struct is; only to count the fields.
+struct AnyField {
+  template <class T>
+  operator T() const;
+};
+template <class T, std::size_t... Place>
+constexpr bool hasFields(std::index_sequence<Place...>) {
+  return requires { T{(static_cast<void>(Place), AnyField{})...}; };
+}
+template <class T, std::size_t Count = 8>
+constexpr std::size_t fieldsIn() {
+  if constexpr (Count == 0 || hasFields<T>(std::make_index_sequence<Count>()))
+    return Count;
+  else
+    return fieldsIn<T, Count - 1>();
+}
+
+/// All fields of a struct, so that a field that the codec forgets is found missing.
+template <class T>
+auto fieldsOf(const T& value) {
+  if constexpr (std::is_same_v<T, ItemsRequest>) {
+    return std::tie(value.versions, value.read, value.confirmed);
+  } else if constexpr (std::is_same_v<T, Item>) {
+    return std::tie(value.key, value.generation, value.dropped, value.hostname, value.value, value.print);
+  } else if constexpr (fieldsIn<T>() == 8) {
+    const auto& [a, b, c, d, e, f, g, h] = value;
+    return std::tie(a, b, c, d, e, f, g, h);
+  } else if constexpr (fieldsIn<T>() == 7) {
+    const auto& [a, b, c, d, e, f, g] = value;
+    return std::tie(a, b, c, d, e, f, g);
+  } else if constexpr (fieldsIn<T>() == 6) {
+    const auto& [a, b, c, d, e, f] = value;
+    return std::tie(a, b, c, d, e, f);
+  } else if constexpr (fieldsIn<T>() == 5) {
+    const auto& [a, b, c, d, e] = value;
+    return std::tie(a, b, c, d, e);
+  } else if constexpr (fieldsIn<T>() == 3) {
+    const auto& [a, b, c] = value;
+    return std::tie(a, b, c);
+  } else if constexpr (fieldsIn<T>() == 2) {
+    const auto& [a, b] = value;
+    return std::tie(a, b);
+  } else {
+    static_assert(fieldsIn<T>() == 1);
+    const auto& [a] = value;
+    return std::tie(a);
+  }
+}
+
+template <class T>
+bool same(const std::vector<T>& a, const std::vector<T>& b);
+template <class T>
+bool same(const T& a, const T& b) {
+  if constexpr (std::is_same_v<T, OrderPtr>)
+    return same(*a, *b);
+  else if constexpr (std::equality_comparable<T>)
+    return a == b;
+  else
+    return std::apply(
+        [&](const auto&... left) {
+          return std::apply([&](const auto&... right) { return (same(left, right) && ...); }, fieldsOf(b));
+        },
+        fieldsOf(a));
+}
+template <class T>
+bool same(const std::vector<T>& a, const std::vector<T>& b) {
+  return std::equal(a.begin(), a.end(), b.begin(), b.end(),
+                    [](const T& left, const T& right) { return same(left, right); });
+}
+bool same(const Message& a, const Message& b) {
+  return a.index() == b.index() &&
+         std::visit([&](const auto& left) { return same(left, std::get<std::decay_t<decltype(left)>>(b)); },
+                    a);
+}
+
+/// Damages one value at a drawn depth.
+void damage(json& text, Draw& draw) {
+  if (text.is_structured() && !text.empty() && draw.below(4) != 0) {
+    auto inner = text.begin();
+    std::advance(inner, static_cast<std::ptrdiff_t>(draw.below(text.size())));
+    if (draw.below(5) == 0)
+      text.erase(inner);
+    else
+      damage(*inner, draw);
+    return;
+  }
+  static const std::vector<json> wrong{nullptr,
+                                       true,
+                                       -1,
+                                       0,
+                                       5,
+                                       0.5,
+                                       1e300,
+                                       "",
+                                       "text",
+                                       json::array(),
+                                       json::object(),
+                                       json::array({nullptr}),
+                                       std::uint64_t{1} << 63,
+                                       std::numeric_limits<std::uint64_t>::max(),
+                                       std::numeric_limits<std::int64_t>::min(),
+                                       json::array({1, 2, 3})};
+  text = wrong[draw.below(wrong.size())];
+}
+
+}  // namespace
+
+TEST_CASE("messages: drawn ones of every kind survive their encoding") {
+  Draw draw(11);
+  std::set<std::string_view> kinds;
+  for (std::size_t kind = 0; kind < std::variant_size_v<Message>; ++kind) {
+    for (int round = 0; round < 60; ++round) {
+      const Message message = draw.message(kind);
+      REQUIRE(message.index() == kind);
+      const std::string text = encode(message);
+      INFO(text);
+      REQUIRE(text.find('\n') == std::string::npos);
+      const auto read = decode(json::parse(text));
+      if (!read) FAIL(read.error().line());
+      REQUIRE(same(read.value(), message));
+      REQUIRE(json::parse(text)["t"] == kindOf(message));
+      kinds.insert(kindOf(message));
+    }
+  }
+  REQUIRE(kinds.size() == std::variant_size_v<Message>);
+}
+
+TEST_CASE("messages: drawn damage is refused, or read as something valid") {
+  Draw draw(12);
+  std::size_t refused = 0;
+  std::size_t valid = 0;
+  for (int round = 0; round < 20000; ++round) {
+    json text = json::parse(encode(draw.message(draw.below(std::variant_size_v<Message>))));
+    for (std::uint64_t left = draw.below(2) + 1; left > 0; --left) damage(text, draw);
+    const auto read = decode(text);
+    if (!read) {
+      REQUIRE(read.error().step == "message");
+      REQUIRE(!read.error().what.empty());
+      ++refused;
+      continue;
+    }
+    ++valid;
+    const std::string again = encode(read.value());
+    const auto reread = decode(json::parse(again));
+    INFO(again);
+    REQUIRE(reread);
+    REQUIRE(same(reread.value(), read.value()));
+  }
+  REQUIRE(refused > 10000);
+  REQUIRE(valid > 500);
+}
+
+TEST_CASE("messages: what no process of the mesh sends is refused with its field") {
+  const auto faultOf = [](const char* text) {
+    const auto read = decode(json::parse(text));
+    return read ? std::string() : read.error().line();
+  };
+  CHECK(faultOf("[]") == "message: is no object");
+  CHECK(faultOf("{}") == "message: is of no kind");
+  CHECK(faultOf(R"({"t":7})") == "message: is of no kind");
+  CHECK(faultOf(R"({"t":"claims"})") == "message: is of an unknown kind");
+  CHECK(faultOf(R"({"t":"snapshot"})") == "message: snapshot: epoch is missing");
+  CHECK(faultOf(R"({"t":"snapshot","epoch":-1})") == "message: snapshot: epoch is below 0");
+  CHECK(faultOf(R"({"t":"snapshot","epoch":3.0})") == "message: snapshot: epoch is no whole number");
+  CHECK(faultOf(R"({"t":"snapshot","epoch":true})") == "message: snapshot: epoch is no whole number");
+  CHECK(faultOf(R"({"t":"snapshot","epoch":9223372036854775808})") ==
+        "message: snapshot: epoch is too large");
+  CHECK(faultOf(R"({"t":"snapshot","epoch":99999999999999999999})") ==
+        "message: snapshot: epoch is no whole number");
+  CHECK(faultOf(R"({"t":"snapshot","epoch":3,"later":1})").empty());
+  // Voters out of order or twice at one address, a reader that is no voter, an empty set.
+  const auto faultOfSet = [&](const std::string& voters, const std::string& readers) {
+    const std::string text = R"({"t":"voters","set":{"epoch":2,"before":1,"founders":0,"voters":)" + voters +
+                             R"(,"readers":)" + readers + "}}";
+    return faultOf(text.c_str());
+  };
+  CHECK(faultOfSet(R"([["a:1",1],["b:1",2]])", R"([["b:1",2]])").empty());
+  CHECK(!faultOfSet(R"([["b:1",1],["a:1",2]])", "[]").empty());
+  CHECK(!faultOfSet(R"([["a:1",1],["a:1",2]])", "[]").empty());
+  CHECK(!faultOfSet(R"([["a:1",1]])", R"([["a:1",2]])").empty());
+  CHECK(!faultOfSet("[]", "[]").empty());
+  // An item that would fail where it is used: a route without a target, and one nested very deep.
+  const auto faultOfRoute = [&](const std::string& more) {
+    const std::string text =
+        R"({"t":"decided","order":[{"k":"route/a","g":1,"v":{"path_prefix":"/","route_kind":"pure","timeout":"1s")" +
+        more + "}}]}";
+    return faultOf(text.c_str());
+  };
+  CHECK(faultOfRoute(R"(,"target":"desk")").empty());
+  CHECK(!faultOfRoute("").empty());
+  CHECK(!faultOfRoute(R"(,"weighted":[{"target":"desk","weight":0}])").empty());
+  const std::size_t depth = 100000;
+  CHECK(!faultOfRoute(",\"target\":\"desk\",\"x\":" + std::string(depth, '[') + std::string(depth, ']'))
+             .empty());
+  CHECK(!faultOf(R"({"t":"decided","order":[]})").empty());
+}
+
+TEST_CASE("messages: items go out a bounded number a message") {
+  Draw draw(13);
+  for (const std::size_t count : {0U, 1U, 150U, 151U, 450U}) {
+    std::vector<Item> items;
+    while (items.size() < count) items.push_back(draw.item());
+    const ItemsReply head{0, 1, 7, false, true, {}};
+    const auto texts = itemsReplies(head, items);
+    REQUIRE(texts.size() == std::max<std::size_t>(1, (count + 149) / 150));
+    std::vector<Item> came;
+    for (std::size_t part = 0; part < texts.size(); ++part) {
+      const auto read = decode(json::parse(*texts[part]));
+      REQUIRE(read);
+      const auto& reply = std::get<ItemsReply>(read.value());
+      REQUIRE(reply.part == part);
+      REQUIRE(reply.parts == texts.size());
+      REQUIRE(reply.last() == (part + 1 == texts.size()));
+      REQUIRE((reply.read == 7 && !reply.holdsState && reply.confirmed));
+      came.insert(came.end(), reply.items.begin(), reply.items.end());
+    }
+    REQUIRE(same(came, items));
+  }
+}
+
+TEST_CASE("messages: base64 carries all bytes and refuses what it did not write") {
+  Draw draw(14);
+  for (int round = 0; round < 300; ++round) {
+    std::vector<std::uint8_t> bytes;
+    for (std::uint64_t left = draw.below(40); left > 0; --left)
+      bytes.push_back(static_cast<std::uint8_t>(draw.below(256)));
+    REQUIRE(fromBase64(toBase64(bytes)) == bytes);
+  }
+  CHECK(toBase64({'M', 'a'}) == "TWE=");
+  for (const char* wrong : {"T", "TWE", "TW!=", "====", "T===", "=TWE", "TW=E"}) CHECK(!fromBase64(wrong));
+}
+
+TEST_CASE("voter set: single steps are taken for such, and no others are") {
+  Draw draw(15);
+  for (int round = 0; round < 2000; ++round) {
+    VoterSet set = draw.voterSet();
+    const VoterId joins{{"20.0.0.1:80"}, {draw.number()}};
+    const VoterId leaves = set.voters[draw.below(set.voters.size())];
+    const VoterId wiped{leaves.at, {leaves.incarnation.value + 1}};
+    REQUIRE(isSingleStep(set, withVoter(set, joins)));
+    REQUIRE(isSingleStep(set, withReplacement(set, leaves, joins)));
+    REQUIRE(isSingleStep(set, withReplacement(set, leaves, wiped)));
+    REQUIRE(isSingleStep(set, withoutVoter(set, leaves)) == (set.voters.size() > 1));
+    REQUIRE(!isSingleStep(set, set));
+    REQUIRE(!isSingleStep(set, withVoter(set, wiped)));
+    REQUIRE(!isSingleStep(set, withVoter(withVoter(set, joins), wiped)));
+    VoterSet changed = withReplacement(set, leaves, joins);
+    const auto damage = draw.below(4);
+    if (damage == 0) ++changed.epoch.value;
+    if (damage == 1) changed.readers.clear();
+    if (damage == 2) ++changed.previousSize;
+    if (damage == 3) changed.voters.push_back({{"20.0.0.2:80"}, {1}});
+    REQUIRE(!isSingleStep(set, changed));
+  }
+}
+
+TEST_CASE("voter set: votes count once, of the epoch's voters only") {
+  Draw draw(16);
+  for (int round = 0; round < 500; ++round) {
+    const VoterSet set = draw.voterSet();
+    VoteCount votes(set);
+    std::set<VoterId> counted;
+    for (int vote = 0; vote < 20; ++vote) {
+      VoterId voter = set.voters[draw.below(set.voters.size())];
+      const bool earlier = draw.below(5) == 0;
+      if (earlier) --voter.incarnation.value;
+      const Epoch epoch{set.epoch.value + (draw.below(5) == 0 ? 1 : 0)};
+      const bool counts = !earlier && epoch == set.epoch;
+      REQUIRE(votes.add(voter, epoch) == counts);
+      if (counts) counted.insert(voter);
+      REQUIRE(votes.count() == counted.size());
+      REQUIRE(votes.majority() == (counted.size() >= set.quorum()));
+    }
+  }
+}
