--- a/src/lab/mesh/explorer.cpp
+++ b/src/lab/mesh/explorer.cpp
@@ -53,6 +53,16 @@
   int runs = 0;
 };
 
+VoterId voterId(std::size_t voter) { return {{"v" + std::to_string(voter)}, {1}}; }
+
+/// All of them vote, in the only epoch.
+VoterSet setOf(std::size_t voters) {
+  VoterSet set;
+  set.epoch = {1};
+  for (std::size_t v = 0; v < voters; ++v) set.voters.push_back(voterId(v));
+  return set;
+}
+
 Holder holderOf(std::size_t claimer, ClaimNo no) { return {{"c" + std::to_string(claimer)}, {1}, no}; }
 
 class Explorer {
@@ -71,7 +81,7 @@
     state.to.resize(voters_);
     state.from.resize(voters_);
     for (Claimer& claimer : state.claimers) {
-      claimer.claims.electorate(voters_, quorum_);
+      claimer.claims.electorate(setOf(voters_));
       claimer.claims.reach(voters_);
     }
     if (won_) winFirst(state);
@@ -109,7 +119,7 @@
       text += std::to_string(static_cast<int>(claimer.work)) + std::to_string(claimer.no.value) +
               (claimer.mayStillRun ? 'm' : '.');
       for (std::size_t v = 0; v < voters_; ++v) {
-        const auto open = claimer.claims.without({"v" + std::to_string(v)});
+        const auto open = claimer.claims.without(voterId(v));
         text += open.empty() ? '1' : '0';
       }
     }
@@ -184,7 +194,7 @@
     unsynced.erase(
         std::remove_if(unsynced.begin(), unsynced.end(), [&](const auto& u) { return u.first == c; }),
         unsynced.end());
-    for (const Claims::Open& open : state.claimers[c].claims.without({"v" + std::to_string(v)}))
+    for (const Claims::Open& open : state.claimers[c].claims.without(voterId(v)))
       state.to[v][c].push_back({Word::Kind::claim, open.no});
   }
 
@@ -205,7 +215,7 @@
         voter.unsynced.clear();
       }
       state.from[v][0].clear();
-      if (const auto end = first.claims.vote({"v" + std::to_string(v)}, first.no, true, std::nullopt))
+      if (const auto end = first.claims.vote(voterId(v), {1}, first.no, true, std::nullopt))
         ended(state, 0, *end);
     }
   }
@@ -266,8 +276,8 @@
                [&, v, c](State& next) {
                  const Word word = next.from[v][c].front();
                  next.from[v][c].pop_front();
-                 const auto end = next.claimers[c].claims.vote({"v" + std::to_string(v)}, word.no,
-                                                               word.granted, word.holder);
+                 const auto end =
+                     next.claimers[c].claims.vote(voterId(v), {1}, word.no, word.granted, word.holder);
                  if (end) ended(next, c, *end);
                });
         }
--- a/tests/mesh_test.cpp
+++ b/tests/mesh_test.cpp
@@ -71,9 +71,14 @@
   return told;
 }
 
-Admission door() {
+VoterId voterId(std::size_t voter) { return {{"v" + std::to_string(voter)}, {1}}; }
+
+Admission admissionWithVoters() {
   Admission made({{"n"}, {"here:1"}, "z", {7}, {"desk"}, {"app"}, 2500ms, 60s, 1 << 20});
-  made.claims().electorate(3, 2);
+  VoterSet voters;
+  voters.epoch = {1};
+  voters.voters = {voterId(0), voterId(1), voterId(2)};
+  made.claims().electorate(voters);
   made.claims().reach(3);
   return made;
 }
@@ -96,9 +101,9 @@
       std::count_if(acts.begin(), acts.end(), [&](const auto& a) { return a.kind == kind; }));
 }
 
-Claims::Ended wonBy(Admission& door, ClaimNo no) {
-  REQUIRE_FALSE(door.claims().vote({"v0"}, no, true, std::nullopt));
-  const auto ended = door.claims().vote({"v1"}, no, true, std::nullopt);
+Claims::Ended winClaim(Admission& admission, ClaimNo no) {
+  REQUIRE_FALSE(admission.claims().vote(voterId(0), {1}, no, true, std::nullopt));
+  const auto ended = admission.claims().vote(voterId(1), {1}, no, true, std::nullopt);
   REQUIRE(ended);
   REQUIRE(ended->won);
   return *ended;
@@ -300,7 +305,7 @@
 }
 
 TEST_CASE("the door lets in what its server has room for, the most worth for its time first") {
-  Admission here = door();
+  Admission here = admissionWithVoters();
   here.beat(0s, beat("i1", 1));
   const auto running = [&](std::uint64_t no, const ForwardRequest& ask) {
     return countOf(here.asked(0s, {no}, ask, std::nullopt), AdmissionAction::Kind::run) == 1;
@@ -333,7 +338,7 @@
 }
 
 TEST_CASE("a server that drains, is gone or is another gets nothing, and late calls change nothing") {
-  Admission here = door();
+  Admission here = admissionWithVoters();
   CHECK(here.asked(0s, {1}, ask(RouteKind::pure), std::nullopt).back().told.verdict == Verdict::strange);
   here.beat(0s, beat("i1", 5));
   Beat leaving = beat("i1", 6);
@@ -349,14 +354,14 @@
 }
 
 TEST_CASE("a key runs once here, repeats get its answer or wait for it, and a return is told to the voters") {
-  Admission here = door();
+  Admission here = admissionWithVoters();
   here.beat(0s, beat("i1", 1, 1));
   const AdmissionActions claiming = here.asked(0s, {1}, ask(RouteKind::keyed), "k");
   REQUIRE(claiming.size() == 1);
   REQUIRE(claiming[0].kind == AdmissionAction::Kind::claim);
   // Votes hold no slot: other work runs meanwhile, and the key waits its turn.
   CHECK(countOf(here.asked(0s, {2}, ask(RouteKind::pure), std::nullopt), AdmissionAction::Kind::run) == 1);
-  CHECK(countOf(here.claimEnded(1ms, wonBy(here, claiming[0].claim)), AdmissionAction::Kind::run) == 0);
+  CHECK(countOf(here.claimEnded(1ms, winClaim(here, claiming[0].claim)), AdmissionAction::Kind::run) == 0);
   CHECK(countOf(here.ran(2ms, {2}, AtServer::answered, {200, false, nullptr, 0}),
                 AdmissionAction::Kind::run) == 1);
   CHECK(here.asked(3ms, {3}, ask(RouteKind::keyed), "k").empty());
@@ -367,19 +372,19 @@
   CHECK(here.asked(1s, {4}, ask(RouteKind::keyed), "k").back().bytes == bytes);
   // Turned away by its server: surely not run, so the promise goes back and another server may try.
   const AdmissionActions second = here.asked(1s, {5}, ask(RouteKind::keyed), "k2");
-  here.claimEnded(1s, wonBy(here, second[0].claim));
+  here.claimEnded(1s, winClaim(here, second[0].claim));
   const AdmissionActions turned = here.ran(1s, {5}, AtServer::answered, {503, true, nullptr, 0});
   CHECK(countOf(turned, AdmissionAction::Kind::giveBack) == 1);
   CHECK(turned.back().told.verdict == Verdict::turnedAway);
   // Broken off: nobody knows, and nobody runs it again.
   const AdmissionActions third = here.asked(2s, {6}, ask(RouteKind::keyed), "k3");
-  here.claimEnded(2s, wonBy(here, third[0].claim));
+  here.claimEnded(2s, winClaim(here, third[0].claim));
   CHECK(countOf(here.ran(2s, {6}, AtServer::broken, {}), AdmissionAction::Kind::giveBack) == 0);
   CHECK(here.asked(3s, {7}, ask(RouteKind::keyed), "k3").back().told.verdict == Verdict::unknown);
 }
 
 TEST_CASE("without a quorum a key is refused at once, and room at the door is not spent on it") {
-  Admission here = door();
+  Admission here = admissionWithVoters();
   here.beat(0s, beat("i1", 1, 1));
   const AdmissionActions claiming = here.asked(0s, {1}, ask(RouteKind::keyed), "k");
   REQUIRE(countOf(claiming, AdmissionAction::Kind::claim) == 1);
@@ -401,7 +406,7 @@
   CHECK(alone.back().told.wait >= 1s);
   here.claims().reach(3);
   const AdmissionActions back = here.asked(6s, {5}, ask(RouteKind::keyed), "k5");
-  here.claimEnded(6s, wonBy(here, back[0].claim));
+  here.claimEnded(6s, winClaim(here, back[0].claim));
   CHECK(here.claims().comeBack(6s) < 500ms);
 }
 
@@ -631,7 +636,7 @@
   known.node = {"n"};
   known.life = {6};
   known.leaving = true;  // the process that told of it did
-  Admission here = door();
+  Admission here = admissionWithVoters();
   const AdmissionActions told = here.adopt(0s, known);
   REQUIRE(countOf(told, AdmissionAction::Kind::tell) == 1);
   CHECK(told[0].served.life == LifeNo{7});
@@ -648,7 +653,7 @@
   CHECK(here.adopt(3s, served("i3")).empty());
 
   // Not one that leaves, not another's; of two, the one told of last; and 421 is word of its end.
-  Admission there = door();
+  Admission there = admissionWithVoters();
   Served drains = known;
   drains.draining = true;
   CHECK(there.adopt(0s, drains).empty());
