Adapt the sidecar to claims with epochs (interim)

The set of voters is made up of the control processes as they were reached, under an epoch counted here, until the messages carry the agreed set. Each change asks all open claims anew. The library builds; tests of the mesh are run next.

--- a/src/mesh/sidecar/sidecar.cpp
+++ b/src/mesh/sidecar/sidecar.cpp
@@ -56,6 +56,28 @@
     take(now, controlClient_.sayAll({{"t", "free"}, {"at", at}, {"list", std::move(freed)}}), out);
 }
 
+// Interim: the set of voters is made up of the control processes that were reached, the newest first, and of
+// places for those that were not, as many as there are in all.
+void Sidecar::updateVoters(Span now, SidecarActions& out) {
+  const std::size_t all = controlClient_.voters();
+  if (all == 0) return;
+  std::vector<VoterId>& reached = voters_.voters;
+  if (reached.size() > all) reached.erase(reached.begin(), reached.end() - static_cast<std::ptrdiff_t>(all));
+  VoterSet set = voters_;
+  while (set.voters.size() < all)
+    set.voters.push_back({{"unreached " + std::to_string(set.voters.size())}, {}});
+  if (set.voters == lastVoters_) return;
+  lastVoters_ = set.voters;
+  set.epoch = {admission_.claims().epoch().value + 1};
+  admission_.claims().electorate(set);
+  json claims = json::array();
+  for (const Claims::Open& open : admission_.claims().openClaims())
+    claims.push_back({open.no.value, textOf(open.key)});
+  if (claims.empty()) return;
+  const std::string& at = built_.door.at.value;
+  take(now, controlClient_.sayAll({{"t", "claim"}, {"at", at}, {"list", std::move(claims)}}), out);
+}
+
 void Sidecar::take(Span now, ControlClientActions acts, SidecarActions& out) {
   for (ControlClientAction& act : acts) {
     switch (act.kind) {
@@ -76,10 +98,16 @@
         }
         break;
       case ControlClientAction::Kind::vote:
-        if (const auto ended = admission_.claims().vote(act.at, act.claim, act.granted, act.holder))
+        // Interim: votes carry no epoch yet.
+        if (const auto ended = admission_.claims().vote({act.at, {}}, admission_.claims().epoch(), act.claim,
+                                                        act.granted, act.holder))
           take(now, admission_.claimEnded(now, *ended), out);
         break;
       case ControlClientAction::Kind::standing: {
+        if (!voters_.contains({act.at, {}})) {
+          voters_.voters.push_back({act.at, {}});
+          updateVoters(now, out);
+        }
         json servers = json::array();
         for (const Served& served : admission_.servers()) servers.push_back(toJson(News{served, true}));
         ControlClientActions more;
@@ -91,7 +119,7 @@
           more.push_back(said);
         }
         json claims = json::array();
-        for (const Claims::Open& open : admission_.claims().without(act.at))
+        for (const Claims::Open& open : admission_.claims().without({act.at, {}}))
           claims.push_back({open.no.value, textOf(open.key)});
         if (!claims.empty()) {
           said.text = std::make_shared<const std::string>(
@@ -102,7 +130,7 @@
         break;
       }
       case ControlClientAction::Kind::told:
-        admission_.claims().electorate(controlClient_.voters(), controlClient_.quorum());
+        updateVoters(now, out);
         if (controlClient_.members() > 0) router_.processes(controlClient_.members());
         break;
     }
--- a/src/mesh/sidecar/sidecar.hpp
+++ b/src/mesh/sidecar/sidecar.hpp
@@ -61,11 +61,14 @@
   void take(Span now, AdmissionActions acts, SidecarActions& out);
   void take(Span now, ControlClientActions acts, SidecarActions& out);
   void configure(Span now, SidecarActions& out);
+  void updateVoters(Span now, SidecarActions& out);
 
   Built built_;
   RequestRouter router_;
   Admission admission_;
   ControlClient controlClient_;
+  VoterSet voters_;  // interim: control processes as they were reached, until they tell the set themselves
+  std::vector<VoterId> lastVoters_;  // as the claims were told last
   Span controlClientTick_{};
   std::optional<Span> readsAt_;          // when the items in force are to be read as routes
   std::optional<Span> admissionCloses_;  // when the door is to shut
