Agree on orders by ballots, a register for each version of an item

Cause: copies on a quorum let two operators' values for one version both be acknowledged, and an order come into force in part. Change: Agreement with a voter's half (RegisterAcceptor), a proposer's half (OrderProposer) and the decided versions of each name (DecidedHistory).

--- a/src/mesh/configuration/items.cpp
+++ b/src/mesh/configuration/items.cpp
@@ -20,11 +20,6 @@
 
 std::uint64_t hashOf(std::string_view text) { return XXH3_64bits(text.data(), text.size()); }
 
-std::uint64_t printOf(const Item& item) {
-  return hashOf(textOf(item.key) + (item.dropped ? "-" : "+") + writeGeneration(item.generation) +
-                (item.dropped ? std::string() : item.hostname + item.value.dump()));
-}
-
 Result<Item> itemOf(ItemKind kind, const json& value, bool dropped) {
   Item item;
   item.key = {kind, kind == ItemKind::limits ? "limits" : value["name"].get<std::string>()};
@@ -61,6 +56,11 @@
 
 }  // namespace
 
+std::uint64_t printOf(const Item& item) {
+  return hashOf(textOf(item.key) + (item.dropped ? "-" : "+") + writeGeneration(item.generation) +
+                (item.dropped ? std::string() : item.hostname + item.value.dump()));
+}
+
 std::string textOf(const ItemKey& key) {
   static constexpr const char* kKinds[] = {"route/", "service/", "limits/", "voters/"};
   return kKinds[static_cast<std::size_t>(key.kind)] + key.name;
--- a/src/mesh/configuration/items.hpp
+++ b/src/mesh/configuration/items.hpp
@@ -37,6 +37,8 @@
 };
 
 nlohmann::json toJson(const Item& item);
+/// Hash of all that the item says; equal wherever equal items are held. Item::print, where that is set.
+std::uint64_t printOf(const Item& item);
 /// As toJson, in text; written out once, whatever it goes into, and shared by copies of the item.
 const std::string& wireOf(const Item& item);
 /// The words that carry these items, a bounded number each, so that none holds up who reads it: the head's
--- a/src/mesh/control/agreement.hpp
+++ b/src/mesh/control/agreement.hpp
@@ -7,37 +7,55 @@
 // Safety. Whoever proposes for a register first has a majority promise its ballot, and learns from them which
 // orders they accepted for it. An order found that way is completed before any other value is proposed; it is
 // passed over only if another value is known to be decided for one of its registers, as it then was never
-// accepted by a majority. Ballots, promises and acceptances count within one epoch of the voters only.
+// accepted by a majority, or if a majority has promised not to accept it any more and never did. Ballots,
+// promises and acceptances count within one epoch of the voters only; ballots of a later epoch are above all
+// of an earlier one. register_acceptor.hpp has the voter's half, order_proposer.hpp the proposer's.
+//
+// What was decided of an order in part (an equal item came into force with another order) is left out of what
+// is proposed; the rest is an order of its own.
 //
 // A state machine: it takes inputs and returns effects; no I/O, no clock. It must never tell of a promise or
 // an acceptance before it is on disk; whoever runs it sends Effects::afterWrite only then.
 
 #include <cstdint>
-#include <deque>
+#include <functional>
 #include <map>
 #include <optional>
 #include <string>
 #include <vector>
 
+#include "mesh/control/decided_history.hpp"
 #include "mesh/control/effects.hpp"
 #include "mesh/control/messages.hpp"
+#include "mesh/control/order_proposer.hpp"
+#include "mesh/control/register_acceptor.hpp"
 
 namespace rackroute::mesh {
 
+/// The item under which a set of voters is agreed on; made one way only, as its print is compared.
+Item itemOf(const VoterSet& set);
+
 class Agreement {
  public:
   struct Built {
     VoterId self;
     std::uint64_t seed = 0;  // of the pauses between ballots
+    /// The items in force here; the caller's, who merges into them. Must outlive this.
+    const Items* inForce = nullptr;
+    /// Whether this process may accept that set of voters as the next one. If not, it does not reply.
+    std::function<bool(const VoterSet&)> acceptable;
   };
   explicit Agreement(Built built);
+  Agreement(const Agreement&) = delete;
+  Agreement& operator=(const Agreement&) = delete;
 
   // --- state
 
   /// What a store holds under this part's keys; to be called before all else. False: it is none of its
   /// entries.
   bool restore(const std::string& key, const std::string& value);
-  /// Another set counts from now on; proposals under way begin anew in it. Also the first set (epoch 0).
+  /// Another set counts from now on; proposals under way begin anew in it. Also the first set (epoch 0),
+  /// which may come again with more voters. The set is recorded as decided; an earlier epoch's is ignored.
   void voters(const VoterSet& set, Span now, Effects& effects);
   /// This process votes only if it is in the set and lacks nothing that it must have read.
   void mayVote(bool may) { mayVote_ = may; }
@@ -49,20 +67,26 @@
 
   void heard(Span now, const Address& from, const Prepare& message, Effects& effects);
   void heard(Span now, const Address& from, const Accept& message, Effects& effects);
-  /// Items became known as decided, from whatever source (a Decided, a copy fetched from another process).
+  /// Items became known as decided, from whatever source (a Decided, a copy fetched from another process, the
+  /// store of an earlier version). The caller merges them into the items in force before, and writes its own
+  /// entries for them in the batch that has effects.entries. What else is decided by this comes in
+  /// effects.decided, which the caller merges and writes likewise: in the same batch, after the call.
   void decided(Span now, const std::vector<Item>& items, Effects& effects);
 
   // --- as proposer
 
   void heard(Span now, const PrepareReply& message, Effects& effects);
   void heard(Span now, const AcceptReply& message, Effects& effects);
-  /// Brings an order to a decision; Effects::outcomes tells of it under that number. 0: nobody asks.
+  /// Brings an order to a decision; Effects::outcomes tells of it under that number. 0: nobody asks, and it
+  /// is given up if its first ballot fails before an Accept was sent. An empty order is decided.
   void propose(Span now, std::uint64_t call, OrderPtr order, Effects& effects);
   /// Whoever asked has been answered; the proposal itself goes on.
   void forgetCall(std::uint64_t call);
   /// Begins refused ballots anew, gives up silent ones, and completes orders of proposers that have gone
   /// silent.
   void tick(Span now, Effects& effects);
+  /// When tick() has something to do next; it may be called at any time.
+  [[nodiscard]] std::optional<Span> nextTick() const;
 
   // --- for readers
 
@@ -81,8 +105,27 @@
   [[nodiscard]] std::size_t proposalsUnderWay() const;
 
  private:
+  /// Facts about registers, and what stands at their names, as far as it was told with them.
+  void learnDecided(Span now, const std::vector<DecidedRegister>& decided, const std::vector<Item>& standing,
+                    Effects& effects);
+  void learnDecided(Span now, const std::vector<Item>& items, Effects& effects);
+  /// Puts those items of decided orders into effects that are newer than what is in force.
+  void bringIntoForce(const std::vector<OrderPtr>& orders, Effects& effects) const;
+  void settleRestored(Span now, Effects& effects);
+  void completeSilentOrders(Span now, Effects& effects);
+  [[nodiscard]] Span silenceAllowed() const;
+  [[nodiscard]] bool mayVoteOn(const Ballot& ballot, Epoch epoch) const;
+  [[nodiscard]] bool acceptable(const Order& order) const;
+  [[nodiscard]] bool undecided(const Order& order) const;
+  [[nodiscard]] std::vector<Item> standingAt(const std::vector<DecidedRegister>& decided) const;
+
+  Built built_;
+  VoterSet set_;
   bool mayVote_ = false;
-  // (the implementer fills this in)
+  bool restored_ = false;  // and not yet looked through
+  DecidedHistory history_;
+  RegisterAcceptor acceptor_;
+  OrderProposer proposer_;
 };
 
 }  // namespace rackroute::mesh
--- /dev/null
+++ b/src/mesh/control/decided_history.cpp
@@ -0,0 +1,78 @@
+#include "mesh/control/decided_history.hpp"
+
+#include <algorithm>
+
+namespace rackroute::mesh {
+namespace {
+
+// Versions of a name that are remembered: bounds memory and disk, and is far beyond the versions that
+// operators have in flight.
+constexpr std::size_t kVersionsKept = 32;
+
+}  // namespace
+
+bool DecidedHistory::restore(const std::string& key, const std::string& value) {
+  if (!key.starts_with(agreement_store::kHistoryPrefix)) return false;
+  const auto name = keyOf(std::string_view(key).substr(agreement_store::kHistoryPrefix.size()));
+  if (!name) return true;
+  for (const auto& entry : agreement_store::readHistory(value)) {
+    record({*name, entry.version}, entry.print);
+  }
+  changed_.erase(*name);
+  return true;
+}
+
+bool DecidedHistory::record(const RegisterId& id, std::uint64_t print) {
+  Versions& versions = names_[id.item];
+  const auto place =
+      std::lower_bound(versions.begin(), versions.end(), id.version,
+                       [](const auto& entry, const Generation& version) { return entry.version < version; });
+  if (place != versions.end() && place->version == id.version) return false;
+  if (versions.size() >= kVersionsKept && place == versions.begin()) return false;
+  versions.insert(place, {id.version, print});
+  if (versions.size() > kVersionsKept) versions.erase(versions.begin());
+  changed_.insert(id.item);
+  return true;
+}
+
+void DecidedHistory::writeChanges(Effects& effects) {
+  for (const ItemKey& name : changed_) {
+    effects.entries.emplace_back(agreement_store::historyKey(name),
+                                 agreement_store::historyText(names_.at(name)));
+  }
+  changed_.clear();
+}
+
+std::optional<DecidedRegister> DecidedHistory::find(const RegisterId& id) const {
+  const auto name = names_.find(id.item);
+  if (name != names_.end()) {
+    const Versions& versions = name->second;
+    const auto entry = std::find_if(versions.begin(), versions.end(),
+                                    [&id](const auto& known) { return known.version == id.version; });
+    if (entry != versions.end()) return DecidedRegister{id, entry->print};
+    if (versions.size() >= kVersionsKept && id.version < versions.front().version) {
+      return DecidedRegister{id, 0};
+    }
+  }
+  if (id.item.kind == ItemKind::voters && id.version.value <= votersDecidedTo_.value) {
+    return DecidedRegister{id, 0};
+  }
+  return std::nullopt;
+}
+
+RegisterState DecidedHistory::stateOf(const RegisterId& id, std::uint64_t print) const {
+  const auto decided = find(id);
+  if (!decided) return RegisterState::open;
+  if (decided->print == 0) return RegisterState::forgotten;
+  return decided->print == print ? RegisterState::same : RegisterState::other;
+}
+
+std::vector<DecidedRegister> DecidedHistory::all() const {
+  std::vector<DecidedRegister> registers;
+  for (const auto& [name, versions] : names_) {
+    for (const auto& entry : versions) registers.push_back({{name, entry.version}, entry.print});
+  }
+  return registers;
+}
+
+}  // namespace rackroute::mesh
--- a/src/mesh/control/effects.hpp
+++ b/src/mesh/control/effects.hpp
@@ -25,6 +25,7 @@
 enum class OrderResult {
   decided,   // in force, or was already
   conflict,  // another value is decided for one of its registers; nothing of it is in force
+  busy,      // too many orders are under way here; nothing of it was begun
 };
 struct OrderOutcome {
   std::uint64_t call = 0;
--- a/src/mesh/control/messages.hpp
+++ b/src/mesh/control/messages.hpp
@@ -26,7 +26,9 @@
 
 // --- agreement on orders (agreement.hpp says how)
 
-/// Orders the attempts to have something agreed on. Attempts of two proposers never compare equal.
+/// Orders the attempts to have something agreed on. Attempts of two proposers never compare equal. The
+/// round's high bits are the epoch (ballot_rounds.hpp), so that every ballot of an epoch is above those of
+/// the epochs before.
 struct Ballot {
   std::uint64_t round = 0;
   Incarnation proposer;
@@ -56,7 +58,8 @@
   Ballot ballot;
   OrderPtr order;
 };
-/// A register that is decided, with the print of its value.
+/// A register that is decided, with the print of its value. Print 0: it is so old that the print is forgotten;
+/// whatever is proposed for it has no effect.
 struct DecidedRegister {
   RegisterId id;
   std::uint64_t print = 0;
--- /dev/null
+++ b/src/mesh/control/order.cpp
@@ -0,0 +1,33 @@
+// Orders and the registers of their items (messages.hpp declares them).
+
+#include <xxhash.h>
+
+#include <algorithm>
+#include <tuple>
+
+#include "mesh/control/messages.hpp"
+
+namespace rackroute::mesh {
+
+RegisterId registerOf(const Item& item) { return {item.key, item.generation}; }
+
+OrderPtr makeOrder(std::vector<Item> items) {
+  std::vector<std::uint64_t> prints;
+  for (Item& item : items) {
+    if (item.print != 0) continue;
+    item.print = printOf(item);
+    item.wire.reset();  // it lacks the print
+  }
+  // The order in which an operator lists them does not matter.
+  std::sort(items.begin(), items.end(), [](const Item& left, const Item& right) {
+    return std::tie(left.key, left.generation, left.print) <
+           std::tie(right.key, right.generation, right.print);
+  });
+  for (const Item& item : items) prints.push_back(item.print);
+  Order order;
+  order.id = XXH3_64bits(prints.data(), prints.size() * sizeof(std::uint64_t));
+  order.items = std::move(items);
+  return std::make_shared<const Order>(std::move(order));
+}
+
+}  // namespace rackroute::mesh
