--- a/src/mesh/control/voter_set.hpp
+++ b/src/mesh/control/voter_set.hpp
@@ -49,8 +49,10 @@
   bool operator==(const VoterSet&) const = default;
 };
 
-/// The set that follows when one voter joins, one leaves, or one takes the place of another. Such neighbours
-/// always share a voter between any majority of the one and any majority of the other.
+/// The set that follows when one voter joins, one leaves, or one takes the place of another. What a majority
+/// of the set before knows is then known to each majority of the next: it shares a voter with that majority,
+/// or includes a reader, who has read from a majority of the set before. (Where one replaces another in a set
+/// of odd size, majorities without a common voter exist; the reader is what joins them.)
 VoterSet withVoter(const VoterSet& set, const VoterId& joins);
 VoterSet withoutVoter(const VoterSet& set, const VoterId& leaves);
 VoterSet withReplacement(const VoterSet& set, const VoterId& leaves, const VoterId& joins);
