Move the sidecar's control client over to typed messages and voter sets

A voter set is taken with a higher epoch only, from Welcome, VotersUpdate or the voters item; claims and releases go to its voters that are reached under the incarnation that the set names, and are asked anew on a newer set and when a voter becomes able to vote. Admission::followLife lets news of servers go on above the highest life known of this node.

--- a/src/mesh/admission/admission.cpp
+++ b/src/mesh/admission/admission.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cassert>
+#include <limits>
 #include <utility>
 
 namespace rackroute::mesh {
@@ -28,7 +29,7 @@
 
 }  // namespace
 
-Admission::Admission(Built built) : built_(std::move(built)) {}
+Admission::Admission(Built built) : built_(std::move(built)), newsLife_(built_.life) {}
 
 AdmissionActions Admission::beat(Span now, const Beat& beat) {
   AdmissionActions acts;
@@ -49,7 +50,7 @@
     fresh.told.at = built_.at;
     fresh.told.node = built_.node;
     fresh.told.zone = beat.zone.empty() ? built_.zone : beat.zone;
-    fresh.told.life = built_.life;
+    fresh.told.life = newsLife_;
     found = servers_.emplace(beat.id, std::move(fresh)).first;
   } else if (!beat.gone && beat.seq <= found->second.seq) {
     found->second.lastBeat = now;
@@ -105,7 +106,9 @@
 AdmissionActions Admission::adopt(Span now, const Served& served) {
   AdmissionActions acts;
   const bool same = served.node == built_.node && served.service == built_.service;
-  if (beaten_ || leaving_ || built_.server.value.empty() || !same || served.life == built_.life) return acts;
+  // Told in this life, before or after followLife(), or in one before the last.
+  const bool own = served.life == built_.life || served.life == newsLife_ || served.life < supersededLife_;
+  if (beaten_ || leaving_ || built_.server.value.empty() || !same || own) return acts;
   if (served.gone || served.draining || servers_.count(served.id) > 0) return acts;
   // Of two that stand by what others know, the one that was told of last.
   const std::pair told{served.life, served.seq};
@@ -115,7 +118,7 @@
   Server& server = servers_[served.id];
   server.told = served;
   server.told.at = built_.at;
-  server.told.life = built_.life;
+  server.told.life = newsLife_;
   server.told.leaving = false;
   server.address = built_.server;
   server.coldUntil = now + served.coldLeft;
@@ -124,6 +127,20 @@
   return acts;
 }
 
+AdmissionActions Admission::followLife(LifeNo highest) {
+  AdmissionActions acts;
+  // Equal to this one: it is another life only as long as this one has told nothing.
+  const bool higher = highest > newsLife_ || (highest == newsLife_ && said_ == 0);
+  if (!higher || highest.value == std::numeric_limits<std::uint64_t>::max()) return acts;
+  supersededLife_ = highest;
+  newsLife_ = {highest.value + 1};
+  for (auto& [id, server] : servers_) {
+    server.told.life = newsLife_;
+    tell(server, acts);
+  }
+  return acts;
+}
+
 bool Admission::open(Span now, const Server& server) const {
   if (leaving_ || server.told.gone) return false;
   return server.drainsSince == Span::max() || now < server.drainsSince + built_.drain - kDrainMargin;
--- a/src/mesh/admission/admission.hpp
+++ b/src/mesh/admission/admission.hpp
@@ -83,6 +83,11 @@
   AdmissionActions beat(Span now, const Beat& beat);
   /// What others know of a server here from an earlier life of this process. It counts until the first beat.
   AdmissionActions adopt(Span now, const Served& served);
+  /// The highest life that a control process knows of this node. Its news of servers goes on in the life
+  /// after that one, if it is no older than this process's: the clock that counts lives was stepped back
+  /// since, and all news of this life would be taken for old. All servers are told of anew then. The life in
+  /// holders of claims stays as it was: there it only tells one life from another.
+  AdmissionActions followLife(LifeNo highest);
   /// A request from another process; key: of its operation, if its route is keyed.
   AdmissionActions asked(Span now, AskNo no, const ForwardRequest& ask,
                          const std::optional<std::string>& key);
@@ -166,6 +171,8 @@
   std::deque<std::pair<Span, KeyPrint>> ended_;  // operations, as they ended
   std::size_t kept_ = 0;
   std::uint64_t said_ = 0;
+  LifeNo newsLife_;        // in news of servers; built_.life but where an earlier life had a higher one
+  LifeNo supersededLife_;  // that earlier life; 0: none
   std::pair<LifeNo, std::uint64_t> adopted_{};  // what was told of it last, before this life
   bool beaten_ = false;                         // a server has called here in this life
   bool leaving_ = false;
--- a/src/mesh/sidecar/main.cpp
+++ b/src/mesh/sidecar/main.cpp
@@ -347,6 +347,14 @@
           session->end(sidecar::Reason::silent);
         }
         break;
+      case ControlClientAction::Kind::refused:
+        log(Weight::warning, act.error.step, act.error.peer, act.error.what);
+        if (found != sessionConnections_.end()) {
+          const auto session = found->second;
+          sessionConnections_.erase(found);
+          session->end(sidecar::Reason::badMessage);
+        }
+        break;
       case ControlClientAction::Kind::dial: {
         if (found != sessionConnections_.end()) return;
         const auto session =
@@ -402,7 +410,7 @@
     std::vector<Address> seeds;
     for (const Address& seed : settings.value().seeds)
       seeds.push_back(meshAddress(seed, settings_.firstPort));
-    sidecar_.seeds(std::move(seeds));
+    act(sidecar_.seeds(loop_.now(), std::move(seeds)));
   }
 
   void stop() {
--- a/src/mesh/sidecar/sidecar.cpp
+++ b/src/mesh/sidecar/sidecar.cpp
@@ -7,7 +7,6 @@
 namespace rackroute::mesh {
 namespace {
 
-using nlohmann::json;
 using namespace std::chrono_literals;
 
 // The platform sends clients for two seconds more in any case. Guards against a fleet that is restarted
@@ -16,6 +15,10 @@
 // Guards against a large configuration, or a storm of changes, whose routes are all read anew for each part.
 constexpr Span kGather = 60ms;
 
+void append(ControlClientActions acts, SidecarActions& out) {
+  std::move(acts.begin(), acts.end(), std::back_inserter(out.feed));
+}
+
 }  // namespace
 
 Sidecar::Sidecar(Built built)
@@ -25,8 +28,12 @@
       controlClient_(built_.feed) {}
 
 void Sidecar::take(Span now, AdmissionActions acts, SidecarActions& out) {
-  json claims = json::array();
-  json freed = json::array();
+  ClaimRequest claims;
+  claims.epoch = controlClient_.voters().epoch;
+  claims.at = built_.door.at;
+  ReleaseRequest released;
+  released.at = built_.door.at;
+  ServersUpdate servers;
   for (AdmissionAction& act : acts) {
     switch (act.kind) {
       case AdmissionAction::Kind::run:
@@ -34,56 +41,31 @@
         out.door.push_back(std::move(act));
         break;
       case AdmissionAction::Kind::claim:
-        claims.push_back({act.claim.value, textOf(act.key)});
+        claims.claims.emplace_back(act.claim, act.key);
         break;
       case AdmissionAction::Kind::giveBack:
-        freed.push_back({act.claim.value, textOf(act.key)});
+        released.claims.emplace_back(act.claim, act.key);
         break;
       case AdmissionAction::Kind::tell:
         // The own caller need not wait for the way round.
         router_.told(now, act.served, true);
-        take(now,
-             controlClient_.sayAll(
-                 {{"t", "servers"}, {"list", json::array({toJson(News{act.served, true})})}}),
-             out);
+        servers.servers.push_back({act.served, true});
         break;
     }
   }
-  const std::string& at = built_.door.at.value;
-  if (!claims.empty())
-    take(now, controlClient_.sayAll({{"t", "claim"}, {"at", at}, {"list", std::move(claims)}}), out);
-  if (!freed.empty())
-    take(now, controlClient_.sayAll({{"t", "free"}, {"at", at}, {"list", std::move(freed)}}), out);
-}
-
-// Interim: the set of voters is made up of the control processes that were reached, the newest first, and of
-// places for those that were not, as many as there are in all.
-void Sidecar::updateVoters(Span now, SidecarActions& out) {
-  const std::size_t all = controlClient_.voters();
-  if (all == 0) return;
-  std::vector<VoterId>& reached = voters_.voters;
-  if (reached.size() > all) reached.erase(reached.begin(), reached.end() - static_cast<std::ptrdiff_t>(all));
-  VoterSet set = voters_;
-  while (set.voters.size() < all)
-    set.voters.push_back({{"unreached " + std::to_string(set.voters.size())}, {}});
-  if (set.voters == lastVoters_) return;
-  lastVoters_ = set.voters;
-  set.epoch = {admission_.claims().epoch().value + 1};
-  admission_.claims().electorate(set);
-  json claims = json::array();
-  for (const Claims::Open& open : admission_.claims().openClaims())
-    claims.push_back({open.no.value, textOf(open.key)});
-  if (claims.empty()) return;
-  const std::string& at = built_.door.at.value;
-  take(now, controlClient_.sayAll({{"t", "claim"}, {"at", at}, {"list", std::move(claims)}}), out);
+  if (!servers.servers.empty()) append(controlClient_.sendAll(servers), out);
+  if (!claims.claims.empty()) append(controlClient_.sendToVoters(claims), out);
+  if (!released.claims.empty()) append(controlClient_.sendToVoters(released), out);
 }
 
 void Sidecar::take(Span now, ControlClientActions acts, SidecarActions& out) {
+  Claims& claims = admission_.claims();
   for (ControlClientAction& act : acts) {
     switch (act.kind) {
       case ControlClientAction::Kind::say:
       case ControlClientAction::Kind::dial:
       case ControlClientAction::Kind::hangUp:
+      case ControlClientAction::Kind::refused:
         out.feed.push_back(std::move(act));
         break;
       case ControlClientAction::Kind::server:
@@ -97,44 +79,50 @@
           readsAt_ = now + kGather;
         }
         break;
+      case ControlClientAction::Kind::voters:
+        claims.electorate(controlClient_.voters());
+        for (const VoterId& voter : controlClient_.reachedVoters()) askForVotes(voter, out);
+        break;
+      case ControlClientAction::Kind::voterReady:
+        askForVotes(act.voter, out);
+        break;
       case ControlClientAction::Kind::vote:
-        // Interim: votes carry no epoch yet.
-        if (const auto ended = admission_.claims().vote({act.at, {}}, admission_.claims().epoch(), act.claim,
-                                                        act.granted, act.holder))
+        if (const auto ended = claims.vote(act.voter, act.epoch, act.claim, act.granted, act.holder))
           take(now, admission_.claimEnded(now, *ended), out);
         break;
-      case ControlClientAction::Kind::standing: {
-        if (!voters_.contains({act.at, {}})) {
-          voters_.voters.push_back({act.at, {}});
-          updateVoters(now, out);
-        }
-        json servers = json::array();
-        for (const Served& served : admission_.servers()) servers.push_back(toJson(News{served, true}));
-        ControlClientActions more;
-        ControlClientAction said;
-        said.at = act.at;
-        if (!servers.empty()) {
-          said.text = std::make_shared<const std::string>(
-              json{{"t", "servers"}, {"list", std::move(servers)}}.dump());
-          more.push_back(said);
-        }
-        json claims = json::array();
-        for (const Claims::Open& open : admission_.claims().without({act.at, {}}))
-          claims.push_back({open.no.value, textOf(open.key)});
-        if (!claims.empty()) {
-          said.text = std::make_shared<const std::string>(
-              json{{"t", "claim"}, {"at", built_.door.at.value}, {"list", std::move(claims)}}.dump());
-          more.push_back(said);
-        }
-        take(now, std::move(more), out);
+      case ControlClientAction::Kind::life:
+        take(now, admission_.followLife(act.life), out);
+        break;
+      case ControlClientAction::Kind::welcomed:
+        tellServers(act.at, out);
         break;
-      }
-      case ControlClientAction::Kind::told:
-        updateVoters(now, out);
+      case ControlClientAction::Kind::members:
         if (controlClient_.members() > 0) router_.processes(controlClient_.members());
         break;
     }
   }
+  claims.reach(controlClient_.reachedVoters().size());
+}
+
+void Sidecar::tellServers(const Address& control, SidecarActions& out) {
+  ServersUpdate servers;
+  for (const Served& served : admission_.servers()) servers.servers.push_back({served, true});
+  if (!servers.servers.empty()) append(controlClient_.sendTo(control, servers), out);
+}
+
+void Sidecar::askForVotes(const VoterId& voter, SidecarActions& out) {
+  ClaimRequest request;
+  request.epoch = controlClient_.voters().epoch;
+  request.at = built_.door.at;
+  for (const Claims::Open& open : admission_.claims().without(voter))
+    request.claims.emplace_back(open.no, open.key);
+  if (!request.claims.empty()) append(controlClient_.sendTo(voter.at, request), out);
+}
+
+SidecarActions Sidecar::seeds(Span now, std::vector<Address> seeds) {
+  SidecarActions out;
+  take(now, controlClient_.seeds(now, std::move(seeds)), out);
+  return out;
 }
 
 void Sidecar::configure(Span now, SidecarActions& out) {
@@ -178,26 +166,22 @@
 
 SidecarActions Sidecar::reached(Span now, const Address& control) {
   SidecarActions out;
-  ControlClientActions acts = controlClient_.reached(now, control);
-  admission_.claims().reach(controlClient_.sessions());
-  take(now, std::move(acts), out);
+  take(now, controlClient_.reached(now, control), out);
   return out;
 }
 
 SidecarActions Sidecar::ended(Span now, const Address& control) {
   SidecarActions out;
-  ControlClientActions acts = controlClient_.ended(now, control);
-  admission_.claims().reach(controlClient_.sessions());
-  take(now, std::move(acts), out);
+  take(now, controlClient_.ended(now, control), out);
   // Claims that wait for votes which can't come any more hold room at the door.
   take(now, admission_.tick(now), out);
   return out;
 }
 
-SidecarActions Sidecar::heard(Span now, const Address& control, const json& word) {
+SidecarActions Sidecar::heard(Span now, const Address& control, const nlohmann::json& text) {
   SidecarActions out;
   served_ = served_ || serving(now);
-  take(now, controlClient_.heard(now, control, word), out);
+  take(now, controlClient_.heard(now, control, text), out);
   return out;
 }
 
@@ -212,9 +196,7 @@
   take(now, admission_.tick(now), out);
   if (controlClientTick_ <= now) {
     controlClientTick_ = now + ControlClient::tickEvery();
-    ControlClientActions acts = controlClient_.tick(now);
-    admission_.claims().reach(controlClient_.sessions());
-    take(now, std::move(acts), out);
+    take(now, controlClient_.tick(now), out);
   }
   return out;
 }
--- a/src/mesh/sidecar/sidecar.hpp
+++ b/src/mesh/sidecar/sidecar.hpp
@@ -20,7 +20,7 @@
 struct SidecarActions {
   RoutingActions calls;
   AdmissionActions door;      // run and answer only
-  ControlClientActions feed;  // say, dial and hangUp only
+  ControlClientActions feed;  // say, dial, hangUp and refused only
 };
 
 class Sidecar {
@@ -41,12 +41,13 @@
   SidecarActions beat(Span now, const Beat& beat);
   SidecarActions reached(Span now, const Address& control);
   SidecarActions ended(Span now, const Address& control);
-  SidecarActions heard(Span now, const Address& control, const nlohmann::json& word);
+  /// One message of a control process; see ControlClient::heard.
+  SidecarActions heard(Span now, const Address& control, const nlohmann::json& text);
   void alive(Span now, const Address& control) { controlClient_.alive(now, control); }
   SidecarActions tick(Span now);
   /// The process leaves: not ready from now on; its server gets new work for a while yet.
   SidecarActions leave(Span now);
-  void seeds(std::vector<Address> seeds) { controlClient_.seeds(std::move(seeds)); }
+  SidecarActions seeds(Span now, std::vector<Address> seeds);
   /// When tick() is to be called at the latest.
   [[nodiscard]] Span nextTick(Span now) const;
   /// Whether requests are taken: what is in force is known, and read as routes.
@@ -60,6 +61,8 @@
  private:
   void take(Span now, AdmissionActions acts, SidecarActions& out);
   void take(Span now, ControlClientActions acts, SidecarActions& out);
+  void tellServers(const Address& control, SidecarActions& out);
+  void askForVotes(const VoterId& voter, SidecarActions& out);
   void configure(Span now, SidecarActions& out);
   void updateVoters(Span now, SidecarActions& out);
 
