--- a/src/lab/main.cpp
+++ b/src/lab/main.cpp
@@ -3,12 +3,14 @@
 // as the machine was too slow for the clients.
 
 #include <CLI/CLI.hpp>
+#include <atomic>
 #include <chrono>
 #include <cstdio>
 #include <filesystem>
 #include <fstream>
 #include <iostream>
 #include <iterator>
+#include <mutex>
 #include <thread>
 
 #include "lab/experiment.hpp"
@@ -298,41 +300,114 @@
   return kept ? kAsExpected : late ? kNoVerdict : kMissed;
 }
 
+/// A day as it is to be played for one seed.
+mesh::Day dayFor(const Asked& asked, const mesh::Day& day, std::uint64_t seed) {
+  return asked.drawn ? mesh::drawDay(seed, day) : day;
+}
+
+void tellMeshRun(const mesh::Day& day, std::uint64_t seed, const mesh::PlayedProcesses& result) {
+  for (const mesh::Broken& broken : result.broken)
+    std::cout << "BROKEN " << broken.rule << " at " << broken.at << " s: " << broken.what << '\n';
+  std::cout << day.name << "  seed " << seed << "  "
+            << (result.late     ? "no verdict, this machine is too slow"
+                : result.kept() ? "kept"
+                                : "BROKEN")
+            << "  served " << result.figures.at("served").get<double>() << " of "
+            << result.figures.at("tries") << " tries" << std::endl;
+}
+
+Json meshRunJson(const mesh::Day& day, std::uint64_t seed, const mesh::PlayedProcesses& result) {
+  return {{"day", day.name},
+          {"seed", seed},
+          {"kept", result.kept()},
+          {"late", result.late},
+          {"figures", result.figures}};
+}
+
+/// How long it took, what was played, how often each trouble struck and in how many days each rule broke.
+void tellMeshTotals(const std::vector<mesh::PlayedProcesses>& results, double tookSeconds) {
+  double virtualSeconds = 0;
+  std::map<std::string, std::uint64_t> struck;
+  std::map<std::string, std::uint64_t> daysBroken;
+  std::uint64_t kept = 0;
+  for (const mesh::PlayedProcesses& result : results) {
+    virtualSeconds += result.figures.at("virtual_s").get<double>();
+    for (const auto& [kind, count] : result.figures.at("struck").items())
+      struck[kind] += count.get<std::uint64_t>();
+    std::set<std::string> rules;
+    for (const mesh::Broken& broken : result.broken) rules.insert(broken.rule);
+    for (const std::string& rule : rules) ++daysBroken[rule];
+    if (result.kept()) ++kept;
+  }
+  std::printf("%zu days, %llu kept, %.0f virtual seconds in %.1f s\n", results.size(),
+              static_cast<unsigned long long>(kept), virtualSeconds, tookSeconds);
+  for (const auto& [kind, count] : struck)
+    std::printf("  %-24s struck %llu times\n", kind.c_str(), static_cast<unsigned long long>(count));
+  for (const auto& [rule, days] : daysBroken)
+    std::printf("  %-24s broken in %llu days\n", rule.c_str(), static_cast<unsigned long long>(days));
+}
+
+/// The fewest troubles with which each of a run's broken rules still breaks.
+void tellShrunk(const mesh::Day& day, std::uint64_t seed, const mesh::Played& result) {
+  std::set<std::string> rules;
+  for (const mesh::Broken& broken : result.broken) {
+    if (!rules.insert(broken.rule).second) continue;
+    std::cout << "# " << broken.rule << " with seed " << seed << '\n'
+              << mesh::textOf(mesh::shrunk(day, seed, broken.rule)) << std::flush;
+  }
+}
+
+/// In virtual time, several seeds at once.
+int playMeshVirtual(const Asked& asked, const mesh::Day& day) {
+  const auto began = std::chrono::steady_clock::now();
+  std::vector<mesh::PlayedProcesses> results(asked.drills);
+  std::atomic<unsigned> next{0};
+  std::mutex telling;
+  std::vector<std::thread> threads;
+  for (unsigned job = 0; job < std::min(asked.jobs, asked.drills); ++job) {
+    threads.emplace_back([&] {
+      for (unsigned i = next++; i < asked.drills; i = next++) {
+        const std::uint64_t seed = asked.seed + i;
+        const mesh::Day played = dayFor(asked, day, seed);
+        static_cast<mesh::Played&>(results[i]) = mesh::play(played, seed);
+        const std::lock_guard lock(telling);
+        tellMeshRun(played, seed, results[i]);
+      }
+    });
+  }
+  for (std::thread& thread : threads) thread.join();
+  Json runs = Json::array();
+  bool kept = true;
+  for (unsigned i = 0; i < asked.drills; ++i) {
+    const std::uint64_t seed = asked.seed + i;
+    const mesh::Day played = dayFor(asked, day, seed);
+    runs.push_back(meshRunJson(played, seed, results[i]));
+    kept = kept && results[i].kept();
+    if (!results[i].kept() && asked.shrinks) tellShrunk(played, seed, results[i]);
+  }
+  const std::chrono::duration<double> took = std::chrono::steady_clock::now() - began;
+  tellMeshTotals(results, took.count());
+  if (!asked.json.empty()) writeWhole(asked.json, runs.dump(1) + '\n');
+  return kept ? kAsExpected : kMissed;
+}
+
 /// One day of an emulated mesh over several seeds; or days drawn anew for each, of the file's size.
 int playMesh(const Asked& asked) {
   const mesh::Day day = mesh::readDay(asked.file, overridesOf(asked.sets));
-  const bool sockets = asked.clock == "sockets";
-  if (sockets && asked.shrinks) throw BadInput("--shrink goes with virtual time: processes repeat no run");
+  if (asked.clock != "sockets") return playMeshVirtual(asked, day);
+  if (asked.shrinks) throw BadInput("--shrink goes with virtual time: processes repeat no run");
   Json runs = Json::array();
   bool kept = true;
   bool late = false;
   for (unsigned i = 0; i < asked.drills; ++i) {
     const std::uint64_t seed = asked.seed + i;
-    mesh::Day played = asked.drawn ? mesh::drawDay(seed, day) : day;
-    if (asked.drawn && sockets) played = mesh::forProcesses(played);
-    mesh::PlayedProcesses result;
-    if (sockets) {
-      mesh::ProcessPlan plan{asked.sidecar, asked.control, seed, asked.logs, {}};
-      if (asked.tells) plan.tell = [](const std::string& line) { std::cout << line << std::endl; };
-      result = mesh::playProcesses(played, plan);
-    } else {
-      static_cast<mesh::Played&>(result) = mesh::play(played, seed);
-    }
-    for (const mesh::Broken& broken : result.broken)
-      std::cout << "BROKEN " << broken.rule << " at " << broken.at << " s: " << broken.what << '\n';
-    std::cout << played.name << "  seed " << seed << "  "
-              << (result.late     ? "no verdict, this machine is too slow"
-                  : result.kept() ? "kept"
-                                  : "BROKEN")
-              << "  served " << result.figures.at("served").get<double>() << " of "
-              << result.figures.at("tries") << " tries" << std::endl;
-    runs.push_back({{"day", played.name},
-                    {"seed", seed},
-                    {"kept", result.kept()},
-                    {"late", result.late},
-                    {"figures", result.figures}});
-    if (!result.kept() && asked.shrinks)
-      std::cout << mesh::textOf(mesh::shrunk(played, seed, result.broken.front().rule)) << std::flush;
+    mesh::Day played = dayFor(asked, day, seed);
+    if (asked.drawn) played = mesh::forProcesses(played);
+    mesh::ProcessPlan plan{asked.sidecar, asked.control, seed, asked.logs, {}};
+    if (asked.tells) plan.tell = [](const std::string& line) { std::cout << line << std::endl; };
+    const mesh::PlayedProcesses result = mesh::playProcesses(played, plan);
+    tellMeshRun(played, seed, result);
+    runs.push_back(meshRunJson(played, seed, result));
     kept = kept && (result.kept() || result.late);
     late = late || result.late;
   }
@@ -418,7 +493,9 @@
   meshing->add_option("--seed", asked.seed, "the first");
   meshing->add_option("--seeds", asked.drills, "how many, from --seed on")->check(CLI::Range(1U, 100'000U));
   meshing->add_flag("--drawn", asked.drawn, "troubles drawn anew for each seed, in place of the file's");
-  meshing->add_flag("--shrink", asked.shrinks, "the fewest troubles of a day that breaks a rule");
+  meshing->add_flag("--shrink", asked.shrinks, "the fewest troubles of a day with which each rule breaks");
+  meshing->add_option("--jobs", asked.jobs, "days that are played at once in virtual time")
+      ->check(CLI::Range(1U, 256U));
   meshing->add_option("--json", asked.json, "the result file");
   meshing->add_option("--clock", asked.clock, "virtual, or sockets with real processes on loopback")
       ->check(CLI::IsMember({"virtual", "sockets"}));
--- a/src/lab/mesh/day.cpp
+++ b/src/lab/mesh/day.cpp
@@ -5,13 +5,12 @@
 #include <sstream>
 #include <utility>
 
-#include "lab/draws.hpp"
 #include "lab/section.hpp"
 
 namespace rackroute::lab::mesh {
 namespace {
 
-constexpr std::array<std::pair<std::string_view, TroubleKind>, 20> kTroubleKinds{{
+constexpr std::array<std::pair<std::string_view, TroubleKind>, 38> kTroubleKinds{{
     {"kill_sidecar", TroubleKind::killSidecar},
     {"kill_control", TroubleKind::killControl},
     {"power_control", TroubleKind::powerControl},
@@ -32,6 +31,24 @@
     {"change", TroubleKind::change},
     {"race", TroubleKind::race},
     {"bad_change", TroubleKind::badChange},
+    {"replace_control", TroubleKind::replaceControl},
+    {"replace_control_planned", TroubleKind::replaceControlPlanned},
+    {"cut_control_asymmetric", TroubleKind::cutControlAsymmetric},
+    {"cut_core_halves", TroubleKind::cutCoreHalves},
+    {"restart_beside", TroubleKind::restartBeside},
+    {"reset_control", TroubleKind::resetControl},
+    {"reset_sidecar", TroubleKind::resetSidecar},
+    {"disk_stall", TroubleKind::diskStall},
+    {"clock_step", TroubleKind::clockStep},
+    {"kill_core", TroubleKind::killCore},
+    {"power_core", TroubleKind::powerCore},
+    {"power_core_at_answer", TroubleKind::powerCoreAtAnswer},
+    {"roll_sidecars", TroubleKind::rollSidecars},
+    {"answers_lost", TroubleKind::answersLost},
+    {"storm", TroubleKind::storm},
+    {"change_many", TroubleKind::changeMany},
+    {"race_many", TroubleKind::raceMany},
+    {"new_service", TroubleKind::newService},
 }};
 constexpr std::array<std::pair<std::string_view, Closing>, 4> kClosingFaults{
     {{"none", Closing::none},
@@ -39,22 +56,6 @@
      {"power_all", Closing::powerAll},
      {"wipe_one", Closing::wipeOne}}};
 
-bool strikesControl(TroubleKind kind) {
-  switch (kind) {
-    case TroubleKind::killControl:
-    case TroubleKind::powerControl:
-    case TroubleKind::wipeControl:
-    case TroubleKind::freezeControl:
-    case TroubleKind::cutControl:
-    case TroubleKind::cutControlOneWay:
-    case TroubleKind::diskSlow:
-    case TroubleKind::diskFull:
-      return true;
-    default:
-      return false;
-  }
-}
-
 }  // namespace
 
 std::string nameOf(TroubleKind kind) {
@@ -98,7 +99,7 @@
     trouble.at = entry.number("at_s", 5, 0, kLongest);
     trouble.lasts = entry.number("for_s", 3, 0, kLongest);
     trouble.who = entry.whole("who", 0, 0, 1e6);
-    trouble.part = entry.number("part", 0.05, 0, 1000);
+    trouble.part = entry.number("part", 0.05, -1000, 1000);
     entry.close();
     day.troubles.push_back(trouble);
   }
@@ -106,38 +107,10 @@
   return day;
 }
 
-Day drawDay(std::uint64_t seed, const Day& size) {
-  Day day = size;
-  day.name = "drawn-" + std::to_string(seed);
-  Chance chance = chanceOf(seed, Purpose::troubles);
-  const auto between = [&](double least, double most) { return least + fraction(chance) * (most - least); };
-  const auto count = static_cast<std::size_t>(between(3, 9));
-  // Controls are struck one after the other, each time after the last one has caught up: what is to be borne.
-  double controlsFreeAt = 3;
-  constexpr double kCatchUp = 4.5;
-  for (std::size_t i = 0; i < count; ++i) {
-    Trouble trouble;
-    trouble.kind = kTroubleKinds[static_cast<std::size_t>(between(0, kTroubleKinds.size() - 0.001))].second;
-    trouble.at = between(3, std::max(4.0, day.seconds - 8));
-    trouble.lasts = between(0.3, 5);
-    trouble.who = static_cast<std::uint32_t>(between(0, 1000));
-    trouble.part = trouble.kind == TroubleKind::diskSlow || trouble.kind == TroubleKind::serverSlow
-                       ? between(4, 30)
-                       : between(0.01, 0.3);
-    if (strikesControl(trouble.kind)) {
-      trouble.at = std::max(trouble.at, controlsFreeAt);
-      if (trouble.at + trouble.lasts + kCatchUp > day.seconds) continue;
-      controlsFreeAt = trouble.at + trouble.lasts + kCatchUp;
-    }
-    day.troubles.push_back(trouble);
-  }
-  for (double at = 2; at < day.seconds; at += between(2, 8))
-    day.troubles.push_back({fraction(chance) < 0.8 ? TroubleKind::change : TroubleKind::race, at, 0,
-                            static_cast<std::uint32_t>(between(0, 1000)), 0});
-  day.closing = kClosingFaults[static_cast<std::size_t>(between(0, kClosingFaults.size() - 0.001))].second;
-  std::stable_sort(day.troubles.begin(), day.troubles.end(),
-                   [](const Trouble& a, const Trouble& b) { return a.at < b.at; });
-  return day;
+std::vector<TroubleKind> allTroubleKinds() {
+  std::vector<TroubleKind> kinds;
+  for (const auto& entry : kTroubleKinds) kinds.push_back(entry.second);
+  return kinds;
 }
 
 std::string textOf(const Day& day) {
--- a/src/lab/mesh/day.hpp
+++ b/src/lab/mesh/day.hpp
@@ -26,12 +26,30 @@
   serverLoses,   // part of the answers, after the run
   serverSpoils,  // part of the answers are no answers
   serverSlow,
-  serverCrash,  // ends without a word; another life starts there
-  release,      // drains, signs off, and another life starts there
-  termSidecar,  // SIGTERM; comes back
-  change,       // a valid change of a route's time-out and its service's weights
-  race,         // two operators, two controls, the same version
-  badChange,    // an invalid one
+  serverCrash,     // ends without a word; another life starts there
+  release,         // drains, signs off, and another life starts there
+  termSidecar,     // SIGTERM; comes back
+  change,          // a valid change of a route's time-out and its service's weights
+  race,            // two operators, two controls, the same version
+  badChange,       // an invalid one
+  replaceControl,  // its machine is gone for good; after `part` seconds an empty one at another address
+  replaceControlPlanned,  // an empty one at another address first; after a second the old process is stopped
+  cutControlAsymmetric,   // hears only some of the other controls, and is heard only by the others
+  cutCoreHalves,          // the controls in two halves, from each other
+  restartBeside,          // a sidecar comes back with a control that is cut off as its first seed
+  resetControl,           // `part` of its sessions are reset at once
+  resetSidecar,
+  diskStall,          // a control's disk answers nothing
+  clockStep,          // the time of day of every third machine jumps by `part` seconds and returns
+  killCore,           // all controls are killed at once
+  powerCore,          // all controls lose power at once
+  powerCoreAtAnswer,  // the same in the moment in which a change is acknowledged
+  rollSidecars,       // SIGTERM to several sidecars, one after the other, each while it has work
+  answersLost,        // `part` of the answers to operators
+  storm,              // `part` changes by eight operators at once
+  changeMany,         // one change of several routes
+  raceMany,           // two such changes that share one route's version
+  newService,         // a service, and after its acknowledgement a route to it, at another control
 };
 
 struct Trouble {
@@ -39,7 +57,7 @@
   double at = 0;          // seconds
   double lasts = 3;       // seconds
   std::uint32_t who = 0;  // of the kind that it strikes, by number
-  double part = 0.05;     // of answers, or how many times as slow
+  double part = 0.05;     // of answers or sessions, times as slow, seconds, or a count: see TroubleKind
 };
 
 enum class Closing { none, killAll, powerAll, wipeOne };
@@ -67,8 +85,14 @@
 
 /// Throws BadScenario, naming file, line and key.
 Day readDay(const std::string& file, const std::vector<Override>& overrides = {});
-/// A day of that size with troubles drawn from the seed: never more controls lost at once than can be borne.
+/// A day of that size with troubles of all kinds drawn from the seed, on three to five controls: never more
+/// of them lost at once than a majority can bear. A lost machine counts until kCatchUpSeconds after its
+/// successor's start. Time without any majority is taken off leastServed.
 Day drawDay(std::uint64_t seed, const Day& size);
+/// What a control process that lost its disk has to catch up before the next may be lost.
+inline constexpr double kCatchUpSeconds = 4;
+/// Every kind there is.
+std::vector<TroubleKind> allTroubleKinds();
 std::string nameOf(TroubleKind kind);
 /// As a file that readDay reads.
 std::string textOf(const Day& day);
--- a/src/lab/mesh/emulated.hpp
+++ b/src/lab/mesh/emulated.hpp
@@ -2,7 +2,8 @@
 
 // The parts of an emulated mesh: machines, disks, links, servers and the queue of events that moves them. It
 // owns all of them. Its members stand in a file for each concern: the session between processes, the
-// processes and their disks, requests, operators, troubles.
+// processes, their disks, requests, operators, what is watched all day, troubles of sidecars and servers, and
+// troubles of control machines.
 
 #include <algorithm>
 #include <cmath>
@@ -15,6 +16,7 @@
 #include <utility>
 
 #include "lab/draws.hpp"
+#include "lab/mesh/orders.hpp"
 #include "lab/mesh/workload.hpp"
 #include "lab/mesh/world.hpp"
 #include "mesh/control/control_node.hpp"
@@ -34,6 +36,13 @@
 inline constexpr Span kSettle = 20s;      // after the last request, until the configuration is read back
 inline constexpr Span kCallHeard = 1s;    // an operator waits for an answer
 inline constexpr Span kLead = 4s;         // before the first request
+inline constexpr Span kListLag = 3s;      // until a replaced control machine's address is known to all
+inline constexpr Span kPlannedStop = 1s;  // from a planned successor's start to the old process's end
+inline constexpr Span kLease = 1500ms;    // for which contact with a majority may be believed without proof
+inline constexpr Span kProbe = 700ms;     // between reads of an operator
+inline constexpr Span kSweep = 500ms;     // between looks at what every sidecar has in force
+inline constexpr int kTries = 60;         // of an operator, for one order
+inline constexpr Span kWallBase = std::chrono::hours(24 * 365 * 50);  // the time of day at the world's start
 
 class World {
  public:
@@ -43,7 +52,9 @@
         network_(chanceOf(seed, Purpose::network)),
         arrivals_(chanceOf(seed, Purpose::arrivals)),
         clients_(chanceOf(seed, Purpose::clients)),
-        judge_({kDrain, kApply, span(day.keyWindow), 10s, kRetryRatio, kRetrySlack}) {}
+        operators_(chanceOf(seed, Purpose::policy)),
+        judge_({kDrain, kApply, span(day.keyWindow), 10s, kRetryRatio, kRetrySlack}),
+        ledger_(judge_) {}
 
   Played run();
 
@@ -68,9 +79,15 @@
     std::string name;
     std::uint64_t life = 0;  // 0: no process
     std::uint64_t lives = 0;
+    Span started{};     // this life
     bool dark = false;  // without power: silent, not refusing
+    bool gone = false;  // for good
     Span frozenUntil{};
     bool leaving = false;
+    Span lastAsked{};       // by a client
+    Span disturbedUntil{};  // a sidecar: out of touch until then
+    Span wallStep{};        // by which its time of day is wrong
+    std::string firstSeed;  // a sidecar: to dial first; empty: as listed
   };
   struct Disk {
     std::map<std::string, std::string> synced;
@@ -79,7 +96,7 @@
     std::size_t syncing = 0;
     double slow = 1;
     bool full = false;
-    bool lost = false;
+    Span stalledUntil{};
     bool used = false;
   };
   struct Server {
@@ -115,6 +132,7 @@
     Disk disk;
     std::map<std::uint64_t, std::function<void(std::uint32_t, std::string)>> calls;
     std::uint64_t nextCall = 0;
+    Span cutOffFrom = Span::max();  // from a majority, by cuts alone
   };
   // A session between two lives of two processes; each way in order.
   struct Link {
@@ -127,10 +145,15 @@
   };
   using LinkPtr = std::shared_ptr<Link>;
 
-  [[nodiscard]] std::size_t coreAt(std::uint32_t number) const { return number; }
+  /// The machine that stands now for the control of that number.
+  [[nodiscard]] std::size_t coreAt(std::uint32_t number) const { return slots_[number % slots_.size()]; }
   [[nodiscard]] std::size_t sideAt(std::uint32_t number) const { return day_.controls + number; }
-  [[nodiscard]] Side& side(std::size_t machine) { return sides_[machine - day_.controls]; }
-  [[nodiscard]] Core& core(std::size_t machine) { return cores_[machine]; }
+  [[nodiscard]] Side& side(std::size_t machine) { return sides_[machines_[machine].number]; }
+  [[nodiscard]] Core& core(std::size_t machine) { return cores_[machines_[machine].number]; }
+  [[nodiscard]] std::size_t majority() const { return day_.controls / 2 + 1; }
+  [[nodiscard]] Span wall(std::size_t machine) const {
+    return kWallBase + now_ + machines_[machine].wallStep;
+  }
   [[nodiscard]] std::string address(std::size_t machine) const { return machines_[machine].name + ":1"; }
   [[nodiscard]] std::optional<std::size_t> machineAt(const std::string& address) const {
     const auto found = byAddress_.find(address);
@@ -161,14 +184,21 @@
   void heard(std::size_t machine, const LinkPtr& link, const std::string& text);
 
   // --- processes
+  std::size_t addMachine(bool core, std::uint32_t number, std::uint32_t zone);
   void startControl(std::size_t machine);
   void startSidecar(std::size_t machine);
+  /// Starts its process after that time, if none runs there then.
+  void restart(std::size_t machine, Span wait);
   void kill(std::size_t machine, bool dark);
+  [[nodiscard]] std::vector<Address> seedsNow(const std::string& first) const;
   void act(std::size_t machine, const ControlActions& acts);
   void act(std::size_t machine, const SidecarActions& acts);
   void tickControl(std::size_t machine, std::uint64_t life);
   void wake(std::size_t machine);
+
+  // --- disks
   void sync(std::size_t machine);
+  void synced(std::size_t machine);
   void loseDiskTail(std::size_t machine);
 
   // --- requests
@@ -182,28 +212,85 @@
   void newServer(std::size_t machine);
 
   // --- operators
-  void change(std::uint32_t who, bool race, bool bad);
-  void patch(std::size_t machine, const std::string& body, int tries,
-             std::function<void(std::uint32_t)> done);
-  void readBack(std::size_t machine, int tries);
+  using Status = std::uint32_t;
+  struct Call {  // an order under way, or a read
+    OrderNo order = 0;
+    int tries = kTries;
+    std::function<void(Status)> done;
+  };
+  void firstOrder();
+  /// At the control of that number first, then at those listed after it, until an answer below 500.
+  void patch(std::uint32_t control, const Call& call);
+  void patchAt(std::size_t machine, std::uint32_t control, const Call& call);
+  void order(
+      std::uint32_t control, OrderNo no, std::function<void(Status)> done = [](Status) {});
+  void change(std::uint32_t who, bool race, bool valid);
+  void changeMany(std::uint32_t who, bool race);
+  void newService(std::uint32_t who);
+  void storm(const Trouble& trouble);
+  void stormOrder(Span pace, const std::shared_ptr<std::uint32_t>& left);
+  [[nodiscard]] std::map<std::uint32_t, std::uint64_t> someRoutes(std::uint32_t least, std::uint32_t most);
+  [[nodiscard]] bool answerLost() { return now_ < answersLostUntil_ && fraction(operators_) < answersLost_; }
+  void readBack(std::uint32_t control, int tries);
+  [[nodiscard]] std::size_t listed(std::uint32_t number) const { return listed_[number % listed_.size()]; }
 
+  // --- what is watched all day
+  void probe();
+  void sweep();
+  void sweep(std::size_t machine, const Floor& floor);
+  void took(std::size_t machine, const json& word);
+  void judgeAnswer(std::size_t machine, const Order& order, Span asked, Status status);
+
+  // --- troubles
   void strike(const Trouble& trouble);
+  void strikeSidecar(const Trouble& trouble, std::size_t sidecar);
+  void strikeServer(const Trouble& trouble, Server& server);
+  void strikeControl(const Trouble& trouble, std::size_t control);
+  void strikeOrders(const Trouble& trouble);
+  using Ways = std::vector<std::pair<std::size_t, std::size_t>>;
+  void cut(const Ways& ways, Span lasts);
+  void heal(const Ways& ways);
+  [[nodiscard]] Ways waysFromCore(TroubleKind kind, std::size_t control) const;
+  [[nodiscard]] Ways waysBetweenHalves() const;
+  void noteCuts();
+  void replace(std::uint32_t slot, Span gap);
+  void replacePlanned(std::uint32_t slot);
+  std::size_t addSuccessor(std::uint32_t slot);
+  void startSuccessor(std::uint32_t slot, std::size_t successor);
+  void strikeCore(bool dark, Span lasts);
+  void resetSessions(std::size_t machine, double share);
+  void stepClocks(const Trouble& trouble, std::size_t control);
+  void stop(std::size_t sidecar, std::function<void()> then);
+  void stopped(std::size_t sidecar, std::uint64_t life, Span since, const std::function<void()>& then);
+  void roll(std::size_t sidecar, std::uint32_t left);
   void closeDay();
-  void disturb(Span until) { calmFrom_ = std::max(calmFrom_, until); }
-  [[nodiscard]] bool calm() const { return now_ >= calmFrom_ + kContact; }
+  /// The core is shaken from now on, and once more when that is over.
+  void disturbCore(Span lasts);
+  void disturbSidecar(std::size_t sidecar, Span lasts);
+  /// A majority of the control processes is at work, in touch with each other, and has been for a while.
+  [[nodiscard]] bool calm() const { return now_ >= calmFrom_ + kContact && coreWorks(); }
+  [[nodiscard]] bool inTouch(std::size_t sidecar) const {
+    const Machine& m = machines_[sidecar];
+    return m.life != 0 && !m.dark && m.frozenUntil <= now_ && m.disturbedUntil + kContact <= now_;
+  }
+  [[nodiscard]] bool coreWorks() const;
+  [[nodiscard]] bool works(std::size_t control) const;
 
   Day day_;
   std::uint64_t seed_;
-  Chance network_, arrivals_, clients_;
+  Chance network_, arrivals_, clients_, operators_;
   Judge judge_;
+  OrderLedger ledger_;
   Span now_{};
   std::uint64_t eventNo_ = 0;
   std::priority_queue<Event, std::vector<Event>, std::greater<>> events_;
-  std::vector<Machine> machines_;
+  std::deque<Machine> machines_;  // control machines, sidecars' machines, successors of control machines
   std::vector<Side> sides_;
-  std::vector<Core> cores_;
+  std::deque<Core> cores_;
+  std::vector<std::size_t> slots_;   // by control's number
+  std::vector<std::size_t> listed_;  // the control machines that operators and new processes know of
   std::map<std::string, std::size_t> byAddress_;
-  std::set<std::pair<std::size_t, std::size_t>> cuts_;
+  std::multiset<std::pair<std::size_t, std::size_t>> cuts_;  // one for each trouble that cuts the way
   std::vector<LinkPtr> links_;
   std::map<std::size_t, std::map<std::string, LinkPtr>> dialled_;     // by sidecar, then address
   std::map<std::size_t, std::map<std::uint64_t, LinkPtr>> sessions_;  // by control, then number
@@ -215,9 +302,14 @@
   std::map<std::uint64_t, std::pair<std::size_t, Wanted>> open_;  // attempts without an answer
   Span calmFrom_{};
   Span end_{};
-  OperatorBook table_;
+  std::map<std::string, std::uint64_t> struck_;  // by kind
+  Span answersLostUntil_{};
+  double answersLost_ = 0;
+  std::function<void()> atAnswer_;  // what happens in the moment of the next acknowledgement
+  std::map<std::uint32_t, std::uint64_t> stormRace_;  // routes and versions that a second operator may take
   std::map<std::string, std::pair<std::uint64_t, std::uint64_t>> talk_;  // words and bytes by kind
   std::uint64_t syncs_ = 0;
+  std::size_t lateTold_ = 0;  // of what was not in force in time
   bool readBackDone_ = false;
 };
 
--- /dev/null
+++ b/src/lab/mesh/orders.cpp
@@ -0,0 +1,227 @@
+#include "lab/mesh/orders.hpp"
+
+#include <algorithm>
+
+namespace rackroute::lab::mesh {
+namespace {
+
+using nlohmann::json;
+
+std::string textOf(const Register& at) { return at.key + " version " + std::to_string(at.version); }
+
+/// "r17" as 17.
+std::uint64_t versionIn(const json& value) {
+  return std::stoull(value.at("generation").get<std::string>().substr(1));
+}
+
+json serviceValue(const std::string& name, std::uint64_t version) {
+  return {{"name", name},
+          {"health_path", "/health"},
+          {"max_conns", 100},
+          {"idempotent", false},
+          {"generation", "r" + std::to_string(version)}};
+}
+
+json idleRoute(std::uint32_t number, std::uint64_t version) {
+  json value = routeValue(kRoutes[number % kRoutes.size()], version);
+  value["name"] = "idle-" + std::to_string(number);
+  value["path_prefix"] = "/idle/" + std::to_string(number) + '/';
+  return value;
+}
+
+/// The first numbers are of the routes that clients ask for.
+json routeByNumber(std::uint32_t number, std::uint64_t version) {
+  if (number < kRoutes.size()) return routeValue(kRoutes[number], version);
+  return idleRoute(number - static_cast<std::uint32_t>(kRoutes.size()), version);
+}
+
+}  // namespace
+
+OrderNo OrderLedger::add(Order order, json services, json routes) {
+  order.no = orders_.size() + 1;
+  for (const json& value : services)
+    order.values[{"service/" + value.at("name").get<std::string>(), versionIn(value)}] = value.dump();
+  for (const json& value : routes)
+    order.values[{"route/" + value.at("name").get<std::string>(), versionIn(value)}] = value.dump();
+  json upsert = json::object();
+  if (!services.empty()) upsert["service_list"] = std::move(services);
+  if (!routes.empty()) upsert["host_map"] = {{{"hostname", kHost}, {"path_routes", std::move(routes)}}};
+  order.body = json{{"upsert", std::move(upsert)}}.dump();
+  for (const auto& [at, value] : order.values) sent_[at][value] = order.no;
+  const OrderNo no = order.no;
+  orders_[no] = std::move(order);
+  return no;
+}
+
+OrderNo OrderLedger::first(std::uint32_t idleRoutes) {
+  routeCount_ = kRoutes.size() + idleRoutes;
+  json services = json::array();
+  for (const int service : {0, 1}) services.push_back(serviceValue(serviceName(service), 1));
+  json routes = json::array();
+  for (std::uint32_t number = 0; number < routeCount_; ++number) routes.push_back(routeByNumber(number, 1));
+  return add({}, std::move(services), std::move(routes));
+}
+
+OrderNo OrderLedger::change(const std::map<std::uint32_t, std::uint64_t>& versions, bool valid) {
+  json routes = json::array();
+  for (const auto& [number, version] : versions) {
+    json value = routeByNumber(number, version);
+    value["ordered_by"] = orders_.size() + 1;  // so that no two orders give the same value
+    if (!valid) value["timeout"] = "0ms";
+    routes.push_back(std::move(value));
+  }
+  Order order;
+  order.valid = valid;
+  return add(std::move(order), json::array(), std::move(routes));
+}
+
+OrderNo OrderLedger::newService(const std::string& name) {
+  return add({}, json::array({serviceValue(name, nextVersion(0))}), json::array());
+}
+
+OrderNo OrderLedger::routeTo(const std::string& service) {
+  json value = idleRoute(0, nextVersion(0));
+  value["name"] = "to-" + service;
+  value["path_prefix"] = "/to/" + service + '/';
+  value["target"] = service;
+  return add({}, json::array(), json::array({std::move(value)}));
+}
+
+void OrderLedger::failed(Span now, const char* check, const std::string& what) {
+  if (!told_.insert(check + what).second) return;
+  judge_.failed(now, std::string("CONFIG ") + check, what);
+}
+
+// Guards the rule against what the control plane may forget: an order on a version far below the newest ones
+// is acknowledged without effect.
+bool OrderLedger::remembered(const Register& at) const {
+  const auto found = acknowledgedVersions_.find(at.key);
+  if (found == acknowledgedVersions_.end()) return true;
+  const auto later = std::distance(found->second.upper_bound(at.version), found->second.end());
+  return static_cast<std::size_t>(later) < kRememberedVersions;
+}
+
+// Whatever is acknowledged, in force or read back has been decided, and a version is decided once.
+void OrderLedger::stands(Span now, const Register& at, const std::string& value, const std::string& where) {
+  const auto sent = sent_.find(at);
+  const auto from = sent == sent_.end() ? decltype(sent->second.end()){} : sent->second.find(value);
+  if (sent == sent_.end() || from == sent->second.end())
+    return failed(now, "unsent", textOf(at) + " is " + where + " as it was never sent");
+  const Order& order = orders_.at(from->second);
+  if (!order.valid) failed(now, "refused in force", textOf(at) + ", invalid, is " + where);
+  if (order.refused)
+    failed(now, "refused in force",
+           textOf(at) + " of refused order " + std::to_string(order.no) + " is " + where);
+  const auto [standing, first] = standing_.try_emplace(at, value);
+  if (first || standing->second == value) return;
+  failed(now, "two values",
+         textOf(at) + ": orders " + std::to_string(order.no) + " (" + where + ") and " +
+             std::to_string(sent->second.at(standing->second)));
+}
+
+void OrderLedger::told(Span now, OrderNo no) {
+  const Order& order = orders_.at(no);
+  if (!order.valid) failed(now, "invalid", "order " + std::to_string(no) + " was acknowledged");
+  for (const auto& [at, value] : order.values) {
+    if (remembered(at)) stands(now, at, value, "acknowledged");
+  }
+}
+
+void OrderLedger::answered(Span now, OrderNo no, std::uint32_t status) {
+  Order& order = orders_.at(no);
+  if (status == 200) {
+    if (order.refused) failed(now, "both answers", "order " + std::to_string(no) + " was refused before");
+    if (!order.acknowledged) ++acknowledged_;
+    order.acknowledged = true;
+    for (const auto& entry : order.values) {
+      const Register& at = entry.first;
+      acknowledgedVersions_[at.key].insert(at.version);
+      auto& newest = acknowledgedAt_[at.key];
+      if (newest.empty() || newest.back().second < at.version) newest.emplace_back(now, at.version);
+    }
+    return;
+  }
+  if (status < 400 || status >= 500) return;
+  if (order.acknowledged)
+    failed(now, "both answers", "order " + std::to_string(no) + " was acknowledged before");
+  if (!order.refused) ++refused_;
+  order.refused = true;
+  for (const auto& [at, value] : order.values) {
+    const auto standing = standing_.find(at);
+    if (standing != standing_.end() && standing->second == value)
+      failed(now, "refused in force", textOf(at) + " of order " + std::to_string(no) + " stands");
+  }
+}
+
+void OrderLedger::inForce(Span now, std::size_t sidecar, std::uint64_t life, const Register& at,
+                          const std::string& value) {
+  const std::pair<std::size_t, std::string> place{sidecar, at.key};
+  const auto held = held_.find(place);
+  if (held != held_.end() && held->second.first == life) {
+    const Register& before = held->second.second;
+    if (before == at && heldValue_[place] == value) return;
+    if (before.version > at.version)
+      failed(
+          now, "went back",
+          "sidecar " + std::to_string(sidecar) + ": " + textOf(before) + " to " + std::to_string(at.version));
+    if (before == at) failed(now, "value changed", "sidecar " + std::to_string(sidecar) + ": " + textOf(at));
+  }
+  held_[place] = {life, at};
+  heldValue_[place] = value;
+  stands(now, at, value, "in force at sidecar " + std::to_string(sidecar));
+}
+
+void OrderLedger::read(Span now, const json& answer, const Floor& floor, const std::string& rule) {
+  Floor told;
+  const auto take = [&](const std::string& kind, const json& value) {
+    const Register at{kind + value.at("name").get<std::string>(), versionIn(value)};
+    told[at.key] = at.version;
+    stands(now, at, value.dump(), "read back");
+  };
+  for (const json& service : answer.at("service_list")) take("service/", service);
+  for (const json& host : answer.at("host_map")) {
+    for (const json& route : host.at("path_routes")) take("route/", route);
+  }
+  for (const auto& [key, least] : floor) {
+    const auto found = told.find(key);
+    const std::uint64_t version = found == told.end() ? 0 : found->second;
+    if (version >= least) continue;
+    judge_.failed(now, rule,
+                  key + " is read as version " + std::to_string(version) + ", " + std::to_string(least) +
+                      " was acknowledged");
+  }
+}
+
+std::uint64_t OrderLedger::newestAt(const std::string& key, Span time) const {
+  const auto found = acknowledgedAt_.find(key);
+  if (found == acknowledgedAt_.end()) return 0;
+  const auto after = std::partition_point(found->second.begin(), found->second.end(),
+                                          [&](const auto& entry) { return entry.first <= time; });
+  return after == found->second.begin() ? 0 : std::prev(after)->second;
+}
+
+Floor OrderLedger::floorAt(Span time) const {
+  Floor floor;
+  for (const auto& entry : acknowledgedAt_) {
+    if (const std::uint64_t version = newestAt(entry.first, time); version > 0) floor[entry.first] = version;
+  }
+  return floor;
+}
+
+// A race's loser may hear of its loss before the winner hears of its win. A winner that got no answer to its
+// last try may have won too.
+void OrderLedger::end(Span now) {
+  for (const auto& [no, order] : orders_) {
+    if (!order.refused || !order.valid) continue;
+    const bool rivalled = std::any_of(order.values.begin(), order.values.end(), [&](const auto& entry) {
+      const auto& rivals = sent_.at(entry.first);
+      return std::any_of(rivals.begin(), rivals.end(), [&](const auto& rival) {
+        const Order& other = orders_.at(rival.second);
+        return other.no != order.no && other.valid && !other.refused;
+      });
+    });
+    if (!rivalled) failed(now, "false refusal", "order " + std::to_string(no) + " had no rival that stands");
+  }
+}
+
+}  // namespace rackroute::lab::mesh
--- a/src/lab/mesh/processes.cpp
+++ b/src/lab/mesh/processes.cpp
@@ -62,6 +62,24 @@
     case TroubleKind::cutControlOneWay:
     case TroubleKind::diskSlow:
     case TroubleKind::diskFull:
+    case TroubleKind::replaceControl:
+    case TroubleKind::replaceControlPlanned:
+    case TroubleKind::cutControlAsymmetric:
+    case TroubleKind::cutCoreHalves:
+    case TroubleKind::restartBeside:
+    case TroubleKind::resetControl:
+    case TroubleKind::resetSidecar:
+    case TroubleKind::diskStall:
+    case TroubleKind::clockStep:
+    case TroubleKind::killCore:
+    case TroubleKind::powerCore:
+    case TroubleKind::powerCoreAtAnswer:
+    case TroubleKind::rollSidecars:
+    case TroubleKind::answersLost:
+    case TroubleKind::storm:
+    case TroubleKind::changeMany:
+    case TroubleKind::raceMany:
+    case TroubleKind::newService:
       return true;
     default:
       return false;
--- a/src/lab/mesh/workload.cpp
+++ b/src/lab/mesh/workload.cpp
@@ -11,7 +11,11 @@
   return std::to_string(static_cast<int>(seconds * 1000) + more) + "ms";
 }
 
-json valueOf(const RouteTold& route, std::uint64_t generation) {
+json hostMap(json routes) { return json::array({{{"hostname", kHost}, {"path_routes", std::move(routes)}}}); }
+
+}  // namespace
+
+json routeValue(const RouteTold& route, std::uint64_t generation) {
   static constexpr const char* kKinds[] = {"pure", "effectful", "keyed"};
   return {{"name", route.name},
           {"path_prefix", route.prefix},
@@ -24,10 +28,6 @@
           {"generation", "r" + std::to_string(generation)}};
 }
 
-json hostMap(json routes) { return json::array({{{"hostname", kHost}, {"path_routes", std::move(routes)}}}); }
-
-}  // namespace
-
 std::string serviceName(int service) { return service == 0 ? "desk" : "line"; }
 
 std::string OperatorBook::firstItems(std::uint32_t idle) {
@@ -41,11 +41,11 @@
   }
   json routes = json::array();
   for (const RouteTold& route : kRoutes) {
-    routes.push_back(valueOf(route, 1));
+    routes.push_back(routeValue(route, 1));
     values_[route.name][1].insert(routes.back().dump());
   }
   for (std::uint32_t i = 0; i < idle; ++i) {
-    json value = valueOf(kRoutes[i % kRoutes.size()], 1);
+    json value = routeValue(kRoutes[i % kRoutes.size()], 1);
     value["name"] = "idle-" + std::to_string(i);
     value["path_prefix"] = "/idle/" + std::to_string(i) + '/';
     routes.push_back(std::move(value));
@@ -55,7 +55,7 @@
 
 std::string OperatorBook::change(std::uint32_t who, std::uint64_t generation, int operatorNo, bool bad) {
   const RouteTold& route = kRoutes[who % kRoutes.size()];
-  json value = valueOf(route, generation);
+  json value = routeValue(route, generation);
   value["timeout"] = bad ? "0ms" : milliseconds(route.deadline, 1 + operatorNo);
   if (!bad) values_[route.name][generation].insert(value.dump());
   ++sent_;
@@ -102,6 +102,11 @@
 }
 
 nlohmann::json endOfDay(Judge& judge, const OperatorBook& book, double leastServed, Span now) {
+  return endOfDay(judge, book.sent(), book.acked(), leastServed, now);
+}
+
+nlohmann::json endOfDay(Judge& judge, std::uint64_t changes, std::uint64_t acknowledged, double leastServed,
+                        Span now) {
   judge.end();
   const auto asked = static_cast<double>(judge.asked());
   const double share = asked == 0 ? 1 : static_cast<double>(judge.servedWhole()) / asked;
@@ -110,8 +115,8 @@
   for (const auto& [status, count] : judge.statuses()) statuses[std::to_string(status)] = count;
   return {{"tries", judge.asked()},      {"served", share},
           {"runs", judge.runs()},        {"repeats_answered", judge.repeatsAnswered()},
-          {"statuses", statuses},        {"changes", book.sent()},
-          {"acknowledged", book.acked()}};
+          {"statuses", statuses},        {"changes", changes},
+          {"acknowledged", acknowledged}};
 }
 
 }  // namespace rackroute::lab::mesh
--- a/src/lab/mesh/workload.hpp
+++ b/src/lab/mesh/workload.hpp
@@ -39,6 +39,8 @@
                                                    {"note", "/note/", Sort::effectful, 1, 0.6, 1.5, 1}}};
 
 std::string serviceName(int service);
+/// A route as operators send it.
+nlohmann::json routeValue(const RouteTold& route, std::uint64_t generation);
 
 /// One request of a client, over all its tries.
 struct Wanted {
@@ -75,6 +77,8 @@
 };
 
 /// Ends the judging of a day, whatever its clock, and tells what was asked and served.
+nlohmann::json endOfDay(Judge& judge, std::uint64_t changes, std::uint64_t acknowledged, double leastServed,
+                        Span now);
 nlohmann::json endOfDay(Judge& judge, const OperatorBook& book, double leastServed, Span now);
 
 }  // namespace rackroute::lab::mesh
--- a/src/lab/mesh/world.cpp
+++ b/src/lab/mesh/world.cpp
@@ -5,15 +5,9 @@
 namespace emulated {
 
 Played World::run() {
-  for (std::uint32_t i = 0; i < day_.controls + day_.sidecars; ++i) {
-    Machine m;
-    m.core = i < day_.controls;
-    m.number = m.core ? i : i - day_.controls;
-    m.zone = m.number % day_.zones;
-    m.name = (m.core ? "v" : "s") + std::to_string(m.number);
-    byAddress_[m.name + ":1"] = i;
-    machines_.push_back(m);
-  }
+  for (std::uint32_t i = 0; i < day_.controls; ++i) slots_.push_back(addMachine(true, i, i % day_.zones));
+  for (std::uint32_t i = 0; i < day_.sidecars; ++i) addMachine(false, i, i % day_.zones);
+  listed_ = slots_;
   cores_.resize(day_.controls);
   sides_.resize(day_.sidecars);
   for (std::uint32_t i = 0; i < day_.controls; ++i) startControl(coreAt(i));
@@ -23,30 +17,37 @@
     newServer(sideAt(i));
     sides_[i].server.coldUntil = Span{0};
   }
-  at(1s, [this] {
-    patch(coreAt(0), table_.firstItems(day_.idleRoutes), 60, [this](std::uint32_t status) {
-      if (status != 200) return judge_.lost(now_, "the first items were not acknowledged");
-      table_.acknowledgedFirst(now_);
-    });
-  });
+  at(1s, [this] { firstOrder(); });
   end_ = kLead + span(day_.seconds);
   at(kLead, [this] { arrive(); });
+  at(kLead, [this] { probe(); });
+  at(kLead, [this] { sweep(); });
   for (const Trouble& trouble : day_.troubles)
     at(kLead + span(trouble.at), [this, trouble] { strike(trouble); });
   at(end_ - 6s, [this] { closeDay(); });
-  at(end_ + kSettle, [this] { readBack(coreAt(0), 20); });
+  at(end_ + kSettle, [this] { readBack(0, 20); });
   const Span last = end_ + kSettle + 30s;
   while (!events_.empty() && events_.top().at <= last && !readBackDone_) {
     const Event event = events_.top();
     events_.pop();
     now_ = event.at;
-    event.task();
+    try {
+      event.task();
+    } catch (const std::exception& error) {
+      // A process that throws ends here as it would there; nothing after it can be judged.
+      judge_.failed(now_, "CRASH", error.what());
+      break;
+    }
   }
+  ledger_.end(now_);
   Played played;
-  played.figures = endOfDay(judge_, table_, day_.leastServed, now_);
+  played.figures = endOfDay(judge_, ledger_.sent(), ledger_.acknowledged(), day_.leastServed, now_);
   played.broken = judge_.broken();
   json session;
   for (const auto& [kind, sums] : talk_) session[kind] = {{"words", sums.first}, {"bytes", sums.second}};
+  played.figures["refused"] = ledger_.refused();
+  played.figures["struck"] = struck_;
+  played.figures["virtual_s"] = seconds(now_);
   played.figures["syncs"] = syncs_;
   played.figures["events"] = eventNo_;
   played.figures["session"] = session;
--- a/src/lab/mesh/world_network.cpp
+++ b/src/lab/mesh/world_network.cpp
@@ -72,6 +72,7 @@
     act(machine, core(machine).control->heard(now_, {link->a == machine ? link->noA : link->noB}, word));
   } else {
     act(machine, side(machine).sidecar->heard(now_, {address(link->b)}, word));
+    took(machine, word);
   }
 }
 
--- a/src/lab/mesh/world_processes.cpp
+++ b/src/lab/mesh/world_processes.cpp
@@ -2,9 +2,31 @@
 
 namespace rackroute::lab::mesh::emulated {
 
+std::size_t World::addMachine(bool isCore, std::uint32_t number, std::uint32_t zone) {
+  Machine m;
+  m.core = isCore;
+  m.number = number;
+  m.zone = zone;
+  m.name = (isCore ? "v" : "s") + std::to_string(number);
+  byAddress_[m.name + ":1"] = machines_.size();
+  machines_.push_back(std::move(m));
+  return machines_.size() - 1;
+}
+
+std::vector<Address> World::seedsNow(const std::string& first) const {
+  constexpr std::size_t kSeeds = 3;
+  std::vector<Address> seeds;
+  if (!first.empty()) seeds.push_back({first});
+  for (const std::size_t control : listed_) {
+    if (seeds.size() < kSeeds && address(control) != first) seeds.push_back({address(control)});
+  }
+  return seeds;
+}
+
 void World::startControl(std::size_t machine) {
   Machine& m = machines_[machine];
   m.life = ++m.lives;
+  m.started = now_;
   m.dark = false;
   Core& here = core(machine);
   here.calls.clear();
@@ -14,13 +36,12 @@
   built.node = {m.name};
   built.at = {address(machine)};
   built.zone = "z" + std::to_string(m.zone);
-  built.life = {m.life};
-  for (std::size_t i = 0; i < std::min<std::size_t>(3, day_.controls); ++i)
-    built.seeds.push_back({address(coreAt(static_cast<std::uint32_t>(i)))});
+  built.life = {static_cast<std::uint64_t>(wall(machine).count())};
+  built.seeds = seedsNow("");
   built.voters = day_.controls;
   built.firstBoot = !here.disk.used;
   built.keyWindow = span(day_.keyWindow);
-  built.wallAtStart = Span{0};  // spans here are the world's, whatever process counts them
+  built.wallAtStart = wall(machine) - now_;  // spans here are the world's, whatever process counts them
   here.disk.used = true;
   here.control = std::make_unique<ControlNode>(std::move(built));
   here.control->read(here.disk.synced);
@@ -28,6 +49,18 @@
   tickControl(machine, m.life);
 }
 
+void World::restart(std::size_t machine, Span wait) {
+  in(wait, [this, machine] {
+    const Machine& m = machines_[machine];
+    if (m.life != 0 || m.gone) return;
+    if (m.core) {
+      startControl(machine);
+    } else {
+      startSidecar(machine);
+    }
+  });
+}
+
 void World::tickControl(std::size_t machine, std::uint64_t life) {
   act(machine, core(machine).control->tick(now_));
   atProcess(now_ + ControlNode::tickEvery(), machine, life,
@@ -37,7 +70,10 @@
 void World::startSidecar(std::size_t machine) {
   Machine& m = machines_[machine];
   m.life = ++m.lives;
+  m.started = now_;
   m.dark = m.leaving = false;
+  // As the program does it.
+  const LifeNo life{static_cast<std::uint64_t>(wall(machine).count())};
   Side& here = side(machine);
   Sidecar::Built built;
   built.caller.node = {m.name};
@@ -46,11 +82,9 @@
   built.caller.allowance = {kRetryRatio, kRetrySlack, 10s};
   built.caller.seed = seed_ * 1000 + machine * 31 + m.life;
   built.door = {{m.name}, {address(machine)},   built.caller.zone,
-                {m.life}, built.caller.service, {m.name + ":app"},
+                life,     built.caller.service, {m.name + ":app"},
                 kDrain,   span(day_.keyWindow), 32 << 20};
-  built.feed = {{m.name}, {address(machine)}, built.caller.zone, {m.life}, {}};
-  for (std::size_t i = 0; i < std::min<std::size_t>(3, day_.controls); ++i)
-    built.feed.seeds.push_back({address(coreAt(static_cast<std::uint32_t>(i)))});
+  built.feed = {{m.name}, {address(machine)}, built.caller.zone, life, seedsNow(m.firstSeed)};
   here.sidecar = std::make_unique<Sidecar>(std::move(built));
   here.asks.clear();
   here.attemptOf.clear();
@@ -84,52 +118,6 @@
   }
 }
 
-// What was written and not yet synced: each later batch is there or not, and nothing after a missing one.
-void World::loseDiskTail(std::size_t machine) {
-  Disk& disk = core(machine).disk;
-  std::size_t stays = 0;
-  while (stays < disk.waiting.size() && fraction(network_) < 0.5) ++stays;
-  for (std::size_t i = 0; i < stays; ++i) {
-    for (const auto& [key, value] : disk.waiting[i].second) {
-      if (value) {
-        disk.synced[key] = *value;
-      } else {
-        disk.synced.erase(key);
-      }
-    }
-  }
-  disk.waiting.clear();
-  disk.syncing = 0;
-}
-
-void World::sync(std::size_t machine) {
-  Disk& disk = core(machine).disk;
-  if (disk.syncing > 0 || disk.waiting.empty()) return;
-  disk.syncing = disk.waiting.size();
-  ++syncs_;
-  const std::uint64_t life = machines_[machine].life;
-  atProcess(now_ + span(day_.sync * disk.slow), machine, life, [this, machine] {
-    Disk& there = core(machine).disk;
-    std::vector<std::uint64_t> done;
-    const bool full = there.full;
-    for (; there.syncing > 0; --there.syncing) {
-      if (!full) {
-        for (const auto& [key, value] : there.waiting.front().second) {
-          if (value) {
-            there.synced[key] = *value;
-          } else {
-            there.synced.erase(key);
-          }
-        }
-      }
-      done.push_back(there.waiting.front().first);
-      there.waiting.pop_front();
-    }
-    sync(machine);
-    for (const std::uint64_t batch : done) act(machine, core(machine).control->written(now_, {batch}, !full));
-  });
-}
-
 void World::act(std::size_t machine, const ControlActions& acts) {
   Core& here = core(machine);
   for (const ControlAction& act : acts) {
@@ -158,7 +146,7 @@
         if (const auto call = here.calls.find(act.call.value); call != here.calls.end()) {
           const auto done = std::move(call->second);
           here.calls.erase(call);
-          in(span(day_.across), [done, status = act.status, body = act.body] { done(status, body); });
+          done(act.status, act.body);
         }
         break;
     }
--- a/src/lab/mesh/world_requests.cpp
+++ b/src/lab/mesh/world_requests.cpp
@@ -34,6 +34,7 @@
     }
     if (machines_[machine].life == 0) return;
   }
+  machines_[machine].lastAsked = now_;
   const RouteTold& route = kRoutes[wanted.route];
   const std::uint64_t attempt = ++attemptNo_;
   judge_.sent(now_, attempt, route.sort, wanted.key, route.service);
@@ -47,9 +48,8 @@
     const RouteTold& asked = kRoutes[wanted.route];
     if (!here.sidecar->serving(now_)) return answered(machine, wanted, attempt, 503, 0, 300ms);
     const auto known = here.sidecar->caller().book().find(kHost, asked.prefix);
-    const auto* acked = table_.newest(asked.name);
     const std::uint64_t least =
-        acked != nullptr && calm() && now_ > acked->second + kApply ? acked->first : 0;
+        calm() && inTouch(machine) ? ledger_.newestAt(std::string("route/") + asked.name, now_ - kApply) : 0;
     judge_.used(now_, static_cast<std::uint32_t>(machine * 100 + wanted.route), machines_[machine].life,
                 known ? known->generation.value : 0, least);
     const std::uint64_t call = ++here.nextCall;
--- a/src/lab/mesh/world_troubles.cpp
+++ b/src/lab/mesh/world_troubles.cpp
@@ -1,133 +1,159 @@
 #include "lab/mesh/emulated.hpp"
 
 namespace rackroute::lab::mesh::emulated {
+namespace {
+
+// As in the sidecar's program: when it ends after the call to stop.
+constexpr Span kStillComing = 2600ms;
+constexpr Span kQuiet = 300ms;
+constexpr Span kLook = 50ms;
+constexpr Span kBeforeKill = 400ms;
+
+}  // namespace
 
 void World::strike(const Trouble& trouble) {
-  const Span lasts = span(trouble.lasts);
-  const std::size_t control = coreAt(trouble.who % day_.controls);
+  ++struck_[nameOf(trouble.kind)];
   const std::size_t sidecar = sideAt(trouble.who % day_.sidecars);
-  const auto cut = [&](std::size_t a, std::size_t b, bool both) {
-    cuts_.insert({a, b});
-    if (both) cuts_.insert({b, a});
-  };
-  const auto heal = [this](std::vector<std::pair<std::size_t, std::size_t>> ways) {
-    for (const auto& way : ways) cuts_.erase(way);
-    for (const LinkPtr& link : links_) {
-      for (const bool fromA : {true, false}) {
-        const std::size_t from = fromA ? link->a : link->b;
-        const std::size_t to = fromA ? link->b : link->a;
-        if (isCut(from, to) || link->held[fromA].empty()) continue;
-        for (std::string& text : std::exchange(link->held[fromA], {}))
-          deliver(link, fromA, now_ + delay(from, to), std::move(text));
-      }
-    }
-  };
-  disturb(now_ + lasts + 1s);
   switch (trouble.kind) {
     case TroubleKind::killSidecar:
-      kill(sidecar, false);
-      in(kDead, [this, sidecar] { startSidecar(sidecar); });
-      break;
-    case TroubleKind::killControl:
-      kill(control, false);
-      in(kDead, [this, control] { startControl(control); });
-      break;
-    case TroubleKind::powerControl:
-    case TroubleKind::wipeControl:
-      kill(control, true);
-      if (trouble.kind == TroubleKind::wipeControl) core(control).disk.synced.clear();
-      in(lasts, [this, control] { startControl(control); });
-      break;
     case TroubleKind::freezeSidecar:
-      machines_[sidecar].frozenUntil = now_ + lasts;
-      break;
-    case TroubleKind::freezeControl:
-      machines_[control].frozenUntil = now_ + lasts;
-      break;
-    case TroubleKind::cutSidecar: {
-      std::vector<std::pair<std::size_t, std::size_t>> ways;
-      for (std::uint32_t i = 0; i < day_.controls; ++i) {
-        cut(sidecar, coreAt(i), true);
-        ways.insert(ways.end(), {{sidecar, coreAt(i)}, {coreAt(i), sidecar}});
-      }
-      in(lasts, [heal, ways] { heal(ways); });
-      break;
-    }
-    case TroubleKind::cutControl:
-    case TroubleKind::cutControlOneWay: {
-      std::vector<std::pair<std::size_t, std::size_t>> ways;
-      for (std::uint32_t i = 0; i < day_.controls; ++i) {
-        if (coreAt(i) == control) continue;
-        cut(control, coreAt(i), trouble.kind == TroubleKind::cutControl);
-        ways.insert(ways.end(), {{control, coreAt(i)}, {coreAt(i), control}});
-      }
-      in(lasts, [heal, ways] { heal(ways); });
-      break;
-    }
-    case TroubleKind::diskSlow:
-      core(control).disk.slow = std::max(1.0, trouble.part);
-      in(lasts, [this, control] { core(control).disk.slow = 1; });
-      break;
-    case TroubleKind::diskFull:
-      core(control).disk.full = true;
-      in(lasts, [this, control] { core(control).disk.full = false; });
-      break;
+    case TroubleKind::cutSidecar:
+    case TroubleKind::resetSidecar:
+    case TroubleKind::restartBeside:
+    case TroubleKind::termSidecar:
+    case TroubleKind::rollSidecars:
+      return strikeSidecar(trouble, sidecar);
     case TroubleKind::serverLoses:
-      side(sidecar).server.loses = trouble.part;
-      in(lasts, [this, sidecar] { side(sidecar).server.loses = 0; });
-      break;
     case TroubleKind::serverSpoils:
-      side(sidecar).server.spoils = trouble.part;
-      in(lasts, [this, sidecar] { side(sidecar).server.spoils = 0; });
-      break;
     case TroubleKind::serverSlow:
-      side(sidecar).server.slow = std::max(1.0, trouble.part);
-      in(lasts, [this, sidecar] { side(sidecar).server.slow = 1; });
-      break;
+    case TroubleKind::release:
+      return strikeServer(trouble, side(sidecar).server);
     case TroubleKind::serverCrash:
       ++side(sidecar).server.lives;
       side(sidecar).server.up = false;
-      in(lasts, [this, sidecar] { newServer(sidecar); });
-      break;
-    case TroubleKind::release:
-      side(sidecar).server.draining = true;
-      break;
-    case TroubleKind::termSidecar:
-      if (machines_[sidecar].life == 0) break;
-      machines_[sidecar].leaving = true;
-      act(sidecar, side(sidecar).sidecar->leave(now_));
-      in(kGrace - 500ms, [this, sidecar, life = machines_[sidecar].life] {
-        if (machines_[sidecar].life != life) return;
-        kill(sidecar, false);
-        in(kDead, [this, sidecar] { startSidecar(sidecar); });
-      });
-      disturb(now_ + kGrace + 1s);
-      break;
+      return in(span(trouble.lasts), [this, sidecar] { newServer(sidecar); });
     case TroubleKind::change:
-      change(trouble.who, false, false);
-      break;
     case TroubleKind::race:
-      change(trouble.who, true, false);
-      break;
     case TroubleKind::badChange:
-      change(trouble.who, false, true);
-      break;
+    case TroubleKind::changeMany:
+    case TroubleKind::raceMany:
+    case TroubleKind::newService:
+    case TroubleKind::storm:
+    case TroubleKind::answersLost:
+      return strikeOrders(trouble);
+    default:
+      return strikeControl(trouble, coreAt(trouble.who));
   }
 }
 
-void World::closeDay() {
-  disturb(now_ + 5s);
-  for (std::uint32_t i = 0; i < day_.controls; ++i) {
-    if (day_.closing == Closing::none) break;
-    const std::size_t control = coreAt(i);
-    const bool wiped = day_.closing == Closing::wipeOne && i == seed_ % day_.controls;
-    if (day_.closing == Closing::wipeOne && !wiped && seed_ % 2 == 0) continue;
-    kill(control, day_.closing != Closing::killAll);
-    if (wiped) core(control).disk.synced.clear();
-    in(900ms, [this, control] {
-      if (machines_[control].life == 0) startControl(control);
-    });
+void World::strikeOrders(const Trouble& trouble) {
+  switch (trouble.kind) {
+    case TroubleKind::change:
+      return change(trouble.who, false, true);
+    case TroubleKind::race:
+      return change(trouble.who, true, true);
+    case TroubleKind::badChange:
+      return change(trouble.who, false, false);
+    case TroubleKind::changeMany:
+      return changeMany(trouble.who, false);
+    case TroubleKind::raceMany:
+      return changeMany(trouble.who, true);
+    case TroubleKind::newService:
+      return newService(trouble.who);
+    case TroubleKind::storm:
+      return storm(trouble);
+    default:
+      answersLost_ = trouble.part;
+      answersLostUntil_ = now_ + span(trouble.lasts);
+  }
+}
+
+void World::strikeServer(const Trouble& trouble, Server& server) {
+  const Span lasts = span(trouble.lasts);
+  switch (trouble.kind) {
+    case TroubleKind::serverLoses:
+      server.loses = trouble.part;
+      return in(lasts, [&server] { server.loses = 0; });
+    case TroubleKind::serverSpoils:
+      server.spoils = trouble.part;
+      return in(lasts, [&server] { server.spoils = 0; });
+    case TroubleKind::serverSlow:
+      server.slow = std::max(1.0, trouble.part);
+      return in(lasts, [&server] { server.slow = 1; });
+    default:
+      server.draining = true;
+  }
+}
+
+void World::strikeSidecar(const Trouble& trouble, std::size_t sidecar) {
+  const Span lasts = span(trouble.lasts);
+  switch (trouble.kind) {
+    case TroubleKind::killSidecar:
+      kill(sidecar, false);
+      return restart(sidecar, kDead);
+    case TroubleKind::freezeSidecar:
+      machines_[sidecar].frozenUntil = now_ + lasts;
+      return disturbSidecar(sidecar, lasts);
+    case TroubleKind::resetSidecar:
+      disturbSidecar(sidecar, Span{0});
+      return resetSessions(sidecar, trouble.part);
+    case TroubleKind::restartBeside: {
+      machines_[sidecar].firstSeed = address(coreAt(trouble.who));
+      for (const std::size_t control : slots_) {
+        if (core(control).cutOffFrom != Span::max()) machines_[sidecar].firstSeed = address(control);
+      }
+      kill(sidecar, false);
+      return restart(sidecar, kDead);
+    }
+    case TroubleKind::termSidecar:
+      return stop(sidecar, [] {});
+    case TroubleKind::rollSidecars:
+      return roll(sidecar, static_cast<std::uint32_t>(std::max(1.0, trouble.part)));
+    default: {
+      Ways ways;
+      for (std::size_t control = 0; control < machines_.size(); ++control) {
+        if (machines_[control].core) ways.insert(ways.end(), {{sidecar, control}, {control, sidecar}});
+      }
+      disturbSidecar(sidecar, lasts);
+      cut(ways, lasts);
+    }
+  }
+}
+
+// It ends as soon as it is quiet, at the latest shortly before the platform would kill it.
+void World::stop(std::size_t sidecar, std::function<void()> then) {
+  Machine& m = machines_[sidecar];
+  if (m.life == 0 || m.leaving) return then();
+  m.leaving = true;
+  act(sidecar, side(sidecar).sidecar->leave(now_));
+  stopped(sidecar, m.life, now_, then);
+}
+
+void World::stopped(std::size_t sidecar, std::uint64_t life, Span since, const std::function<void()>& then) {
+  const Machine& m = machines_[sidecar];
+  if (m.life != life) return then();
+  const bool quiet = side(sidecar).sidecar->atWork() == 0 && m.lastAsked + kQuiet <= now_;
+  if ((!quiet || now_ < since + kStillComing) && now_ < since + kGrace - kBeforeKill)
+    return in(kLook, [this, sidecar, life, since, then] { stopped(sidecar, life, since, then); });
+  kill(sidecar, false);
+  restart(sidecar, kDead);
+  in(kDead, then);
+}
+
+void World::roll(std::size_t sidecar, std::uint32_t left) {
+  if (left == 0) return;
+  const std::uint32_t next = (machines_[sidecar].number + 1) % day_.sidecars;
+  stop(sidecar, [this, next, left] { roll(sideAt(next), left - 1); });
+}
+
+// Both ends of a connection hear of its reset.
+void World::resetSessions(std::size_t machine, double share) {
+  for (const LinkPtr& link : std::vector<LinkPtr>(links_)) {
+    if (link->a != machine && link->b != machine) continue;
+    if (link->open && fraction(network_) < share) close(link, std::nullopt);
   }
+  links_.erase(std::remove_if(links_.begin(), links_.end(), [](const LinkPtr& link) { return !link->open; }),
+               links_.end());
 }
 
 }  // namespace rackroute::lab::mesh::emulated
