--- a/Makefile
+++ b/Makefile
@@ -1,17 +1,20 @@
-# build, test, lint, run: what .ci/run and README's commands do, under short names.
+# Short names for the scripts in tools/, which .ci/run uses too.
 CONFIG ?= config.json
 
-.PHONY: build test lint run
+.PHONY: build test check lint demo run
 build:
-	cmake -B build && cmake --build build -j4
+	tools/install-packages
+	cmake -B build && cmake --build build -j $$(nproc)
 
-test: build
-	ctest --test-dir build --output-on-failure
+test check:
+	tools/test
 
 lint:
-	git ls-files '*.cpp' '*.hpp' | xargs clang-format --dry-run --Werror
-	cppcheck --quiet --error-exitcode=1 --enable=warning,performance,portability --inline-suppr --std=c++20 \
-	  --library=posix -Iinclude -Isrc src
+	tools/install-packages
+	tools/lint
+
+demo:
+	tools/demo
 
 run: build
 	LB_CONFIG=$(CONFIG) build/rackroute
--- a/src/lab/contender.cpp
+++ b/src/lab/contender.cpp
@@ -88,8 +88,10 @@
     if (listing != Listing::changes) held_.clear();
     for (const ListedServer& server : servers) {
       const auto at = std::find(held_.begin(), held_.end(), server.id);
-      if (server.lifecycle == Lifecycle::serving && at == held_.end()) held_.push_back(server.id);
-      if (server.lifecycle != Lifecycle::serving && at != held_.end()) held_.erase(at);
+      if (server.lifecycle == Lifecycle::serving && at == held_.end())
+        held_.push_back(server.id);
+      else if (server.lifecycle != Lifecycle::serving && at != held_.end())
+        held_.erase(at);
     }
     std::sort(held_.begin(), held_.end());
   }
--- a/src/mesh/sidecar/main.cpp
+++ b/src/mesh/sidecar/main.cpp
@@ -119,7 +119,7 @@
   template <class Asked>
   void listen(const Address& at, Shared& shared, HttpServerConnection::Shared made, Asked asked) {
     shared = std::make_shared<HttpServerConnection::Shared>(std::move(made));
-    shared->asked = asked;
+    shared->asked = std::move(asked);
     shared->left = [](HttpServerConnection&) {};
     if (at.value.empty()) return;
     listeners_.push_back(std::make_unique<Listener>(
--- a/src/mesh/transport/http_server_connection.cpp
+++ b/src/mesh/transport/http_server_connection.cpp
@@ -127,7 +127,7 @@
   }
 }
 
-void HttpServerConnection::answer(std::uint32_t status, std::string_view fields, std::string body) {
+void HttpServerConnection::answer(std::uint32_t status, std::string_view fields, std::string_view body) {
   if (!request_ || ended() || finishing()) return;
   const bool close = closes();
   std::string text = "HTTP/1.1 ";
--- a/src/mesh/transport/http_server_connection.hpp
+++ b/src/mesh/transport/http_server_connection.hpp
@@ -34,7 +34,7 @@
 
   void start();
   /// fields: whole lines. The body goes out with its length.
-  void answer(std::uint32_t status, std::string_view fields, std::string body);
+  void answer(std::uint32_t status, std::string_view fields, std::string_view body);
   /// An answer read elsewhere, with more fields (whole lines); but: a field of it that is left out.
   void pass(const std::shared_ptr<const http::Message>& message, std::string_view fields,
             std::string_view but = {});
