--- a/tests/mesh_test.cpp
+++ b/tests/mesh_test.cpp
@@ -4,7 +4,6 @@
 #include <filesystem>
 #include <random>
 
-#include "lab/mesh/explorer.hpp"
 #include "lab/mesh/world.hpp"
 #include "mesh/admission/admission.hpp"
 #include "mesh/checker/explain.hpp"
@@ -230,22 +229,6 @@
   CHECK_FALSE(book.find("b.example", "/a/"));
 }
 
-TEST_CASE("no order of words and losses runs a key twice, and broken copies of the protocol do") {
-  using lab::mesh::explore;
-  using lab::mesh::Flaw;
-  const auto sound = explore({Flaw::none, 3, 8, 1, 2});
-  CHECK(sound.states > 10'000);
-  CHECK_FALSE(sound.trail);
-  CHECK_FALSE(explore({Flaw::none, 3, 8, 1, 1, true}).trail);
-  // Each broken copy is found, where the sound one with the same search is not.
-  CHECK(explore({Flaw::voteBeforeSync, 3, 10, 0, 1, true}).trail);
-  CHECK_FALSE(explore({Flaw::none, 3, 10, 0, 1, true}).trail);
-  CHECK(explore({Flaw::blankVotes, 3, 11, 1, 0, true}).trail);
-  CHECK_FALSE(explore({Flaw::none, 3, 11, 1, 0, true}).trail);
-  CHECK(explore({Flaw::freedTooEarly, 3, 13, 0, 0, true}).trail);
-  CHECK_FALSE(explore({Flaw::none, 3, 13, 0, 0, true}).trail);
-}
-
 TEST_CASE("five failures in a row eject, up to half of the servers, and one trial re-admits") {
   ServerPool rack("z", {"n"}, 1);
   for (const char* id : {"a", "b", "c", "d"}) rack.told(0s, served(id), true);
