Take in a standby that was put out of a set it never knew

Change: once it tells in the epoch in force that it keeps its incarnation, it may join as it is; it never had the set that it was in, so it never voted in it.

A test for it that fails without the change.

--- a/src/mesh/control/membership.cpp
+++ b/src/mesh/control/membership.cpp
@@ -101,8 +101,13 @@
 }
 
 void Membership::peerHoldsState(Span, const VoterId& id, bool holdsState) {
-  const auto peer = peers_.find(id.at);
-  if (peer != peers_.end() && peer->second.id == id) peer->second.holdsState = holdsState;
+  const auto known = peers_.find(id.at);
+  if (known == peers_.end() || known->second.id != id) return;
+  Peer& peer = known->second;
+  peer.holdsState = holdsState;
+  // It has the set in force and keeps its incarnation, so it never knew of the set that it was put out of and
+  // never voted in it: it may join as it is. Guards against a standby that nobody ever takes in again.
+  peer.putOut = false;
 }
 
 void Membership::forgetGone(Span now) {
--- a/src/mesh/control/membership.hpp
+++ b/src/mesh/control/membership.hpp
@@ -42,7 +42,8 @@
   /// holds state is learned from peerHoldsState() only, as a session's first message tells no epoch.
   void peerUp(Span now, const VoterId& peer, bool founder, bool holdsState);
   void peerDown(Span now, const Address& peer);
-  /// To be passed on only if the peer told it in the epoch in force here: earlier ones say nothing of it.
+  /// To be passed on only if the peer told it in the epoch in force here and under this incarnation: a
+  /// process that takes another one must begin its sessions anew before it tells anything.
   void peerHoldsState(Span now, const VoterId& peer, bool holdsState);
   /// Of this process: nothing it promised is lost, and it has read what it must. To be called after adopt()
   /// with the stored set at the start, and whenever a read is done. A voter that does not hold state must
--- a/tests/control_membership_test.cpp
+++ b/tests/control_membership_test.cpp
@@ -603,6 +603,26 @@
   REQUIRE(!member.proposal(1h));
 }
 
+TEST_CASE("membership: who was put out joins under another life, or if it never knew of its set") {
+  Membership member = firstOfThree();
+  member.peerUp(0ms, voterAt(7), false, false);
+  const VoterSet joined = withReplacement(member.set(), voterAt(2), voterAt(7));
+  REQUIRE(member.adopt(1s, joined));
+  REQUIRE(member.adopt(2s, withReplacement(joined, voterAt(7), voterAt(8))));
+  member.peerUp(2s, voterAt(8), false, false);
+  member.peerHoldsState(2s, voterAt(8), true);
+  // Its session may be of the life that was put out.
+  VoterSet next;
+  REQUIRE(firstProposal(member, 2s, 30s, next) == Span::max());
+  Membership other = member;
+  member.peerHoldsState(30s, voterAt(7), false);
+  REQUIRE(firstProposal(member, 30s, 50s, next) == 30s);
+  REQUIRE(next == withVoter(member.set(), voterAt(7)));
+  other.peerUp(30s, voterAt(7, 2), false, false);
+  REQUIRE(firstProposal(other, 30s, 50s, next) == 40s);
+  REQUIRE(next == withVoter(other.set(), voterAt(7, 2)));
+}
+
 TEST_CASE("membership: peers without number do not grow it, and do not shut out those that come later") {
   Membership member = firstOfThree();
   for (std::size_t i = 10; i < 1000; ++i) {
