--- a/src/mesh/control/main.cpp
+++ b/src/mesh/control/main.cpp
@@ -75,10 +75,12 @@
   std::map<std::string, std::string> openStore() {
     for (bool told = false;; told = true) {
       bool foreign = false;
-      auto all = store_.open(foreign);
-      if (all) return std::move(all).value();
-      if (foreign) throw std::runtime_error(all.error().line());
-      if (!told) log(Weight::error, all.error().step, all.error().peer, all.error().what);
+      std::map<std::string, std::string> all;
+      const auto opened = store_.open(
+          foreign, [&](std::string key, std::string value) { all[std::move(key)] = std::move(value); });
+      if (opened) return all;
+      if (foreign) throw std::runtime_error(opened.error().line());
+      if (!told) log(Weight::error, opened.error().step, opened.error().peer, opened.error().what);
       std::this_thread::sleep_for(kOpenPause);
     }
   }
--- a/src/mesh/storage/store.cpp
+++ b/src/mesh/storage/store.cpp
@@ -44,20 +44,34 @@
   return boost::outcome_v2::success();
 }
 
-Result<std::map<std::string, std::string>> Store::open(bool& foreign) {
+// An empty folder is ours; one that holds anything must say that it is.
+Result<void> Store::checkVersion(bool& foreign) {
+  std::string version;
+  const leveldb::Status status = database_->Get(leveldb::ReadOptions(), kMark, &version);
+  if (status.ok() && version == kVersion) return boost::outcome_v2::success();
+  if (!status.ok() && !status.IsNotFound()) return failure("store", status.ToString(), folder_);
+  const std::unique_ptr<leveldb::Iterator> any(database_->NewIterator(leveldb::ReadOptions()));
+  any->SeekToFirst();
+  if (!any->Valid() && any->status().ok()) return boost::outcome_v2::success();
+  if (!any->status().ok()) return failure("store", any->status().ToString(), folder_);
+  foreign = true;
+  return failure("store", "it holds something else, or was written by a newer version", folder_);
+}
+
+Result<void> Store::open(bool& foreign, const Entry& entry) {
   foreign = false;
+  // Guards against a lock on the folder that this process itself still holds after a read that failed.
+  database_.reset();
   if (auto opened = openDatabase(); !opened) return std::move(opened).error();
-  std::map<std::string, std::string> all;
-  const std::unique_ptr<leveldb::Iterator> at(database_->NewIterator(leveldb::ReadOptions()));
-  for (at->SeekToFirst(); at->Valid(); at->Next()) all[at->key().ToString()] = at->value().ToString();
-  if (!at->status().ok()) return failure("store", at->status().ToString(), folder_);
-  const auto mark = all.find(kMark);
-  if (!all.empty() && (mark == all.end() || mark->second != kVersion)) {
-    foreign = true;
-    return failure("store", "it holds something else, or was written by a newer version", folder_);
+  if (auto checked = checkVersion(foreign); !checked) return std::move(checked).error();
+  leveldb::ReadOptions once;
+  once.fill_cache = false;
+  const std::unique_ptr<leveldb::Iterator> at(database_->NewIterator(once));
+  for (at->SeekToFirst(); at->Valid(); at->Next()) {
+    if (at->key() != kMark) entry(at->key().ToString(), at->value().ToString());
   }
-  all.erase(kMark);
-  return all;
+  if (!at->status().ok()) return failure("store", at->status().ToString(), folder_);
+  return boost::outcome_v2::success();
 }
 
 void Store::start(Told told) {
--- a/src/mesh/storage/store.hpp
+++ b/src/mesh/storage/store.hpp
@@ -6,7 +6,6 @@
 
 #include <condition_variable>
 #include <functional>
-#include <map>
 #include <memory>
 #include <mutex>
 #include <optional>
@@ -34,8 +33,13 @@
   Store& operator=(const Store&) = delete;
   ~Store();
 
-  /// Opens the folder and reads all that it holds. foreign: it is no store of ours, and waiting won't help.
-  Result<std::map<std::string, std::string>> open(bool& foreign);
+  /// Told of one entry of the store.
+  using Entry = std::function<void(std::string key, std::string value)>;
+
+  /// Opens the folder and tells of each entry that it holds, in the order of their keys, without keeping
+  /// them. foreign: it is no store of ours, and waiting won't help; nothing was told then. After any other
+  /// error some entries may have been told, and the caller must forget them.
+  Result<void> open(bool& foreign, const Entry& entry);
   void start(Told told);
   void write(std::uint64_t batch, Entries entries);
 
@@ -45,6 +49,7 @@
     Entries entries;
   };
   Result<void> openDatabase();
+  Result<void> checkVersion(bool& foreign);
   void run();
 
   std::string folder_;
--- a/tests/mesh_test.cpp
+++ b/tests/mesh_test.cpp
@@ -545,9 +545,12 @@
   std::filesystem::remove_all(folder);
   std::filesystem::create_directories(folder);
   bool foreign = false;
+  std::map<std::string, std::string> all;
+  const auto entry = [&](std::string key, std::string value) { all[std::move(key)] = std::move(value); };
   {
     Store store(folder.string());
-    REQUIRE(store.open(foreign));
+    REQUIRE(store.open(foreign, entry));
+    CHECK(all.empty());
     std::mutex mutex;
     std::condition_variable told;
     std::size_t done = 0;
@@ -563,19 +566,20 @@
   }
   {
     Store again(folder.string());
-    const auto all = again.open(foreign);
-    REQUIRE(all);
-    CHECK(all.value() == std::map<std::string, std::string>{{"b", "2"}});
+    REQUIRE(again.open(foreign, entry));
+    CHECK(all == std::map<std::string, std::string>{{"b", "2"}});
   }
   {
     Store newer(folder.string());
-    REQUIRE(newer.open(foreign));
+    REQUIRE(newer.open(foreign, entry));
     newer.start([](std::uint64_t, bool) {});
     newer.write(1, {{"version", "2"}});
   }
+  all.clear();
   Store late(folder.string());
-  CHECK_FALSE(late.open(foreign));
+  CHECK_FALSE(late.open(foreign, entry));
   CHECK(foreign);
+  CHECK(all.empty());
   std::filesystem::remove_all(folder);
 }
 
--- a/tests/promise_journal_test.cpp
+++ b/tests/promise_journal_test.cpp
@@ -2,14 +2,18 @@
 
 #include "mesh/storage/promise_journal.hpp"
 
+#include <unistd.h>
+
 #include <catch2/catch.hpp>
 #include <chrono>
+#include <filesystem>
 #include <iostream>
 #include <map>
 #include <nlohmann/json.hpp>
 #include <random>
 
 #include "mesh/registry/registry_messages.hpp"
+#include "mesh/storage/store.hpp"
 
 using namespace rackroute;
 using namespace rackroute::mesh;
@@ -55,6 +59,19 @@
   return text.dump();
 }
 
+/// That many promises, that many a record.
+Disk recordsOf(std::uint64_t count, std::uint64_t batch) {
+  Disk disk;
+  PromiseJournal journal;
+  for (std::uint64_t no = 0; no < count; no += batch) {
+    std::vector<Change> changes;
+    for (std::uint64_t i = no; i < std::min(no + batch, count); ++i)
+      changes.push_back({keyNo(i), holderNo(i / 50, i % 50)});
+    write(disk, {journal.record(std::chrono::milliseconds(no), changes)});
+  }
+  return disk;
+}
+
 std::vector<std::uint8_t> bytesOf(const std::string& text) { return {text.begin(), text.end()}; }
 
 }  // namespace
@@ -229,6 +246,68 @@
   CHECK_FALSE(readSnapshot(bytesOf("{}"), 9s, none));
 }
 
+// Not a test: prints what a store of them takes, and how long a start reads it, before and now.
+TEST_CASE("how long a start reads a store of promises", "[.measure]") {
+  const auto folder =
+      std::filesystem::temp_directory_path() / ("rackroute-promises-" + std::to_string(::getpid()));
+  const auto fill = [&](const Disk& disk) {
+    std::filesystem::remove_all(folder);
+    std::filesystem::create_directories(folder);
+    Store store(folder.string());
+    bool foreign = false;
+    REQUIRE(store.open(foreign, [](const std::string&, const std::string&) {}));
+    store.start([](std::uint64_t, bool) {});
+    std::uint64_t batch = 0;
+    for (const auto& [key, value] : disk) store.write(++batch, {{key, value}});
+  };
+  const auto folderSize = [&] {
+    std::uintmax_t size = 0;
+    for (const auto& file : std::filesystem::recursive_directory_iterator(folder))
+      size += file.is_regular_file() ? file.file_size() : 0;
+    return static_cast<double>(size);
+  };
+  const auto print = [&](std::uint64_t count, const char* format, const auto& read) {
+    const auto start = std::chrono::steady_clock::now();
+    read();
+    const double time = std::chrono::duration<double>(std::chrono::steady_clock::now() - start).count();
+    std::cout << count << " promises, " << format << ": folder " << folderSize() / static_cast<double>(count)
+              << " bytes each, opened and read in " << time * 1000 << " ms\n";
+  };
+  bool foreign = false;
+  for (const std::uint64_t count : {10'000U, 40'000U, 160'000U}) {
+    Disk disk;
+    for (std::uint64_t no = 0; no < count; ++no)
+      disk["k/" + textOf(keyNo(no))] = oldValue(holderNo(no / 50, no % 50));
+    fill(disk);
+    print(count, "JSON", [&] {
+      Store store(folder.string());
+      Disk all;
+      REQUIRE(store.open(foreign, [&](std::string key, std::string value) { all[key] = std::move(value); }));
+      Promises promises(kKeep);
+      for (const auto& [key, value] : all) {
+        const json promise = json::parse(value);
+        promises.learn(Span(promise.at(3).get<std::int64_t>()), *printFrom(std::string_view(key).substr(2)),
+                       holderFrom(promise));
+      }
+      REQUIRE(promises.all().size() == count);
+    });
+    for (const std::uint64_t size : {1U, 8U}) {
+      fill(recordsOf(count, size));
+      print(count, size == 1 ? "1 a record" : "8 a record", [&] {
+        Store store(folder.string());
+        Promises promises(kKeep);
+        PromiseJournal journal;
+        REQUIRE(store.open(foreign, [&](const std::string& key, const std::string& value) {
+          REQUIRE(journal.restore(key, value, promises).value());
+        }));
+        journal.resume(promises);
+        REQUIRE(promises.all().size() == count);
+      });
+    }
+  }
+  std::filesystem::remove_all(folder);
+}
+
 // Not a test: prints what promises take on disk and how long it takes to read them, before and now.
 TEST_CASE("what promises take on disk and how long they take to read", "[.measure]") {
   const auto secondsOf = [](const auto& work) {
@@ -256,14 +335,7 @@
     std::cout << count << " promises, JSON: " << sizeOf(before) / static_cast<double>(count)
               << " bytes each, read in " << beforeTime * 1000 << " ms\n";
     for (const std::uint64_t batch : {1U, 8U, 32U}) {
-      Disk now;
-      PromiseJournal journal;
-      for (std::uint64_t no = 0; no < count; no += batch) {
-        std::vector<Change> changes;
-        for (std::uint64_t i = no; i < std::min(no + batch, count); ++i)
-          changes.push_back({keyNo(i), holderNo(i / 50, i % 50)});
-        write(now, {journal.record(std::chrono::milliseconds(no), changes)});
-      }
+      const Disk now = recordsOf(count, batch);
       std::unique_ptr<Life> life;
       const double time = secondsOf([&] { life = std::make_unique<Life>(now); });
       REQUIRE(life->promises.all().size() == count);
