--- a/tests/sidecar_control_client_test.cpp
+++ b/tests/sidecar_control_client_test.cpp
@@ -140,6 +140,11 @@
     CHECK(confirmationsAsked(tell(client, 760ms, {"v2"}, heartbeatOf(true))).empty());
     CHECK(confirmationsAsked(client.tick(1450ms)) == std::set<Address>{{"v2"}});
   }
+  SECTION("the same again, once it is settled and may have passed over what it was asked before") {
+    tell(client, 100ms, {"v0"}, heartbeatOf(false));
+    CHECK(confirmationsAsked(tell(client, 200ms, {"v0"}, heartbeatOf(true))) == std::set<Address>{{"v0"}});
+    CHECK(confirmationsAsked(tell(client, 300ms, {"v0"}, heartbeatOf(true))).empty());
+  }
   SECTION("another at once when the session ends") {
     CHECK(confirmationsAsked(client.ended(100ms, {"v0"})) == std::set<Address>{{"v2"}});
   }
@@ -291,6 +296,14 @@
   request.aim = 800ms;
   request.kind = RouteKind::keyed;
   request.route = "r";
+  SECTION("and given back to them") {
+    REQUIRE(sentIn<ClaimRequest>(sidecar.forwardRequested(0s, {1}, request, "k").feed).size() == 2);
+    const auto released = sentIn<ReleaseRequest>(sidecar.tick(500ms).feed);
+    REQUIRE(released.size() == 2);
+    CHECK(released[0].first == Address{"v0"});
+    CHECK(released[1].first == Address{"v1"});
+    return;
+  }
   const auto asked = sentIn<ClaimRequest>(sidecar.forwardRequested(0s, {1}, request, "k").feed);
   REQUIRE(asked.size() == 2);
   CHECK(asked[0].first == Address{"v0"});
@@ -357,8 +370,18 @@
     welcome.highestLife = {501};
     CHECK(taken(tell(here, 1s, {"v0"}, welcome).feed, {"v0"}) == 0);
     CHECK(here.door().servers().at(0).life == LifeNo{501});
-    here.ended(1s, {"v0"});
-    const auto hello = sentIn<Hello>(here.reached(2s, {"v0"}).feed);
+    // Nor is its own news, of any life of its own, a server to adopt once it has forgotten that server.
+    here.tick(62s);
+    REQUIRE(here.door().servers().empty());
+    here.reached(62s, {"v0"});
+    for (const std::uint64_t life : {100U, 300U, 501U}) {
+      News own = known;
+      own.served.life = {life};
+      tell(here, 62s, {"v0"}, ServersUpdate{{own}});
+      CHECK(here.door().servers().empty());
+    }
+    here.ended(63s, {"v0"});
+    const auto hello = sentIn<Hello>(here.reached(64s, {"v0"}).feed);
     CHECK(hello.at(0).second.life == LifeNo{100});
   }
 }
