--- a/src/lab/main.cpp
+++ b/src/lab/main.cpp
@@ -20,6 +20,7 @@
 #include "lab/mesh/explorer.hpp"
 #include "lab/mesh/hollow.hpp"
 #include "lab/mesh/processes.hpp"
+#include "lab/mesh/voter_set_explorer.hpp"
 #include "lab/mesh/world.hpp"
 #include "lab/report.hpp"
 #include "lab/sockets.hpp"
@@ -137,6 +138,7 @@
   unsigned depth = 11;
   unsigned wipes = 1;
   bool won = false;
+  mesh::VoterSetSearch search;
 };
 
 Result playOnSockets(const Asked& asked, const Scenario& scenario) {
@@ -437,6 +439,21 @@
   return found.trail ? kMissed : kAsExpected;
 }
 
+/// Every order of claims on a key while disks are lost and the set of voters changes.
+int exploreVoterSets(const Asked& asked) {
+  const auto begin = std::chrono::steady_clock::now();
+  const mesh::SearchResult found = mesh::explore(asked.search);
+  const std::chrono::duration<double> took = std::chrono::steady_clock::now() - begin;
+  std::printf("%llu states, %s to depth %u%s, %.1f s: %s\n", static_cast<unsigned long long>(found.states),
+              found.exhausted ? "all there are," : "all", found.depth,
+              found.full ? " (stopped at the most states allowed)" : "", took.count(),
+              found.trail ? "a key that runs twice" : "no key runs twice");
+  if (found.trail) {
+    for (const std::string& step : *found.trail) std::printf("  %s\n", step.c_str());
+  }
+  return found.trail ? kMissed : kAsExpected;
+}
+
 int check(const Asked& asked) {
   const Scenario scenario = readScenario(asked.file, overridesOf(asked.sets));
   std::printf("%s: %u balancers, %u servers in %u zones, %.0f queries a second for %.0f s, %zu troubles\n",
@@ -539,6 +556,25 @@
   exploring->add_option("--depth", asked.depth)->check(CLI::Range(1U, 40U));
   exploring->add_option("--wipes", asked.wipes)->check(CLI::Range(0U, 3U));
   exploring->add_flag("--won", asked.won, "begin where the first claimer has won");
+  CLI::App* exploringSets =
+      app.add_subcommand("explore", "every order of claims on one key while the voters change, to a depth");
+  mesh::VoterSetSearch& search = asked.search;
+  exploringSets->add_option("--voters", search.voters)->check(CLI::Range(3U, 7U));
+  exploringSets->add_option("--standbys", search.standbys, "processes that may join")
+      ->check(CLI::Range(0U, 1U));
+  exploringSets->add_option("--claimers", search.claimers)->check(CLI::Range(2U, 3U));
+  exploringSets->add_option("--wipes", search.wipes, "disks that may be lost")->check(CLI::Range(0U, 3U));
+  exploringSets->add_option("--changes", search.changes, "of the set of voters")->check(CLI::Range(0U, 3U));
+  exploringSets->add_option("--power-losses", search.powerLosses)->check(CLI::Range(0U, 3U));
+  exploringSets->add_flag("--removals", search.removals, "voters may be removed");
+  exploringSets->add_flag("--joins", search.joins, "standbys may join as further voters");
+  exploringSets->add_flag("--rejoins", search.rejoins, "who was put out may join again");
+  exploringSets->add_flag("--releases", search.releases, "claims may be given up and given back");
+  exploringSets->add_flag("--silent-replaced", search.silentReplaced,
+                          "a standby may take the place of a voter that is up");
+  exploringSets->add_flag("--won", search.won, "begin where the first claimer has won");
+  exploringSets->add_option("--depth", search.depth, "steps")->check(CLI::Range(1U, 60U));
+  exploringSets->add_option("--most-states", search.mostStates);
   CLI::App* comparing = scenario(app.add_subcommand("compare", "plays one scenario with all policies"));
   experiment(comparing);
   CLI::App* sweeping = scenario(app.add_subcommand("sweep", "plays one scenario over values of a key"));
@@ -557,6 +593,7 @@
     if (*meshing) return playMesh(asked);
     if (*hollowing) return runHollow(hollow, asked.tells);
     if (*exploring) return exploreKeys(asked);
+    if (*exploringSets) return exploreVoterSets(asked);
     if (*comparing) return compare(asked);
     if (*sweeping) return sweep(asked);
     if (*reporting) return report(asked);
--- a/src/lab/mesh/voter_set_explorer.cpp
+++ b/src/lab/mesh/voter_set_explorer.cpp
@@ -8,6 +8,7 @@
 #include <utility>
 
 #include "mesh/claims/claims.hpp"
+#include "mesh/control/voter_set.hpp"
 
 namespace rackroute::lab::mesh {
 namespace {
@@ -19,9 +20,10 @@
 
 constexpr std::size_t kProcesses = 8;  // voters and standbys; fits Bits
 constexpr std::size_t kClaimers = 3;
-constexpr std::size_t kEpochs = 5;  // 0: none is known; 1: the first set
-constexpr Bits kRelease = 0x80;     // in Process::inFlight, beside the epochs
-constexpr Span kNow = 1s;           // nothing here goes by time
+constexpr std::size_t kEpochs = 5;        // 0: none is known; 1: the first set
+constexpr std::size_t kFewestVoters = 3;  // a set does not shrink below
+constexpr Bits kRelease = 0x80;           // in Process::inFlight, beside the epochs
+constexpr Span kNow = 1s;                 // nothing here goes by time
 const KeyPrint kKey = printOfKey("the key");
 
 constexpr Bits bit(std::size_t number) { return static_cast<Bits>(1U << number); }
@@ -35,6 +37,7 @@
   std::uint8_t exists = 0;
   std::uint8_t incarnation = 0;  // disks that were lost here before, and times it was put out of the set
   std::uint8_t epoch = 0;        // of the set that it adopted
+  std::uint8_t epochOnDisk = 0;  // the same, of its disk; else it is not told before it is written
   std::uint8_t holdsState = 0;   // it may vote
   std::uint8_t heldBefore = 0;   // it held state in the set before, so that others may read from it
   Bits promised = 0;             // the claims that hold the key, as far as it knows
@@ -124,7 +127,34 @@
 
 Holder holderOf(std::size_t claimer) { return {{"c" + std::to_string(claimer)}, {1}, {claimer + 1}}; }
 
-Address addressOf(std::size_t process) { return {"p" + std::to_string(process)}; }
+VoterId voterId(std::size_t process, std::uint8_t incarnation) {
+  return {{std::string(1, static_cast<char>('0' + process))}, {incarnation + 1U}};
+}
+std::size_t processOf(const VoterId& voter) { return static_cast<std::size_t>(voter.at.value.front() - '0'); }
+
+VoterSet voterSetOf(const Set& set, std::size_t epoch) {
+  VoterSet result;
+  result.epoch = {epoch};
+  result.previousSize = set.previousSize;
+  for (std::size_t p = 0; p < kProcesses; ++p) {
+    if (!has(set.voters, p)) continue;
+    result.voters.push_back(voterId(p, set.incarnation[p]));
+    if (has(set.readers, p)) result.readers.push_back(result.voters.back());
+  }
+  return result;
+}
+
+Set packed(const VoterSet& set) {
+  Set result;
+  result.previousSize = static_cast<std::uint8_t>(set.previousSize);
+  for (const VoterId& voter : set.voters) {
+    const std::size_t p = processOf(voter);
+    add(result.voters, bit(p));
+    if (set.mustRead(voter)) add(result.readers, bit(p));
+    result.incarnation[p] = static_cast<std::uint8_t>(voter.incarnation.value - 1);
+  }
+  return result;
+}
 
 /// What a voter has promised of the key, in the mesh's own class.
 Promises promisesOf(Bits promised) {
@@ -137,7 +167,7 @@
 
 Bits bitsOf(const Promises& promises) {
   Bits bits = 0;
-  for (const auto& [key, promise] : promises.all()) add(bits, bit(promise.holder.no.value - 1));
+  for (const Holder& holder : promises.holders(kKey)) add(bits, bit(holder.no.value - 1));
   return bits;
 }
 
@@ -155,23 +185,24 @@
     Set& set = state.sets[1];
     for (std::size_t p = 0; p < search_.voters; ++p) {
       add(set.voters, bit(p));
-      state.processes[p].epoch = 1;
+      state.processes[p].epoch = state.processes[p].epochOnDisk = 1;
       state.processes[p].holdsState = 1;
     }
     for (std::size_t p = 0; p < search_.voters + search_.standbys; ++p) state.processes[p].exists = 1;
     set.previousSize = static_cast<std::uint8_t>(search_.voters);
     for (std::size_t c = search_.claimers; c < kClaimers; ++c) state.claimers[c] = {Work::over, 0, 0};
     for (std::size_t c = 0; c < search_.claimers; ++c) ask(state, c);
-    for (std::size_t p = 0; search_.won && p < quorum_; ++p) {
-      Process& voter = state.processes[p];
-      voter.promised = voter.onDisk = bit(0);
-      voter.inFlight[0] = 0;
-      count(state, p, 0, 1);
-    }
+    for (std::size_t p = 0; search_.won && p < quorum_; ++p) voteAtBeginning(state, p, 1);
+    if (search_.wonUnheard) winUnheard(state);
     return state;
   }
 
-  static bool broken(const State& state) {
+  bool broken(const State& state) const {
+    if (search_.wonInEpoch != 0) {
+      return std::any_of(state.claimers.begin(), state.claimers.end(), [&](const Claimer& claimer) {
+        return claimer.work == Work::won && claimer.epoch == search_.wonInEpoch;
+      });
+    }
     std::size_t running = 0;
     for (const Claimer& claimer : state.claimers)
       running += claimer.work == Work::won || claimer.work == Work::freedButMayRun;
@@ -244,8 +275,8 @@
     const auto epoch = [](std::size_t e) { return "the set of epoch " + std::to_string(e); };
     switch (step.kind) {
       case Kind::votes:
-        return process(step.a) + " votes for " + claim(step.b) + " in epoch " +
-               std::to_string(before.processes[step.a].epoch);
+        return process(step.a) + " votes for " + claim(step.b % kClaimers) + " in epoch " +
+               std::to_string(step.b / kClaimers);
       case Kind::syncs:
         return process(step.a) + " writes, and tells its votes";
       case Kind::releases:
@@ -305,22 +336,85 @@
     }
   }
 
-  /// A vote of that epoch arrives; the claims' own class says whether the claim is won.
-  void count(State& state, std::size_t p, std::size_t c, std::size_t /*epoch*/) const {
+  void voteAtBeginning(State& state, std::size_t p, std::size_t epoch) const {
+    state.processes[p].promised = state.processes[p].onDisk = bit(0);
+    state.processes[p].inFlight[0] = 0;
+    count(state, p, 0, epoch);
+  }
+
+  /// The first standby took the place of the first voter, which has not heard of it yet; all others have, and
+  /// as many of them as make a majority gave the first claimer their votes in that epoch.
+  void winUnheard(State& state) const {
+    const std::size_t joiner = search_.voters;
+    const VoterSet set = voterSetOf(state.sets[1], 1);
+    state.sets[2] = packed(withReplacement(set, identityOf(state, 0), identityOf(state, joiner)));
+    state.newest = 2;
+    for (std::size_t p = 1; p <= joiner; ++p) {
+      state.processes[p].epoch = state.processes[p].epochOnDisk = 2;
+      state.processes[p].holdsState = 1;
+    }
+    learn(state, 0, 2);
+    for (std::size_t p = joiner; p > joiner - quorum_; --p) voteAtBeginning(state, p, 2);
+  }
+
+  /// The set in which a claimer counts.
+  VoterSet electorateOf(const State& state, std::size_t c) const {
+    const Claimer& claimer = state.claimers[c];
+    VoterSet set = voterSetOf(state.sets[claimer.epoch], claimer.epoch);
+    if (flaw_ == Flaw::setsWithoutOverlap) {
+      // Whoever votes counts towards a majority of the founders' number.
+      std::stable_partition(set.voters.begin(), set.voters.end(),
+                            [&](const VoterId& voter) { return has(claimer.votes, processOf(voter)); });
+      set.voters.resize(search_.voters);
+    }
+    return set;
+  }
+
+  /// A vote of that epoch arrives; the claims' own class says whether it counts and the claim is won.
+  void count(State& state, std::size_t p, std::size_t c, std::size_t epoch) const {
     Claimer& claimer = state.claimers[c];
     if (claimer.work != Work::claiming) return;
+    const Bits before = claimer.votes;
+    const VoterId voter = voterId(p, state.processes[p].incarnation);
+    if (flaw_ == Flaw::setsWithoutOverlap) add(claimer.votes, bit(p));
+    const VoterSet set = electorateOf(state, c);
     Claims claims;
-    claims.electorate(search_.voters, quorum_);
-    claims.reach(search_.voters);
+    claims.electorate(set);
     const ClaimNo no = claims.open(kNow, kKey, kNow + 1s);
-    for (std::size_t other = 0; other < kProcesses; ++other) {
-      if (has(claimer.votes, other)) claims.vote(addressOf(other), no, true, std::nullopt);
+    for (const VoterId& earlier : set.voters) {
+      if (has(before, processOf(earlier))) claims.vote(earlier, set.epoch, no, true, std::nullopt);
     }
-    add(claimer.votes, bit(p));
-    const auto ended = claims.vote(addressOf(p), no, true, std::nullopt);
-    if (!ended) return;
-    claimer.work = Work::won;
-    leaveNothingInFlight(state, c);
+    const auto ended = claims.vote(voter, {epoch}, no, true, std::nullopt);
+    if (ended && ended->won) {
+      claimer.work = Work::won;
+      leaveNothingInFlight(state, c);
+      if (search_.wonInEpoch != 0) claimer.epoch = static_cast<std::uint8_t>(epoch);
+    } else if (claims.without(voter).empty()) {
+      add(claimer.votes, bit(p));
+    }
+  }
+
+  /// A claimer learns a newer set; the claims' own class says which votes it still counts.
+  void learn(State& state, std::size_t c, std::size_t epoch) const {
+    Claimer& claimer = state.claimers[c];
+    const VoterSet before = electorateOf(state, c);
+    const VoterSet after = voterSetOf(state.sets[epoch], epoch);
+    Claims claims;
+    claims.electorate(before);
+    const ClaimNo no = claims.open(kNow, kKey, kNow + 1s);
+    for (const VoterId& voter : before.voters) {
+      if (has(claimer.votes, processOf(voter))) claims.vote(voter, before.epoch, no, true, std::nullopt);
+    }
+    claims.electorate(after);
+    Bits kept = 0;
+    for (const VoterId& voter : after.voters) {
+      const bool mixed = flaw_ == Flaw::epochsMixed && before.find(voter.at) != nullptr;
+      if (claims.without(voter).empty() || (mixed && has(claimer.votes, processOf(voter))))
+        add(kept, bit(processOf(voter)));
+    }
+    claimer.epoch = static_cast<std::uint8_t>(epoch);
+    claimer.votes = kept;
+    ask(state, c);
   }
 
   /// Of a claim that has ended nothing is told but its release. Claims that are still on their way could only
@@ -349,9 +443,7 @@
     if (claimer.work == Work::claiming) {
       for (std::size_t e = claimer.epoch + 1U; e <= state.newest; ++e) {
         step(Kind::learns, c, e, [&](State& next) {
-          next.claimers[c].epoch = static_cast<std::uint8_t>(e);
-          next.claimers[c].votes = 0;
-          ask(next, c);
+          learn(next, c, e);
           return true;
         });
       }
@@ -376,25 +468,30 @@
   void processSteps(const State& state, std::size_t p, Take&& step) const {
     const Process& process = state.processes[p];
     for (std::size_t c = 0; c < kClaimers; ++c) {
-      if (has(process.inFlight[c], process.epoch) && mayVote(state, p)) {
-        step(Kind::votes, p, c, [&](State& next) { return vote(next, p, c); });
+      for (std::size_t e = 1; e <= process.epoch; ++e) {
+        if (!has(process.inFlight[c], e) || !mayVote(state, p, e)) continue;
+        step(Kind::votes, p, c + kClaimers * e, [&](State& next) { return vote(next, p, c, e); });
       }
       if ((process.inFlight[c] & kRelease) != 0) {
         step(Kind::releases, p, c, [&](State& next) {
           Process& voter = next.processes[p];
           voter.inFlight[c] = 0;
           Promises promises = promisesOf(voter.promised);
-          if (promises.giveBack(kKey, holderOf(c))) voter.promised = bitsOf(promises);
+          if (promises.giveBack(kKey, holderOf(c)))
+            voter.promised = flaw_ == Flaw::releaseFreesKey ? Bits{0} : bitsOf(promises);
           if (!writesApart()) voter.onDisk = voter.promised;
           return true;
         });
       }
     }
-    const bool dirty = process.promised != process.onDisk || process.owedVotes != 0;
+    const bool dirty =
+        process.promised != process.onDisk || process.owedVotes != 0 || process.epoch != process.epochOnDisk;
+    const bool isReading = process.epoch > 0 && !process.holdsState;
     if (writesApart() && dirty) {
       step(Kind::syncs, p, 0, [&](State& next) {
         Process& voter = next.processes[p];
         voter.onDisk = voter.promised;
+        voter.epochOnDisk = voter.epoch;
         const Bits owed = std::exchange(voter.owedVotes, Bits{0});
         for (std::size_t c = 0; c < kClaimers; ++c) {
           if (has(owed, c)) count(next, p, c, voter.epoch);
@@ -402,12 +499,15 @@
         return true;
       });
     }
-    if (dirty && state.powerLosses < search_.powerLosses) {
+    if ((dirty || isReading) && state.powerLosses < search_.powerLosses) {
       step(Kind::losesPower, p, 0, [&](State& next) {
         Process& voter = next.processes[p];
         ++next.powerLosses;
         voter.promised = voter.onDisk;
         voter.owedVotes = 0;
+        voter.epoch = voter.epochOnDisk;
+        voter.readFrom = 0;  // what it had read is lost, too
+        if (flaw_ == Flaw::restartForgetsReading) voter.holdsState = 1;
         askAgain(next, p);
         return true;
       });
@@ -421,22 +521,23 @@
     }
   }
 
-  bool mayVote(const State& state, std::size_t p) const {
+  bool mayVote(const State& state, std::size_t p, std::size_t epoch) const {
     const Process& process = state.processes[p];
-    if (process.epoch == 0 || !isVoter(state, p, process.epoch)) return false;
+    if (!isVoter(state, p, epoch)) return false;
+    if (epoch != process.epoch && flaw_ != Flaw::votesInPastEpochs) return false;
     return process.holdsState || flaw_ == Flaw::votesBeforeReading;
   }
 
   /// A claim reaches a voter of its epoch. False: the key has another holder.
-  bool vote(State& state, std::size_t p, std::size_t c) const {
+  bool vote(State& state, std::size_t p, std::size_t c, std::size_t epoch) const {
     Process& voter = state.processes[p];
     Promises promises = promisesOf(voter.promised);
     if (promises.claim(kNow, kKey, holderOf(c)) != holderOf(c)) return false;
     voter.promised = bitsOf(promises);
-    voter.inFlight[c] = 0;
+    remove(voter.inFlight[c], static_cast<Bits>((2U << epoch) - 1U));  // earlier ones came before it
     if (!writesApart()) voter.onDisk = voter.promised;
     if (!writesApart() || flaw_ == Flaw::voteBeforeSync) {
-      count(state, p, c, voter.epoch);
+      count(state, p, c, epoch);
     } else {
       add(voter.owedVotes, bit(c));
     }
@@ -449,8 +550,8 @@
     process = {};
     process.exists = 1;
     process.incarnation = before.incarnation;
-    if (flaw_ == Flaw::catchesUpInPlace) {
-      process.epoch = before.epoch;
+    if (flaw_ == Flaw::incarnationsMixed) {
+      process.epoch = process.epochOnDisk = before.epoch;  // and it reads, and votes, as who it was
     } else {
       ++process.incarnation;
     }
@@ -461,7 +562,12 @@
   void recoverySteps(const State& state, std::size_t p, Take&& step) const {
     const Process& reader = state.processes[p];
     for (std::size_t e = reader.epoch + 1U; e <= state.newest; ++e) {
-      if (isVoter(state, p, e)) step(Kind::adopts, p, e, [&](State& next) { return adopt(next, p, e); });
+      const bool stays = isVoter(state, p, e);
+      if (!stays && !(search_.rejoins && isVoter(state, p, reader.epoch))) continue;
+      step(Kind::adopts, p, e, [&](State& next) {
+        stays ? adopt(next, p, e) : putOut(next, p, e);
+        return true;
+      });
     }
     if (reader.epoch == 0 || reader.holdsState || !isVoter(state, p, reader.epoch)) return;
     for (std::size_t other = 0; other < kProcesses; ++other) {
@@ -470,14 +576,35 @@
     }
   }
 
-  bool adopt(State& state, std::size_t p, std::size_t epoch) const {
+  void adopt(State& state, std::size_t p, std::size_t epoch) const {
     Process& process = state.processes[p];
+    const bool skips = process.epoch != 0 && process.epoch + 1U < epoch;
+    const bool held = process.holdsState;
     process.epoch = static_cast<std::uint8_t>(epoch);
-    process.owedVotes = 0;
-    process.heldBefore = process.holdsState;
+    if (flaw_ != Flaw::fenceBeforeSync) process.epochOnDisk = process.epoch;
+    process.owedVotes = 0;  // told late they would be of an epoch in which it votes no more
+    process.heldBefore = 0;
     process.readFrom = 0;
-    if (has(state.sets[epoch].readers, p)) process.holdsState = 0;
-    return true;
+    const Set& set = state.sets[epoch];
+    const bool shrank = size(set.voters) < set.previousSize;
+    bool reads = has(set.readers, p);
+    if (shrank && flaw_ == Flaw::shrinksWithoutReading) reads = false;
+    // Guards against a process that was put out and joined again in sets that it never heard of.
+    if (skips && flaw_ != Flaw::skipsEpochsUnread) reads = true;
+    if (!reads) return;
+    process.holdsState = 0;
+    process.heldBefore = shrank && held && !skips;
+  }
+
+  /// It learns that it was put out: it forgets what it promised, and may join under another incarnation.
+  void putOut(State& state, std::size_t p, std::size_t epoch) const {
+    Process& process = state.processes[p];
+    const std::uint8_t incarnation = process.incarnation;
+    process = {};
+    process.exists = 1;
+    process.incarnation = static_cast<std::uint8_t>(incarnation + 1);
+    process.epoch = process.epochOnDisk = static_cast<std::uint8_t>(epoch);
+    askAgain(state, p);
   }
 
   bool readable(const State& state, std::size_t p, std::size_t other) const {
@@ -485,20 +612,23 @@
     const Process& from = state.processes[other];
     if (!isVoter(state, other, reader.epoch)) return false;
     if (from.epoch < reader.epoch && flaw_ != Flaw::readsBeforeFence) return false;
-    return from.holdsState || from.heldBefore || flaw_ == Flaw::readsFromUnread;
+    if (flaw_ == Flaw::readsFromUnread) return true;
+    return from.holdsState || from.heldBefore;
   }
 
   bool read(State& state, std::size_t p, std::size_t other) const {
     Process& reader = state.processes[p];
     Promises promises = promisesOf(reader.promised);
     for (std::size_t c = 0; c < kClaimers; ++c) {
-      if (has(state.processes[other].promised, c)) promises.learn(kNow, kKey, holderOf(c));
+      if (!has(state.processes[other].promised, c)) continue;
+      if (flaw_ == Flaw::firstHolderOnly && !promises.all().empty()) continue;
+      promises.learn(kNow, kKey, holderOf(c));
     }
     reader.promised = bitsOf(promises);
     add(reader.readFrom, bit(other));
     const std::size_t own = reader.heldBefore ? 1 : 0;
-    const std::size_t enough = state.sets[reader.epoch].previousSize / 2U + 1U;
-    if (size(reader.readFrom) + own >= enough) {
+    const VoterSet set = voterSetOf(state.sets[reader.epoch], reader.epoch);
+    if (size(reader.readFrom) + own >= set.readQuorum()) {
       reader.holdsState = 1;
       reader.heldBefore = 0;
       reader.readFrom = 0;
@@ -514,16 +644,48 @@
         if (state.processes[p].exists && !has(state.sets[1].voters, p)) {
           step(Kind::joinsBeside, p, 0, [&](State& next) {
             add(next.sets[1].voters, bit(p));
-            next.processes[p].epoch = 1;
+            next.processes[p].epoch = next.processes[p].epochOnDisk = 1;
             askAgain(next, p);
             return true;
           });
         }
       }
     }
-    if (flaw_ == Flaw::catchesUpInPlace || flaw_ == Flaw::setsWithoutOverlap) return;
     if (state.newest > search_.changes || !canDecide(state)) return;
-    // Sets that follow come with the model of the changes.
+    const VoterSet set = voterSetOf(state.sets[state.newest], state.newest);
+    const auto decide = [&](Kind kind, std::size_t a, std::size_t b, const VoterSet& follows) {
+      step(kind, a, b, [&](State& next) {
+        if (!isSingleStep(set, follows)) return false;
+        ++next.newest;
+        next.sets[next.newest] = packed(follows);
+        return true;
+      });
+    };
+    for (const VoterId& voter : set.voters) {
+      const std::size_t p = processOf(voter);
+      const bool lost = !isVoter(state, p, state.newest);
+      if (lost) decide(Kind::replaces, p, p, withReplacement(set, voter, identityOf(state, p)));
+      for (std::size_t q = 0; q < kProcesses; ++q) {
+        if ((lost || search_.silentReplaced) && isStandby(state, q))
+          decide(Kind::replaces, q, p, withReplacement(set, voter, identityOf(state, q)));
+      }
+      if (search_.removals && set.voters.size() > kFewestVoters)
+        decide(Kind::leaves, p, p, withoutVoter(set, voter));
+    }
+    for (std::size_t q = 0; q < kProcesses; ++q) {
+      if (search_.joins && isStandby(state, q))
+        decide(Kind::joins, q, q, withVoter(set, identityOf(state, q)));
+    }
+  }
+
+  static VoterId identityOf(const State& state, std::size_t p) {
+    return voterId(p, state.processes[p].incarnation);
+  }
+
+  bool isStandby(const State& state, std::size_t p) const {
+    if (!state.processes[p].exists || has(state.sets[state.newest].voters, p)) return false;
+    const auto was = [&](const Set& set) { return has(set.voters, p); };
+    return search_.rejoins || std::none_of(state.sets.begin(), state.sets.end(), was);
   }
 
   bool canDecide(const State& state) const {
@@ -541,7 +703,8 @@
     std::array<std::uint64_t, kProcesses> alone{};
     for (std::size_t p = 0; p < kProcesses; ++p) {
       const Process& it = state.processes[p];
-      alone[p] = hashed(it.exists, it.incarnation, it.epoch, it.holdsState, it.heldBefore, size(it.readFrom));
+      alone[p] = hashed(it.exists, it.incarnation, it.epoch, it.epochOnDisk, it.holdsState, it.heldBefore,
+                        size(it.readFrom));
       for (const Set& set : state.sets)
         alone[p] = hashed(alone[p], has(set.voters, p), has(set.readers, p), set.incarnation[p]);
     }
--- a/tests/explorer_test.cpp
+++ b/tests/explorer_test.cpp
@@ -25,40 +25,142 @@
   CHECK_FALSE(explore({Flaw::none, 3, 13, 0, 0, true}).trail);
 }
 
-// The protocol without epochs and incarnations.
+namespace {
 
-TEST_CASE("a voter that loses its disk and catches up as who it was lets a key run twice") {
-  using namespace lab::mesh;
+using lab::mesh::VoterSetFlaw;
+using lab::mesh::VoterSetSearch;
+
+/// Five voters, one lost disk, one change of the set; all states of the sound protocol within reach.
+VoterSetSearch oneReplacement() {
   VoterSetSearch search;
-  search.flaw = VoterSetFlaw::catchesUpInPlace;
   search.wipes = 1;
-  // It reads from a majority before a claim that has its earlier vote reaches one of these.
-  const auto found = explore(search);
-  REQUIRE(found.trail);
-  CHECK(found.trail->size() == 10);
+  search.changes = 1;
+  search.depth = 30;
+  return search;
 }
 
-TEST_CASE("a voter that keeps only the first holder of a key it reads lets the key run twice") {
-  using namespace lab::mesh;
-  VoterSetSearch search;
-  search.flaw = VoterSetFlaw::catchesUpInPlace;
+/// Three voters of which two gave the first of three claimers their votes; claims are given up and released.
+VoterSetSearch lostClaims() {
+  VoterSetSearch search = oneReplacement();
   search.voters = 3;
   search.claimers = 3;
-  search.wipes = 1;
-  search.won = true;  // so that no earlier vote counts beside a later one
   search.releases = true;
-  const auto found = explore(search);
-  REQUIRE(found.trail);
-  CHECK(found.trail->size() == 5);
+  search.won = true;
+  return search;
 }
 
-TEST_CASE("a voter that joins beside the others under the same quorum lets a key run twice") {
-  using namespace lab::mesh;
+/// Three voters that may lose their power once.
+VoterSetSearch powerLost() {
+  VoterSetSearch search = oneReplacement();
+  search.voters = 3;
+  search.powerLosses = 1;
+  return search;
+}
+
+VoterSetSearch oneJoins() {
+  VoterSetSearch search = oneReplacement();
+  search.wipes = 0;
+  search.standbys = 1;
+  search.joins = true;
+  return search;
+}
+
+VoterSetSearch givenBack() {
+  VoterSetSearch search = oneReplacement();
+  search.voters = 3;
+  search.releases = true;
+  return search;
+}
+
+/// Two disks are lost after a claim was won.
+VoterSetSearch twoReplacements() {
+  VoterSetSearch search;
+  search.won = true;
+  search.depth = 18;
+  return search;
+}
+
+VoterSetSearch twoRemovals() {
+  VoterSetSearch search = twoReplacements();
+  search.wipes = 0;
+  search.removals = true;
+  search.depth = 14;
+  return search;
+}
+
+/// A voter that was put out, and does not know it, joins again while the next set follows.
+VoterSetSearch returnsUnheard() {
   VoterSetSearch search;
-  search.flaw = VoterSetFlaw::setsWithoutOverlap;
+  search.voters = 3;
   search.standbys = 1;
   search.wipes = 0;
-  const auto found = explore(search);
-  REQUIRE(found.trail);
-  CHECK(found.trail->size() == 10);
+  search.changes = 3;
+  search.silentReplaced = true;
+  search.rejoins = true;
+  search.wonUnheard = true;
+  search.depth = 9;
+  return search;
+}
+
+/// The sound protocol is not broken within the search, and the copy with the flaw is.
+void checkFound(VoterSetSearch search, VoterSetFlaw flaw, std::size_t steps) {
+  CHECK_FALSE(explore(search).trail);
+  search.flaw = flaw;
+  const auto broken = explore(search);
+  REQUIRE(broken.trail);
+  CHECK(broken.trail->size() == steps);
+}
+
+}  // namespace
+
+TEST_CASE("no order of claims and changes of five voters within reach runs a key twice") {
+  const auto all = explore(oneReplacement());
+  CHECK_FALSE(all.trail);
+  CHECK(all.exhausted);
+  CHECK(all.states > 5'000);
+  VoterSetSearch two;
+  two.depth = 15;
+  const auto deep = explore(two);
+  CHECK_FALSE(deep.trail);
+  CHECK(deep.states > 100'000);
+  // What it looks into is not idle: claims are won after two disks were lost and replaced.
+  two.wonInEpoch = 3;
+  CHECK(explore(two).trail);
+}
+
+TEST_CASE("a voter that loses its disk and votes on as who it was lets a key run twice") {
+  // It reads from a majority before a claim that has its earlier vote reaches one of these.
+  checkFound(oneReplacement(), VoterSetFlaw::incarnationsMixed, 10);
+}
+
+TEST_CASE("a voter that joins beside the others under the same quorum lets a key run twice") {
+  checkFound(oneJoins(), VoterSetFlaw::setsWithoutOverlap, 10);
+}
+
+TEST_CASE("a voter that loses one of a key's holders lets the key run twice") {
+  checkFound(lostClaims(), VoterSetFlaw::firstHolderOnly, 10);
+  checkFound(lostClaims(), VoterSetFlaw::releaseFreesKey, 14);
+}
+
+TEST_CASE("votes that are counted outside their epoch let a key run twice") {
+  checkFound(oneReplacement(), VoterSetFlaw::epochsMixed, 17);
+  checkFound(oneReplacement(), VoterSetFlaw::votesInPastEpochs, 16);
+}
+
+TEST_CASE("a voter that has not read what it must lets a key run twice") {
+  checkFound(oneReplacement(), VoterSetFlaw::readsBeforeFence, 15);
+  checkFound(oneReplacement(), VoterSetFlaw::votesBeforeReading, 12);
+  checkFound(twoReplacements(), VoterSetFlaw::readsFromUnread, 18);
+  checkFound(twoRemovals(), VoterSetFlaw::shrinksWithoutReading, 10);
+  checkFound(returnsUnheard(), VoterSetFlaw::skipsEpochsUnread, 9);
+}
+
+TEST_CASE("what is told before it is on disk lets a key run twice") {
+  checkFound(powerLost(), VoterSetFlaw::voteBeforeSync, 5);
+  checkFound(powerLost(), VoterSetFlaw::fenceBeforeSync, 17);
+  checkFound(powerLost(), VoterSetFlaw::restartForgetsReading, 14);
+}
+
+TEST_CASE("a claim that is given back while it may run lets a key run twice") {
+  checkFound(givenBack(), VoterSetFlaw::freedTooEarly, 6);
 }
