--- a/src/lab/mesh/emulated.hpp
+++ b/src/lab/mesh/emulated.hpp
@@ -41,7 +41,8 @@
 inline constexpr Span kLease = 1500ms;    // for which contact with a majority may be believed without proof
 inline constexpr Span kProbe = 700ms;     // between reads of an operator
 inline constexpr Span kSweep = 500ms;     // between looks at what every sidecar has in force
-inline constexpr int kTries = 60;         // of an operator, for one order
+inline constexpr Span kStarved = 10s;  // for which a fit server may get no request while its service has many
+inline constexpr int kTries = 60;      // of an operator, for one order
 inline constexpr Span kWallBase = std::chrono::hours(24 * 365 * 50);  // the time of day at the world's start
 
 class World {
@@ -126,6 +127,8 @@
       std::function<void(ForwardReply, std::uint32_t, std::uint64_t, std::shared_ptr<const void>)> reply;
     };
     std::map<std::uint64_t, Inside> asks;
+    Span fitSince{};  // its server could be given work all the time since
+    Span lastRun{};   // a request was at work there
   };
   struct Core {
     std::unique_ptr<ControlNode> control;
@@ -238,6 +241,7 @@
   void probe();
   void sweep();
   void sweep(std::size_t machine, const Floor& floor);
+  void sweepWork(std::size_t machine);
   void took(std::size_t machine, const json& word);
   void judgeAnswer(std::size_t machine, const Order& order, Span asked, Status status);
 
--- a/src/lab/mesh/world_requests.cpp
+++ b/src/lab/mesh/world_requests.cpp
@@ -175,6 +175,7 @@
       return ends(now_, AtServer::answered, {503, true, bytesOf(503, 0), 0});
     }
     const std::uint64_t seal = ++sealNo_;
+    side(machine).lastRun = now_;
     judge_.ran(now_, attempt, there.service, seal, there.drainAcked);
     Distribution work{Shape::lognormal, day_.work, 0.6};
     double takes = work.draw(clients_) * there.slow;
--- a/src/lab/mesh/world_watch.cpp
+++ b/src/lab/mesh/world_watch.cpp
@@ -3,6 +3,7 @@
 namespace rackroute::lab::mesh::emulated {
 namespace {
 
+constexpr double kManyPerSidecar = 2;  // requests in a second
 constexpr std::size_t kToldOnce = 40;  // breaks of one sweep's kind are told for so many places at most
 
 }  // namespace
@@ -54,6 +55,7 @@
 void World::sweep() {
   if (now_ >= end_) return;
   in(kSweep, [this] { sweep(); });
+  for (std::uint32_t i = 0; i < day_.sidecars; ++i) sweepWork(sideAt(i));
   if (!calm()) return;
   const Floor floor = ledger_.floorAt(now_ - kApply);
   for (std::uint32_t i = 0; i < day_.sidecars; ++i) sweep(sideAt(i), floor);
@@ -76,6 +78,23 @@
   }
 }
 
+// Guards against a mesh that forgets a server that is well, as when a restart's life number is below the
+// last.
+void World::sweepWork(std::size_t machine) {
+  Side& here = side(machine);
+  const Server& server = here.server;
+  const bool well =
+      server.up && !server.draining && server.slow <= 1 && server.loses <= 0 && server.spoils <= 0;
+  if (!well || !calm() || !inTouch(machine) || machines_[machine].leaving) {
+    here.fitSince = now_;
+    return;
+  }
+  const bool many = day_.perSecond >= kManyPerSidecar * day_.sidecars;
+  if (!many || now_ < std::max(here.fitSince, here.lastRun) + kStarved) return;
+  here.fitSince = now_;
+  judge_.failed(now_, "STARVED", "the server " + server.id + " got no request");
+}
+
 // Brute force over the subsets of at most a dozen machines.
 bool World::coreWorks() const {
   std::vector<std::size_t> working;
