Promise what surely did not run, and ask after requests whose connection broke

Cause: 502 or 504 was answered to requests that had reached no server: a key whose holder is gone, a repeat of a run without an answer, a dial still under way at the deadline, a forward whose connection broke before the whole request was written or whose reader refused it, a request that only waited and heard so too late, and every effectful request whose connection to the other sidecar broke. Change: these are told 503 with a time to come back. After a break the caller asks the same life of the other sidecar once what came of that forward (ForwardOutcomes, bounded in number, bytes and time awake): at work, it waits for the answer; ended, it gets it; never came, it is recorded, a late copy is turned away, and the request goes to another server or is refused. Another life, and word older than 10 s, is not believed. Tests changed: mesh_test.cpp said 502 for an effectful request at the break and for a dead holder's key. Both now are the new promises, with the cases beside them in which it must stay 502 or 504.

--- a/src/mesh/admission/admission.cpp
+++ b/src/mesh/admission/admission.cpp
@@ -17,6 +17,7 @@
 constexpr double kLateValue = 0.2;            // of its worth, for a request that can't keep its aim any more
 constexpr Span kClaimTime = 450ms;            // for a quorum's votes: a slow sync, or a large configuration
 constexpr Span kLeastLeft = 15ms;             // of a client's time; no server answers in less
+constexpr Span kTellBack = 40ms;              // before that time is over, for word that it did not run
 constexpr double kRunShare = 0.1;             // of the newest run in the mean
 constexpr Span kNoteSpare = 10s;              // beyond the window that an operation's end is remembered
 constexpr std::size_t kMostLengths = 10'000;  // routes whose lengths are remembered
@@ -27,6 +28,9 @@
   return std::chrono::duration_cast<Span>(std::chrono::duration<double>(seconds));
 }
 
+// Guards against a request that only waited, whose caller hears so too late to promise that it did not run.
+Span tellBack(Span left) { return std::max(kLeastLeft, std::min(kTellBack, left / 4)); }
+
 }  // namespace
 
 Admission::Admission(Built built) : built_(std::move(built)), newsLife_(built_.life) {}
@@ -198,7 +202,7 @@
           answer(told);
           return acts;
         case Past::working:
-          past->second.waiters.emplace_back(no, now + ask.left - kLeastLeft);
+          past->second.waiters.emplace_back(no, now + ask.left - tellBack(ask.left));
           awaited_.insert(*print);
           return acts;
       }
@@ -234,7 +238,7 @@
   job.deadline = now + ask.left;
   job.key = print;
   const Span patience =
-      std::min(ask.left - kLeastLeft,
+      std::min(ask.left - tellBack(ask.left),
                std::max<Span>(kLeastWait, std::chrono::duration_cast<Span>(ask.aim * kWaitPart)));
   job.startBy = now + patience;
   job.length = lengthOf(ask);
@@ -393,6 +397,7 @@
     AdmissionAction act{AdmissionAction::Kind::answer, no};
     act.told = toldOf(now, how == AtServer::answered ? Verdict::ran : Verdict::unknown, server);
     act.bytes = how == AtServer::answered ? answer.bytes : nullptr;
+    act.size = how == AtServer::answered ? answer.size : 0;
     acts.push_back(std::move(act));
     if (job.key)
       endOperation(now, *job.key, how == AtServer::answered ? Past::answered : Past::unknown, answer, acts);
--- a/src/mesh/admission/admission.hpp
+++ b/src/mesh/admission/admission.hpp
@@ -22,8 +22,6 @@
 
 namespace rackroute::mesh {
 
-using AskNo = Id<struct AskTag, std::uint64_t>;  // one request that came from another process
-
 /// What a server says in a beat, or with its sign-off.
 struct Beat {
   InstanceId id;
@@ -59,6 +57,7 @@
   Span left{};                          // run: until its client gives up
   ForwardReply told{};                  // answer
   std::shared_ptr<const void> bytes{};  // answer: the server's, if there is one
+  std::size_t size = 0;                 // answer: of the bytes, as memory
   KeyPrint key{};                       // claim, giveBack
   ClaimNo claim{};                      // claim, giveBack
   Served served{};                      // tell
--- a/src/mesh/balancing/server_pool.cpp
+++ b/src/mesh/balancing/server_pool.cpp
@@ -141,7 +141,7 @@
   }
   ++chosen->mine;
   if (chosen->out) chosen->onTrial = true;
-  return Picked{chosen->told.id, chosen->told.at};
+  return Picked{chosen->told.id, chosen->told.at, chosen->told.life};
 }
 
 void ServerPool::failed(Span now, Server& server, Group& group) {
--- a/src/mesh/balancing/server_pool.hpp
+++ b/src/mesh/balancing/server_pool.hpp
@@ -37,6 +37,7 @@
 struct Picked {
   InstanceId id;
   Address at;
+  LifeNo life;  // of the process there
 };
 
 class ServerPool {
--- a/src/mesh/forwarding/forwarding.cpp
+++ b/src/mesh/forwarding/forwarding.cpp
@@ -1,11 +1,15 @@
 #include "mesh/forwarding/forwarding.hpp"
 
 #include <charconv>
+#include <string>
 #include <vector>
 
 namespace rackroute::mesh {
 namespace {
 
+constexpr std::size_t kFields = 9;         // of a request
+constexpr std::size_t kFieldsWithId = 12;  // of one whose outcome may be asked
+
 std::vector<std::string_view> fieldsOf(std::string_view text) {
   std::vector<std::string_view> fields;
   for (;;) {
@@ -29,12 +33,15 @@
          std::to_string(ask.left / std::chrono::milliseconds(1)) + ';' +
          std::to_string(ask.aim / std::chrono::milliseconds(1)) + ';' + std::to_string(ask.priority) + ';' +
          std::to_string(static_cast<int>(ask.kind)) + ';' + ask.route + ';' +
-         (ask.holder ? std::to_string(ask.holder->value) : std::string());
+         (ask.holder ? std::to_string(ask.holder->value) : std::string()) +
+         (ask.id ? ';' + std::to_string(ask.id->origin) + ';' + std::to_string(ask.id->number) + ';' +
+                       (ask.outcomeOf ? std::to_string(ask.outcomeOf->value) : std::string())
+                 : std::string());
 }
 
 std::optional<ForwardRequest> askFrom(std::string_view text) {
   const auto fields = fieldsOf(text);
-  if (fields.size() != 9) return std::nullopt;
+  if (fields.size() != kFields && fields.size() != kFieldsWithId) return std::nullopt;
   ForwardRequest ask;
   ask.instance = {std::string(fields[0])};
   ask.service = {std::string(fields[1])};
@@ -54,6 +61,14 @@
     if (!read(fields[8], life.value)) return std::nullopt;
     ask.holder = life;
   }
+  if (fields.size() == kFieldsWithId) {
+    ForwardId id;
+    if (!read(fields[9], id.origin) || !read(fields[10], id.number)) return std::nullopt;
+    ask.id = id;
+    LifeNo life;
+    if (!fields[11].empty() && !read(fields[11], life.value)) return std::nullopt;
+    if (!fields[11].empty()) ask.outcomeOf = life;
+  }
   return ask;
 }
 
--- a/src/mesh/forwarding/forwarding.hpp
+++ b/src/mesh/forwarding/forwarding.hpp
@@ -22,6 +22,19 @@
 inline constexpr std::string_view kOperation = "Rackroute-Operation-Key";
 inline constexpr std::string_view kNotRun = "Rackroute-Not-Run";
 
+using AskNo = Id<struct AskTag, std::uint64_t>;  // one request that came from another process
+
+/// One forward of a request that may run at most once, unlike any other in the mesh.
+struct ForwardId {
+  std::uint64_t origin = 0;  // of the sending life; drawn
+  std::uint64_t number = 0;  // counts its forwards
+  auto operator<=>(const ForwardId&) const = default;
+};
+
+/// How long after a forward was sent the word that it never came may be believed, by the sender's clock. The
+/// receiver remembers each forward for twice as long after its end: it cannot have come and been forgotten.
+inline constexpr Span kOutcomeTrust = std::chrono::seconds(10);
+
 /// What the caller's process asks of the server's.
 struct ForwardRequest {
   InstanceId instance;
@@ -31,8 +44,10 @@
   Span aim{};          // left of the time within which it earns its full worth
   std::uint32_t priority = 0;
   RouteKind kind = RouteKind::effectful;
-  std::string route;             // its name: work of one kind, as far as its length goes
-  std::optional<LifeNo> holder;  // set: only for the answer of the operation that this life holds
+  std::string route;                // its name: work of one kind, as far as its length goes
+  std::optional<LifeNo> holder;     // set: only for the answer of the operation that this life holds
+  std::optional<ForwardId> id;      // set: what came of it may be asked
+  std::optional<LifeNo> outcomeOf;  // set: no request, but the question what came of `id`, sent to this life
 };
 
 enum class Verdict {
@@ -45,6 +60,7 @@
   voteless,     // not sent: no quorum for its key
   held,         // not sent: another claim holds its key
   atWork,       // the first of its key is still at work
+  neverCame,    // it had not come when it was asked after; should it come, it is turned away
   unknown,      // it may have run, and no answer came
 };
 
--- a/src/mesh/routing/request_router.cpp
+++ b/src/mesh/routing/request_router.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cassert>
+#include <functional>
 #include <utility>
 
 namespace rackroute::mesh {
@@ -15,9 +16,11 @@
 constexpr Span kLeastComeBack = 50ms;          // for a client that is turned away; a queue's shortest time
 constexpr Span kMostComeBack = 400ms;          // clients heed a third of what time they have
 constexpr Span kNoServers = 300ms;             // to come back when none is known; news takes about that long
+constexpr Span kHolderGone = 1s;               // to come back when an earlier run's outcome is not known
 constexpr double kHedgeMean = 3;               // times the mean answer, before another server is asked too
 constexpr double kHedgeAim = 0.5;              // of the aim, before which no other server is asked
 constexpr double kAnswerShare = 0.05;          // of the newest answer in the mean
+constexpr std::uint64_t kSpread = 0x9e3779b97f4a7c15;  // 2^64 / golden ratio, odd: keeps lives apart
 constexpr std::uint32_t kTimeout = 504;
 constexpr std::uint32_t kFailed = 502;
 constexpr std::uint32_t kBusy = 503;
@@ -28,7 +31,9 @@
     : built_(std::move(built)),
       pool_(built_.zone, built_.node, built_.seed),
       chance_(built_.seed + 1),
-      processes_(kProcessesUntold) {}
+      processes_(kProcessesUntold),
+      // The seed alone may be made of the node's name, which an exclusive or would take out again.
+      origin_(built_.seed * kSpread + std::hash<std::string>{}(built_.node.value)) {}
 
 void RequestRouter::processes(std::size_t count) {
   processes_ = std::max<std::size_t>(count, 1);
@@ -76,7 +81,7 @@
   if (!picked) return false;
   call.been.insert(picked->id);
   const TryNo sent{++tries_};
-  call.out[sent] = {picked->id, false};
+  call.out[sent] = {Try::Kind::request, picked->id, picked->at, picked->life, now};
   RoutingAction act{RoutingAction::Kind::send, no, sent};
   act.at = picked->at;
   act.ask.instance = picked->id;
@@ -87,10 +92,92 @@
   act.ask.priority = call.route->priority;
   act.ask.kind = call.route->kind;
   act.ask.route = call.route->name;
+  if (call.route->kind == RouteKind::effectful) act.ask.id = ForwardId{origin_, sent.value};
   acts.push_back(std::move(act));
   return true;
 }
 
+// What a request's end says of the server.
+void RequestRouter::learn(Span now, const Try& tried, ForwardResult how, const ForwardReply& told,
+                          std::uint32_t status) {
+  Ending ending = Ending::failed;
+  switch (how == ForwardResult::told ? told.verdict : Verdict::unknown) {
+    case Verdict::ran:
+      ending = status >= 500 && !told.repeated ? Ending::erred : Ending::served;
+      break;
+    case Verdict::turnedAway:
+    case Verdict::full:
+    case Verdict::held:
+    case Verdict::atWork:
+    case Verdict::neverCame:
+      ending = Ending::full;
+      break;
+    case Verdict::leaving:
+      ending = Ending::leaving;
+      break;
+    case Verdict::strange:
+      ending = Ending::strange;
+      break;
+    case Verdict::voteless:
+      ending = Ending::voteless;
+      break;
+    case Verdict::unreachable:
+    case Verdict::unknown:
+      ending = how == ForwardResult::told ? Ending::failed : Ending::wayFailed;
+      break;
+  }
+  pool_.ended(now, tried.instance, ending, told.load);
+}
+
+// The answer of an operation lies with the process that holds its key, if that one still lives.
+void RequestRouter::askHolder(Span now, CallNo no, Call& call, const Holder& holder, RoutingActions& acts) {
+  const TryNo next{++tries_};
+  call.out[next] = {Try::Kind::holder, {}, holder.at, holder.life, now};
+  RoutingAction act{RoutingAction::Kind::send, no, next};
+  act.at = holder.at;
+  act.ask.service = call.service;
+  act.ask.caller = built_.service;
+  act.ask.left = call.deadline - now;
+  act.ask.kind = call.route->kind;
+  act.ask.priority = call.route->priority;
+  act.ask.holder = holder.life;
+  acts.push_back(std::move(act));
+}
+
+// Once, after a connection broke with a request on it that must not be sent again on a guess. The same life
+// of the other process knows whether it came; if it did not, a late copy is turned away there.
+bool RequestRouter::askOutcome(Span now, CallNo no, Call& call, TryNo sent, const Try& broken,
+                               RoutingActions& acts) {
+  const bool asks = call.route->kind == RouteKind::effectful && broken.kind == Try::Kind::request;
+  if (!asks || call.deadline - now < kLeastLeft) return false;
+  const TryNo next{++tries_};
+  call.out[next] = broken;
+  call.out[next].kind = Try::Kind::outcome;
+  RoutingAction act{RoutingAction::Kind::send, no, next};
+  act.at = broken.at;
+  act.ask.instance = broken.instance;
+  act.ask.service = call.service;
+  act.ask.caller = built_.service;
+  act.ask.left = call.deadline - now;
+  act.ask.kind = call.route->kind;
+  act.ask.priority = call.route->priority;
+  act.ask.id = ForwardId{origin_, sent.value};
+  act.ask.outcomeOf = broken.life;
+  acts.push_back(std::move(act));
+  return true;
+}
+
+// An earlier run of the operation ended with no answer. Whether that one ran nobody knows, but this request
+// did not, unless a copy of it went another way.
+void RequestRouter::earlierRunUnknown(CallNo no, const Call& call, RoutingActions& acts) {
+  if (call.mayHaveRun) {
+    answer(no, kFailed, Span{0}, acts);
+  } else {
+    answer(no, kBusy, kHolderGone, acts);
+  }
+  calls_.erase(no);
+}
+
 RoutingActions RequestRouter::forwarded(Span now, CallNo no, TryNo sent, ForwardResult how,
                                         const ForwardReply& told, std::uint32_t status,
                                         std::shared_ptr<const void> bytes) {
@@ -100,38 +187,13 @@
   Call& call = found->second;
   const Try tried = call.out.at(sent);
   call.out.erase(sent);
-  const Verdict verdict = how == ForwardResult::told ? told.verdict : Verdict::unknown;
+  Verdict verdict = how == ForwardResult::told ? told.verdict : Verdict::unknown;
+  // Word that it never came is believed only while the other process surely remembers what came.
+  const bool trusted = tried.kind == Try::Kind::outcome && now - tried.sentAt < kOutcomeTrust;
+  if (verdict == Verdict::neverCame && !trusted) verdict = Verdict::unknown;
   const bool pure = call.route->kind == RouteKind::pure;
 
-  // What it says of the server.
-  if (!tried.asking) {
-    Ending ending = Ending::failed;
-    switch (verdict) {
-      case Verdict::ran:
-        ending = status >= 500 && !told.repeated ? Ending::erred : Ending::served;
-        break;
-      case Verdict::turnedAway:
-      case Verdict::full:
-      case Verdict::held:
-      case Verdict::atWork:
-        ending = Ending::full;
-        break;
-      case Verdict::leaving:
-        ending = Ending::leaving;
-        break;
-      case Verdict::strange:
-        ending = Ending::strange;
-        break;
-      case Verdict::voteless:
-        ending = Ending::voteless;
-        break;
-      case Verdict::unreachable:
-      case Verdict::unknown:
-        ending = how == ForwardResult::told ? Ending::failed : Ending::wayFailed;
-        break;
-    }
-    pool_.ended(now, tried.instance, ending, told.load);
-  }
+  if (tried.kind == Try::Kind::request) learn(now, tried, how, told, status);
 
   switch (verdict) {
     case Verdict::ran: {
@@ -170,7 +232,7 @@
       // One process may be cut off from the quorum; two are a sign that there is none.
       if (verdict == Verdict::voteless && ++call.voteless > 1) call.refusals = kMostRefusals;
       if (!call.out.empty()) return acts;
-      if (tried.asking) break;  // the holder gave its claim back; the client may ask anew
+      if (tried.kind == Try::Kind::holder) break;  // the holder gave its claim back; the client may ask anew
       if (call.refusals < kMostRefusals && sendOn(now, no, call, acts)) return acts;
       break;
     case Verdict::turnedAway:
@@ -181,34 +243,26 @@
           budget(call.service).take(now) && sendOn(now, no, call, acts))
         return acts;
       break;
-    case Verdict::held: {
-      if (tried.asking || !told.holder) break;
-      // Its answer lies with the process that holds the key, if that one still lives.
-      const TryNo next{++tries_};
-      call.out[next] = {InstanceId{}, true};
-      RoutingAction act{RoutingAction::Kind::send, no, next};
-      act.at = told.holder->at;
-      act.ask.service = call.service;
-      act.ask.caller = built_.service;
-      act.ask.left = call.deadline - now;
-      act.ask.kind = call.route->kind;
-      act.ask.priority = call.route->priority;
-      act.ask.holder = told.holder->life;
-      acts.push_back(std::move(act));
+    case Verdict::held:
+      if (tried.kind != Try::Kind::request || !told.holder) break;
+      askHolder(now, no, call, *told.holder, acts);
       return acts;
-    }
     case Verdict::atWork:
       answer(no, 409, Span{0}, acts);
       calls_.erase(found);
       return acts;
+    case Verdict::neverCame:
+      ++call.refusals;
+      if (call.refusals < kMostRefusals && sendOn(now, no, call, acts)) return acts;
+      break;
     case Verdict::unknown: {
-      if (tried.asking) {
-        // An earlier run of the operation ended with no answer, and this try itself never ran. Whether that
-        // one did nobody knows; to promise anything would only make its client ask again.
-        answer(no, kFailed, Span{0}, acts);
-        calls_.erase(found);
+      if (tried.kind == Try::Kind::holder || (how == ForwardResult::told && told.repeated)) {
+        earlierRunUnknown(no, call, acts);
         return acts;
       }
+      if (how == ForwardResult::broken && askOutcome(now, no, call, sent, tried, acts)) return acts;
+      // A question that could not be sent leaves the request as unknown as one that was.
+      if (tried.kind == Try::Kind::outcome) how = ForwardResult::broken;
       if (how != ForwardResult::notSent) {
         ++call.reached;
         call.mayHaveRun = true;
@@ -267,8 +321,8 @@
     if (call.deadline <= now) {
       // What is still out may have run; nobody waits for it any more.
       for (const auto& [sent, tried] : call.out) {
-        if (!tried.asking) pool_.ended(now, tried.instance, Ending::failed, std::nullopt);
-        call.mayHaveRun = true;
+        if (tried.kind == Try::Kind::request) pool_.ended(now, tried.instance, Ending::failed, std::nullopt);
+        if (tried.kind != Try::Kind::holder) call.mayHaveRun = true;
       }
       call.out.clear();
       giveUp(now, no, call, acts);
--- a/src/mesh/routing/request_router.hpp
+++ b/src/mesh/routing/request_router.hpp
@@ -34,7 +34,7 @@
 /// What came of one try.
 enum class ForwardResult {
   told,     // the other process answered
-  notSent,  // no connection came up
+  notSent,  // no connection came up, or the whole request was never written to it
   broken,   // it was sent, and the connection ended without a whole answer
   silent,   // no answer in time
 };
@@ -79,8 +79,14 @@
 
  private:
   struct Try {
+    /// request: it may run; holder: asks for the answer of an earlier run of its operation, and never runs;
+    /// outcome: asks what came of a request whose connection broke.
+    enum class Kind { request, holder, outcome };
+    Kind kind = Kind::request;
     InstanceId instance;
-    bool asking = false;  // only after an answer; no server gets it
+    Address at;   // the process beside it
+    LifeNo life;  // of that process
+    Span sentAt;  // outcome: the request, not the question
   };
   struct Call {
     std::shared_ptr<const Route> route;
@@ -99,6 +105,10 @@
     std::shared_ptr<const void> lastBytes;  // a server's answer that it failed, in case nothing better comes
   };
   bool sendOn(Span now, CallNo no, Call& call, RoutingActions& acts);
+  void learn(Span now, const Try& tried, ForwardResult how, const ForwardReply& told, std::uint32_t status);
+  void askHolder(Span now, CallNo no, Call& call, const Holder& holder, RoutingActions& acts);
+  bool askOutcome(Span now, CallNo no, Call& call, TryNo sent, const Try& broken, RoutingActions& acts);
+  void earlierRunUnknown(CallNo no, const Call& call, RoutingActions& acts);
   void giveUp(Span now, CallNo no, Call& call, RoutingActions& acts);
   void answer(CallNo no, std::uint32_t status, Span comeBack, RoutingActions& acts);
   RetryBudget& budget(const ServiceName& service);
@@ -112,6 +122,7 @@
   std::map<ServiceName, RetryBudget> budgets_;
   std::map<std::string, double> meanAnswer_;  // seconds, by route
   std::size_t processes_;
+  std::uint64_t origin_;  // of this life's forwards, unlike any other's
   std::uint64_t tries_ = 0;
 };
 
--- a/src/mesh/sidecar/main.cpp
+++ b/src/mesh/sidecar/main.cpp
@@ -52,6 +52,7 @@
 constexpr Span kBeforeKill = 400ms;  // of the grace, kept to end by itself
 constexpr Span kNextLife = 900ms;    // from the end of a process until the next one takes requests
 constexpr Span kLastAnswer = 150ms;  // for an answer to leave, before the end
+constexpr Span kUnsent = 20ms;       // before its client's time is over, a request is not sent any more
 constexpr Span kLook = 50ms;         // between looks while it ends
 constexpr Span kForwardIdle = 60s;   // a connection from another process; that one ends it first
 
@@ -219,7 +220,7 @@
   void act(RoutingAction& act) {
     const auto found = calls_.find(act.call);
     if (found == calls_.end()) return;
-    if (act.kind == RoutingAction::Kind::send) return hop(found->second, act);
+    if (act.kind == RoutingAction::Kind::send) return forward(found->second, act);
     const Inside inside = std::move(found->second);
     calls_.erase(found);
     if (!inside.connection) return;
@@ -250,35 +251,66 @@
     return pieces;
   }
 
-  void hop(const Inside& inside, const RoutingAction& act) {
-    // Fields of this hop alone are named in Connection: the next process drops them, and whatever a client
-    // put under these names.
+  void forward(const Inside& inside, const RoutingAction& act) {
+    // Fields of this connection alone are named in Connection: the next process drops them, and whatever a
+    // client put under these names.
     std::string head;
     beginRequest(head, *inside.request, kForwardHeader);
-    head += "Rackroute-Hop: " + textOf(act.ask) +
+    head += std::string(kForwardHeader) + ": " + textOf(act.ask) +
             "\r\nConnection: rackroute-hop, rackroute-caller-service, rackroute-expect-instance, "
             "rackroute-deadline-ms\r\n";
-    const Span until = loop_.now() + act.ask.left + kSpare + kForwardSpare;
+    const Span now = loop_.now();
     forwardClient_.send(
-        act.at, endRequest(std::move(head), inside.request), {}, inside.request->word(0) == "HEAD", until,
+        act.at,
+        act.ask.outcomeOf ? endQuestion(std::move(head)) : endRequest(std::move(head), inside.request), {},
+        inside.request->word(0) == "HEAD", now + act.ask.left + kSpare + kForwardSpare,
         [this, call = act.call, sent = act.sent](RequestOutcome how,
                                                  std::shared_ptr<const http::Message> answer) {
-          ForwardReply told;
-          ForwardResult forwarded = ForwardResult::told;
-          std::uint32_t status = 0;
-          if (how == RequestOutcome::answered) {
-            const auto field = answer->field(kForwardHeader);
-            const auto read = field ? toldFrom(*field) : std::nullopt;
-            if (read) told = *read;
-            if (!read) forwarded = ForwardResult::broken;
-            status = answer->status();
-          } else {
-            forwarded = how == RequestOutcome::notSent  ? ForwardResult::notSent
-                        : how == RequestOutcome::silent ? ForwardResult::silent
-                                                        : ForwardResult::broken;
-          }
-          this->act(sidecar_.forwarded(loop_.now(), call, sent, forwarded, told, status, std::move(answer)));
-        });
+          forwarded(call, sent, how, std::move(answer));
+        },
+        now + act.ask.left - kUnsent);
+  }
+
+  // A question after a request has its head, as the answer may be that request's, and no body.
+  static http::Gather endQuestion(std::string head) {
+    http::Gather pieces;
+    pieces.text(std::move(head) + "Content-Length: 0\r\n\r\n");
+    return pieces;
+  }
+
+  void forwarded(CallNo call, TryNo sent, RequestOutcome how, std::shared_ptr<const http::Message> answer) {
+    ForwardReply told;
+    ForwardResult result = resultOf(how);
+    std::uint32_t status = 0;
+    if (answer) {
+      status = answer->status();
+      const auto field = answer->field(kForwardHeader);
+      const auto read = field ? toldFrom(*field) : std::nullopt;
+      if (read) told = *read;
+      if (!read) result = neverRead(status) ? ForwardResult::notSent : ForwardResult::broken;
+    }
+    act(sidecar_.forwarded(loop_.now(), call, sent, result, told, status, std::move(answer)));
+  }
+
+  static ForwardResult resultOf(RequestOutcome how) {
+    switch (how) {
+      case RequestOutcome::answered:
+        return ForwardResult::told;
+      case RequestOutcome::notSent:
+      case RequestOutcome::notWhole:  // the other process takes whole requests only
+        return ForwardResult::notSent;
+      case RequestOutcome::silent:
+        return ForwardResult::silent;
+      case RequestOutcome::broken:
+      case RequestOutcome::spoilt:
+        break;
+    }
+    return ForwardResult::broken;
+  }
+
+  // Without word of the sidecar there, these are of what reads its connections: the request was not taken.
+  static bool neverRead(std::uint32_t status) {
+    return status == 400 || status == 408 || status == 413 || status == 431;
   }
 
   void act(AdmissionAction& act) {
@@ -287,7 +319,8 @@
     if (act.kind == AdmissionAction::Kind::run) return serve(found->second, act);
     const Inside inside = std::move(found->second);
     asks_.erase(found);
-    const std::string told = "Rackroute-Hop: " + textOf(act.told) + "\r\nConnection: rackroute-hop\r\n";
+    const std::string told =
+        std::string(kForwardHeader) + ": " + textOf(act.told) + "\r\nConnection: rackroute-hop\r\n";
     if (!act.bytes) return inside.connection->answer(503, told, "");
     std::string fields;
     if (const auto attempt = inside.request->field(kAttempt))
@@ -326,11 +359,13 @@
             case RequestOutcome::spoilt:
               end = AtServer::spoilt;
               break;
+            case RequestOutcome::notWhole:  // a server may begin before it has the whole body
             case RequestOutcome::broken:
               break;
           }
           this->act(sidecar_.ran(loop_.now(), ask, end, told));
-        });
+        },
+        loop_.now() + act.left - kUnsent);
   }
 
   void act(const ControlClientAction& act) {
--- a/src/mesh/sidecar/sidecar.cpp
+++ b/src/mesh/sidecar/sidecar.cpp
@@ -14,6 +14,14 @@
 constexpr Span kServesOn = 1200ms;
 // Guards against a large configuration, or a storm of changes, whose routes are all read anew for each part.
 constexpr Span kGather = 60ms;
+// Of the memory for answers that repeats may want, one part in so many is for those whose way back broke.
+constexpr std::size_t kOutcomePart = 4;
+
+ForwardOutcomes::Limits outcomeLimits(const Admission::Built& built) {
+  ForwardOutcomes::Limits limits;
+  limits.answerBytes = built.mostKept / kOutcomePart;
+  return limits;
+}
 
 void append(ControlClientActions acts, SidecarActions& out) {
   std::move(acts.begin(), acts.end(), std::back_inserter(out.feed));
@@ -25,6 +33,7 @@
     : built_(std::move(built)),
       router_(built_.caller),
       admission_(built_.door),
+      outcomes_(built_.door.life, outcomeLimits(built_.door)),
       controlClient_(built_.feed) {}
 
 void Sidecar::take(Span now, AdmissionActions acts, SidecarActions& out) {
@@ -37,9 +46,11 @@
   for (AdmissionAction& act : acts) {
     switch (act.kind) {
       case AdmissionAction::Kind::run:
-      case AdmissionAction::Kind::answer:
         out.door.push_back(std::move(act));
         break;
+      case AdmissionAction::Kind::answer:
+        answer(now, std::move(act), out);
+        break;
       case AdmissionAction::Kind::claim:
         claims.claims.emplace_back(act.claim, act.key);
         break;
@@ -58,6 +69,16 @@
   if (!released.claims.empty()) append(controlClient_.sendToVoters(released), out);
 }
 
+// The forward's answer, also for those who ask what came of it.
+void Sidecar::answer(Span now, AdmissionAction act, SidecarActions& out) {
+  for (const AskNo waiter : outcomes_.ended(now, act.ask, act.told, act.bytes, act.size)) {
+    AdmissionAction same = act;
+    same.ask = waiter;
+    out.door.push_back(std::move(same));
+  }
+  out.door.push_back(std::move(act));
+}
+
 void Sidecar::take(Span now, ControlClientActions acts, SidecarActions& out) {
   Claims& claims = admission_.claims();
   for (ControlClientAction& act : acts) {
@@ -148,7 +169,21 @@
 SidecarActions Sidecar::forwardRequested(Span now, AskNo no, const ForwardRequest& ask,
                                          const std::optional<std::string>& key) {
   SidecarActions out;
-  take(now, admission_.asked(now, no, ask, key), out);
+  ForwardOutcomes::Arrival arrival = outcomes_.arrived(now, no, ask);
+  switch (arrival.kind) {
+    case ForwardOutcomes::Arrival::Kind::admit:
+      take(now, admission_.asked(now, no, ask, key), out);
+      break;
+    case ForwardOutcomes::Arrival::Kind::answer: {
+      AdmissionAction act{AdmissionAction::Kind::answer, no};
+      act.told = std::move(arrival.reply);
+      act.bytes = std::move(arrival.bytes);
+      out.door.push_back(std::move(act));
+      break;
+    }
+    case ForwardOutcomes::Arrival::Kind::wait:
+      break;
+  }
   return out;
 }
 
@@ -194,6 +229,7 @@
     take(now, admission_.leave(now), out);
   }
   take(now, admission_.tick(now), out);
+  outcomes_.tick(now);
   if (controlClientTick_ <= now) {
     controlClientTick_ = now + ControlClient::tickEvery();
     take(now, controlClient_.tick(now), out);
--- a/src/mesh/sidecar/sidecar.hpp
+++ b/src/mesh/sidecar/sidecar.hpp
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "mesh/admission/admission.hpp"
+#include "mesh/forwarding/forward_outcomes.hpp"
 #include "mesh/routing/request_router.hpp"
 #include "mesh/sidecar/control_client.hpp"
 
@@ -65,12 +66,13 @@
   void askForVotes(const VoterId& voter, SidecarActions& out);
   void configure(Span now, SidecarActions& out);
   void updateVoters(Span now, SidecarActions& out);
+  void answer(Span now, AdmissionAction act, SidecarActions& out);
 
   Built built_;
   RequestRouter router_;
   Admission admission_;
+  ForwardOutcomes outcomes_;
   ControlClient controlClient_;
-  VoterSet voters_;  // interim: control processes as they were reached, until they tell the set themselves
   std::vector<VoterId> lastVoters_;  // as the claims were told last
   Span controlClientTick_{};
   std::optional<Span> readsAt_;          // when the items in force are to be read as routes
--- a/src/mesh/transport/http_client.cpp
+++ b/src/mesh/transport/http_client.cpp
@@ -42,8 +42,9 @@
         httpClient_(httpClient),
         to_(std::move(to)) {}
 
-  void connect() {
-    timer_ = loop_.in(httpClient_.terms_.dial, [this] {
+  void connect(Span sendBy) {
+    sendBy_ = sendBy;
+    timer_ = loop_.at(std::min(loop_.now() + httpClient_.terms_.dial, sendBy), [this] {
       timer_ = {};
       end(Reason::dialTimeout);
     });
@@ -56,6 +57,7 @@
     until_ = until;
     skipped_ = false;
     keeps_ = true;
+    writtenBefore_ = bytesWritten();
     reader_ = http::Reader(http::Reader::Kind::answer, httpClient_.terms_.mostAnswer);
     send(std::move(pieces));
     if (!dialing() && !ended()) watch();
@@ -72,6 +74,8 @@
 
  protected:
   void opened() override {
+    // Guards against a request that is sent after its sender has given it up, when this turn comes late.
+    if (loop_.now() >= sendBy_) return end(Reason::dialTimeout);
     up_ = true;
     loop_.cancel(timer_);
     if (httpClient_.terms_.unread > Span{0}) {
@@ -121,16 +125,18 @@
   void gone(Reason reason) override {
     loop_.cancel(timer_);
     if (done_) {
-      RequestOutcome how = RequestOutcome::broken;
-      if (!up_) how = RequestOutcome::notSent;
-      if (spoilt_) how = RequestOutcome::spoilt;
-      if (up_ && reason == Reason::executionTimeout) how = RequestOutcome::silent;
-      tell(how, nullptr);
+      tell(outcome(reason), nullptr);
     }
     httpClient_.forget(this);
   }
 
  private:
+  [[nodiscard]] RequestOutcome outcome(Reason reason) const {
+    if (spoilt_) return RequestOutcome::spoilt;
+    if (!up_ || bytesWritten() == writtenBefore_) return RequestOutcome::notSent;
+    if (!allWritten()) return RequestOutcome::notWhole;
+    return reason == Reason::executionTimeout ? RequestOutcome::silent : RequestOutcome::broken;
+  }
   void watch() {
     loop_.cancel(timer_);
     timer_ = loop_.at(std::max(until_, loop_.now()), [this] {
@@ -150,7 +156,9 @@
   std::string attempt_;
   sidecar::Loop::TimerId timer_;
   Span until_{};
+  Span sendBy_ = Span::max();
   Span idle_{};
+  std::uint64_t writtenBefore_ = 0;  // bytes of earlier requests
   bool up_ = false;
   bool headOnly_ = false;
   bool skipped_ = false;
@@ -161,7 +169,7 @@
 HttpClient::~HttpClient() = default;
 
 void HttpClient::send(const Address& to, http::Gather request, std::string attempt, bool headOnly, Span until,
-                      Done done) {
+                      Done done, Span sendBy) {
   for (;;) {
     const auto kept = idle_.find(to);
     if (kept == idle_.end() || kept->second.empty()) break;
@@ -180,7 +188,7 @@
   ++dialled_;
   const auto way = std::make_shared<ClientConnection>(*this, to);
   busy_[way.get()] = way;
-  way->connect();
+  way->connect(std::max(sendBy, loop_.now()));
   way->request(std::move(request), std::move(attempt), headOnly, until, std::move(done));
 }
 
--- a/src/mesh/transport/http_client.hpp
+++ b/src/mesh/transport/http_client.hpp
@@ -17,7 +17,15 @@
 
 namespace rackroute::mesh {
 
-enum class RequestOutcome { answered, notSent, broken, silent, spoilt };
+/// How a request ended.
+enum class RequestOutcome {
+  answered,
+  notSent,   // no byte of it was written
+  notWhole,  // a part of it was written, and the rest never will be
+  broken,    // it was written, and the connection ended without a whole answer
+  silent,    // no answer in time
+  spoilt,    // bytes that are no answer to it
+};
 
 class HttpClient {
  public:
@@ -36,9 +44,9 @@
   ~HttpClient();
 
   /// attempt: what an answer must name to be this request's; empty: any does. done is called exactly once, in
-  /// a later turn; until: silence is the end of it then.
+  /// a later turn; until: silence is the end of it then; sendBy: without a connection by then it is not sent.
   void send(const Address& to, http::Gather request, std::string attempt, bool headOnly, Span until,
-            Done done);
+            Done done, Span sendBy = Span::max());
   [[nodiscard]] std::size_t dialled() const { return dialled_; }
 
  private:
--- a/src/sidecar/connection.hpp
+++ b/src/sidecar/connection.hpp
@@ -77,6 +77,7 @@
   /// Bytes moved so far, either way: what tells a slow peer from a stalled one.
   [[nodiscard]] std::uint64_t moved() const { return bytesIn_ + bytesOut_; }
   [[nodiscard]] bool pausedReading() const { return paused_; }
+  [[nodiscard]] std::uint64_t bytesWritten() const { return bytesOut_; }
   /// While it finishes: how much is still read and thrown away, and for how long.
   void lingerFor(std::size_t unread, Span time) {
     mostUnread_ = unread;
--- a/tests/mesh_test.cpp
+++ b/tests/mesh_test.cpp
@@ -419,12 +419,55 @@
     REQUIRE(acts[0].kind == RoutingAction::Kind::send);
     return acts[0].sent;
   };
-  SECTION("an effectful request that broke off ends with 502") {
+  SECTION("an effectful request that broke off is asked after once, where it was sent") {
     RequestRouter here = caller(RouteKind::effectful);
-    const TryNo sent = send(here.asked(1s, {1}, kAsked));
-    const RoutingActions acts = here.forwarded(1s, {1}, sent, ForwardResult::broken, {}, 0, nullptr);
-    REQUIRE(acts.size() == 1);
-    CHECK(acts[0].status == 502);
+    const RoutingActions first = here.asked(1s, {1}, kAsked);
+    const TryNo sent = send(first);
+    const RoutingActions asking = here.forwarded(1s, {1}, sent, ForwardResult::broken, {}, 0, nullptr);
+    const TryNo asked = send(asking);
+    CHECK(asking[0].at == first[0].at);
+    CHECK(asking[0].ask.id == first[0].ask.id);
+    CHECK(asking[0].ask.outcomeOf == LifeNo{1});
+    ForwardReply told;
+    SECTION("no answer: 502") {
+      for (const ForwardResult how : {ForwardResult::broken, ForwardResult::notSent}) {
+        RequestRouter same = caller(RouteKind::effectful);
+        const TryNo again = send(same.forwarded(1s, {1}, send(same.asked(1s, {1}, kAsked)),
+                                                ForwardResult::broken, {}, 0, nullptr));
+        const RoutingActions acts = same.forwarded(1s, {1}, again, how, {}, 0, nullptr);
+        REQUIRE(acts.size() == 1);
+        CHECK(acts[0].status == 502);
+      }
+    }
+    SECTION("not known there: 502") {
+      told.verdict = Verdict::unknown;
+      CHECK(here.forwarded(1s, {1}, asked, ForwardResult::told, told, 503, nullptr)[0].status == 502);
+    }
+    SECTION("it never came: to another server, and if none takes it, refused") {
+      told.verdict = Verdict::neverCame;
+      const RoutingActions acts = here.forwarded(1s, {1}, asked, ForwardResult::told, told, 503, nullptr);
+      const TryNo second = send(acts);
+      CHECK(acts[0].at != first[0].at);
+      told.verdict = Verdict::full;
+      CHECK(here.forwarded(1s, {1}, second, ForwardResult::told, told, 503, nullptr)[0].status == 503);
+    }
+    SECTION("word that it never came, too long after it was sent, is not believed") {
+      RequestRouter slow = caller(RouteKind::effectful);
+      Items items;
+      Item item = route("look", 2, "60s");
+      item.value["route_kind"] = "effectful";
+      items.merge(item);
+      slow.configured(items);
+      const TryNo old = send(slow.asked(1s, {1}, {"a.example", "/look/1", 60s}));
+      const TryNo question = send(slow.forwarded(2s, {1}, old, ForwardResult::broken, {}, 0, nullptr));
+      told.verdict = Verdict::neverCame;
+      CHECK(slow.forwarded(11s, {1}, question, ForwardResult::told, told, 503, nullptr)[0].status == 502);
+    }
+    SECTION("no word before its client's time is over: 504") {
+      const RoutingActions acts = here.tick(2500ms);
+      REQUIRE(acts.size() == 1);
+      CHECK(acts[0].status == 504);
+    }
   }
   SECTION("one that no door let in goes on, and is refused with the time to come back") {
     RequestRouter here = caller(RouteKind::effectful);
@@ -445,17 +488,46 @@
     for (std::uint64_t i = 1; i < 60; ++i) acts = rich.asked(20s + i * 1ms, {i}, kAsked);
     send(rich.forwarded(20200ms, {59}, acts[0].sent, ForwardResult::broken, {}, 0, nullptr));
   }
-  SECTION("a key that another holds is asked for there, and a dead holder's is not known") {
-    RequestRouter here = caller(RouteKind::keyed);
-    const TryNo sent = send(here.asked(1s, {1}, kAsked));
+  SECTION(
+      "a key that another holds is asked for there; a dead holder's is not known, but this one never ran") {
     ForwardReply held;
     held.verdict = Verdict::held;
     held.holder = Holder{{"there:1"}, {4}, {9}};
+    RequestRouter here = caller(RouteKind::keyed);
+    const TryNo sent = send(here.asked(1s, {1}, kAsked));
     const RoutingActions asking = here.forwarded(1s, {1}, sent, ForwardResult::told, held, 503, nullptr);
     REQUIRE(asking.size() == 1);
     CHECK(asking[0].at.value == "there:1");
     CHECK(asking[0].ask.holder == LifeNo{4});
-    CHECK(here.forwarded(1s, {1}, asking[0].sent, ForwardResult::notSent, {}, 0, nullptr)[0].status == 502);
+    const RoutingActions refused =
+        here.forwarded(1s, {1}, asking[0].sent, ForwardResult::notSent, {}, 0, nullptr);
+    CHECK(refused[0].status == 503);
+    CHECK(refused[0].comeBack >= 500ms);
+    // The same at the end of its client's time.
+    RequestRouter waiting = caller(RouteKind::keyed);
+    send(waiting.forwarded(1s, {1}, send(waiting.asked(1s, {1}, kAsked)), ForwardResult::told, held, 503,
+                           nullptr));
+    CHECK(waiting.tick(2500ms)[0].status == 503);
+    // A copy of this one that went another way may have run.
+    RequestRouter broken = caller(RouteKind::keyed);
+    const TryNo second = send(broken.forwarded(1s, {1}, send(broken.asked(1s, {1}, kAsked)),
+                                               ForwardResult::broken, {}, 0, nullptr));
+    const TryNo third = send(broken.forwarded(1s, {1}, second, ForwardResult::told, held, 503, nullptr));
+    CHECK(broken.forwarded(1s, {1}, third, ForwardResult::notSent, {}, 0, nullptr)[0].status == 502);
+  }
+  SECTION("a repeat whose first run ended with no answer did not run itself") {
+    RequestRouter here = caller(RouteKind::keyed);
+    const TryNo sent = send(here.asked(1s, {1}, kAsked));
+    ForwardReply told;
+    told.verdict = Verdict::unknown;
+    told.repeated = true;
+    CHECK(here.forwarded(1s, {1}, sent, ForwardResult::told, told, 503, nullptr)[0].status == 503);
+    RequestRouter first = caller(RouteKind::keyed);
+    told.repeated = false;
+    CHECK(first
+              .forwarded(1s, {1}, send(first.asked(1s, {1}, kAsked)), ForwardResult::told, told, 503,
+                         nullptr)[0]
+              .status == 502);
   }
   SECTION("no route is 404 at once") {
     RequestRouter here = caller(RouteKind::pure);
