Keep the hollow run's main loop waiting while it has no connection

Cause: Poco's reactor without any socket turns at full speed (its sleep throws in a thread that is not Poco's), so the main thread took a core of the machine that is measured. Change: it holds one listener.

--- a/src/lab/mesh/hollow.cpp
+++ b/src/lab/mesh/hollow.cpp
@@ -29,6 +29,7 @@
 #include "mesh/transport/compression.hpp"
 #include "mesh/transport/event_loop.hpp"
 #include "mesh/transport/http_client.hpp"
+#include "mesh/transport/listener.hpp"
 #include "mesh/transport/log.hpp"
 #include "mesh/transport/session_connection.hpp"
 #include "sidecar/log.hpp"
@@ -555,6 +556,7 @@
       : plan_(plan),
         network_(20 + static_cast<std::uint32_t>(::getpid()) % 200),
         folder_((fs::temp_directory_path() / ("rackroute-hollow-" + std::to_string(::getpid()))).string()),
+        keepsLoopWaiting_(loop_, {"127.0.0.1:0"}, [](Poco::Net::StreamSocket, const std::string&) {}),
         board_(std::make_unique<Board>()),
         operators_(loop_, {300ms, 5s, Span{0}, 16 << 20, 8}),
         children_(plan.controls) {}
@@ -623,6 +625,9 @@
   std::uint32_t network_;
   std::string folder_;
   EventLoop loop_;
+  /// Guards against Poco's reactor without any socket: it does not wait for the next timer then but turns at
+  /// full speed.
+  Listener keepsLoopWaiting_;
   std::unique_ptr<Board> board_;
   HttpClient operators_;
   Children children_;
