--- a/src/lab/mesh/hollow.hpp
+++ b/src/lab/mesh/hollow.hpp
@@ -30,7 +30,8 @@
   std::function<void(const std::string&)> tell{};  // progress, a line each
 };
 
-/// Blocks until the run is over (at most about 3 minutes beyond plan.seconds). The result has "ended":
+/// Blocks until the run is over (at most about 3 minutes beyond plan.startOver and
+/// plan.seconds). The result has "ended":
 /// "whole", or the reason why the run broke off; figures that were not reached by then are missing. Throws
 /// BadScenario for a plan outside its bounds or a program that can't be run.
 nlohmann::json playHollow(const HollowPlan& plan);
