Drop base64 padding without a resize, which GCC warns of with the sanitizers

Cause: with -fsanitize=address,undefined GCC 12 takes the shrinking resize() for a fill of a huge size (-Wstringop-overflow), an error in the sanitizers' build. Change: the padding's bytes are popped.

--- a/src/mesh/control/base64.cpp
+++ b/src/mesh/control/base64.cpp
@@ -51,7 +51,7 @@
     for (int shift = 16; shift >= 0; shift -= 8) bytes.push_back(static_cast<std::uint8_t>(group >> shift));
     group = 0;
   }
-  bytes.resize(bytes.size() - padding);
+  for (; padding > 0; --padding) bytes.pop_back();
   return bytes;
 }
 
