--- a/src/lab/mesh/hollow.cpp
+++ b/src/lab/mesh/hollow.cpp
@@ -634,6 +634,8 @@
   std::vector<std::unique_ptr<HollowThread>> threads_;
   std::vector<SentChange> changes_;  // of the measurement
   std::uint64_t lastVersion_ = 0;
+  std::uint64_t refusedCalls_ = 0;     // operators' calls that got another answer than 200
+  std::uint64_t unansweredCalls_ = 0;  // within kOperatorCall, or whose connection failed
   double memoryBeforeMb_ = 0;
   std::int64_t startedAt_ = 0;
   std::int64_t killedAt_ = 0;
@@ -731,6 +733,7 @@
                   [this, control, body, acknowledged = std::move(acknowledged)](
                       RequestOutcome, const std::shared_ptr<const http::Message>& answer) {
                     if (answer && answer->status() == 200) return acknowledged();
+                    ++(answer ? refusedCalls_ : unansweredCalls_);
                     if (answer && answer->status() < 500)
                       return stop("a change was refused: " + std::string(answer->body()));
                     loop_.in(kOperatorPause, [this, control, body, acknowledged] {
@@ -927,7 +930,9 @@
   }
   return {{"acknowledged_ms", distribution(acknowledged)},
           {"from_acknowledgement_to_last_sidecar_ms", distribution(atAll)},
-          {"not_at_all_sidecars", missing}};
+          {"not_at_all_sidecars", missing},
+          {"calls_refused", refusedCalls_},
+          {"calls_unanswered", unansweredCalls_}};
 }
 
 json HollowRun::run() {
