--- a/src/lab/mesh/day.cpp
+++ b/src/lab/mesh/day.cpp
@@ -10,7 +10,7 @@
 namespace rackroute::lab::mesh {
 namespace {
 
-constexpr std::array<std::pair<std::string_view, TroubleKind>, 38> kTroubleKinds{{
+constexpr std::array<std::pair<std::string_view, TroubleKind>, 39> kTroubleKinds{{
     {"kill_sidecar", TroubleKind::killSidecar},
     {"kill_control", TroubleKind::killControl},
     {"power_control", TroubleKind::powerControl},
@@ -49,6 +49,7 @@
     {"change_many", TroubleKind::changeMany},
     {"race_many", TroubleKind::raceMany},
     {"new_service", TroubleKind::newService},
+    {"reset_forwards", TroubleKind::resetForwards},
 }};
 constexpr std::array<std::pair<std::string_view, Closing>, 4> kClosingFaults{
     {{"none", Closing::none},
--- a/src/lab/mesh/day.hpp
+++ b/src/lab/mesh/day.hpp
@@ -50,6 +50,7 @@
   changeMany,         // one change of several routes
   raceMany,           // two such changes that share one route's version
   newService,         // a service, and after its acknowledgement a route to it, at another control
+  resetForwards,      // part of the connections between sidecars, to one of them; processes only
 };
 
 struct Trouble {
--- a/src/lab/mesh/world_troubles.cpp
+++ b/src/lab/mesh/world_troubles.cpp
@@ -41,6 +41,8 @@
     case TroubleKind::storm:
     case TroubleKind::answersLost:
       return strikeOrders(trouble);
+    case TroubleKind::resetForwards:
+      throw BadScenario(day_.name + ": trouble: reset_forwards goes with real processes");
     default:
       return strikeControl(trouble, coreAt(trouble.who));
   }
--- a/src/mesh/configuration/settings.cpp
+++ b/src/mesh/configuration/settings.cpp
@@ -38,6 +38,9 @@
   for (const json& seed : all["seed_list"]) settings.seeds.push_back({seed.get<std::string>()});
   const json& addresses = all["listen_addrs"];
   settings.inbound = {textOf(addresses, "inbound")};
+  // Behind a relay or a mapped port the address that others reach is not the one to listen at.
+  settings.inboundBind = {textOf(addresses, "inbound_bind")};
+  if (settings.inboundBind.value.empty()) settings.inboundBind = settings.inbound;
   settings.outbound = {textOf(addresses, "outbound")};
   settings.ready = {textOf(addresses, "ready_addr")};
   settings.control = {textOf(addresses, "control_addr")};
--- a/src/mesh/configuration/settings.hpp
+++ b/src/mesh/configuration/settings.hpp
@@ -20,6 +20,7 @@
   std::size_t zones = 1;
   std::vector<Address> seeds;                 // control addresses
   Address inbound, outbound, ready, control;  // empty where the role does not serve it
+  Address inboundBind;                        // where inbound's requests are taken; others reach inbound
   std::uint16_t firstPort = 0;                // of those left free for the mesh's own session
   std::uint16_t lastPort = 0;
   bool firstBoot = false;
--- a/src/mesh/sidecar/main.cpp
+++ b/src/mesh/sidecar/main.cpp
@@ -90,7 +90,7 @@
     forwards.idle = kForwardIdle;
     forwards.mostBody = kMostAnswer;
     listen(
-        settings_.inbound, forwardListener_, std::move(forwards),
+        settings_.inboundBind, forwardListener_, std::move(forwards),
         [this](const auto& connection, auto request) { forwardRequested(connection, std::move(request)); });
     listen(settings_.ready, looks_, HttpServerConnection::Shared{},
            [this](const auto& connection, auto request) { called(CallSocket::ready, connection, *request); });
