--- a/src/lab/mesh/hollow.cpp
+++ b/src/lab/mesh/hollow.cpp
@@ -56,7 +56,7 @@
 // While all start, each sidecar hears of each other's server once. One thread must take that news for
 // hundreds of them and still answer heartbeats in time, or sessions end as silent and all is told again.
 constexpr double kNewsSeconds =
-    40e-6;  // of one thread for one sidecar to take news of one server, with room to spare
+    100e-6;  // of one thread for one sidecar to take news of one server, with room to spare
 constexpr double kLeastStartOver = 1;   // seconds
 constexpr double kMostStartOver = 300;  // seconds
 constexpr Span kStartLimit = 60s;       // until all sidecars are connected and confirmed
