--- a/tests/control_agreement_test.cpp
+++ b/tests/control_agreement_test.cpp
@@ -401,3 +401,211 @@
   CHECK(found("two values have had a majority", {.joinsWithoutReading = true}) > 0);
   CHECK(found("two values have had a majority", {.wipedKeepsIncarnation = true}) > 0);
 }
+
+namespace {
+
+/// One process, a voter of three, whose entries are on disk as soon as they are given.
+struct Single {
+  explicit Single(std::uint64_t epoch = 1) {
+    set.epoch = {epoch};
+    for (std::uint64_t i = 0; i < 3; ++i)
+      set.voters.push_back({{"10.0.0." + std::to_string(i) + ":1"}, {i + 1}});
+    boot();
+  }
+  void boot() {
+    agreement = std::make_unique<Agreement>(
+        Agreement::Built{set.voters[0], 1, &items, [this](const VoterSet&) { return acceptsSets; }});
+    for (const auto& [key, value] : disk) agreement->restore(key, value);
+    agreement->voters(set, now, effects);
+    agreement->mayVote(true);
+    done();
+  }
+  Effects done() {
+    for (const auto& [key, value] : effects.entries) value ? void(disk[key] = *value) : void(disk.erase(key));
+    for (const Item& item : effects.decided) items.merge(item);
+    return std::exchange(effects, {});
+  }
+  template <class Request>
+  Effects hear(const Request& request) {
+    agreement->heard(now, set.voters[1].at, request, effects);
+    return done();
+  }
+  Effects propose(std::uint64_t call, const OrderPtr& order) {
+    agreement->propose(now, call, order, effects);
+    return done();
+  }
+  Effects tick(Span at) {
+    now = at;
+    agreement->tick(now, effects);
+    return done();
+  }
+  [[nodiscard]] Ballot ballot(std::uint64_t counter) const { return {roundOf(set.epoch, counter), {2}}; }
+  Effects prepare(std::uint64_t counter, const OrderPtr& order) {
+    Prepare request{ballot(counter), set.epoch, {}};
+    for (const Item& item : order->items) request.registers.push_back(registerOf(item));
+    return hear(request);
+  }
+  Effects accept(std::uint64_t counter, const OrderPtr& order) {
+    return hear(Accept{ballot(counter), set.epoch, order});
+  }
+
+  VoterSet set;
+  Items items;
+  std::map<std::string, std::string> disk;
+  bool acceptsSets = true;
+  Span now{};
+  Effects effects;
+  std::unique_ptr<Agreement> agreement;
+};
+
+template <class Kind>
+const Kind& only(const std::vector<Envelope>& messages) {
+  REQUIRE(messages.size() == 1);
+  REQUIRE(std::holds_alternative<Kind>(messages.front().message));
+  return std::get<Kind>(messages.front().message);
+}
+
+OrderPtr orderOf(std::vector<Item> items) { return makeOrder(std::move(items)); }
+
+}  // namespace
+
+TEST_CASE("agreement: a voter's replies wait for their write, also those to duplicates") {
+  Single voter;
+  const OrderPtr order = orderOf({itemAt(1, 1, 1)});
+  for (int times = 0; times < 2; ++times) {
+    const Effects promised = voter.prepare(5, order);
+    CHECK(only<PrepareReply>(promised.afterWrite).granted);
+    CHECK(promised.messages.empty());
+  }
+  for (int times = 0; times < 2; ++times) CHECK(only<AcceptReply>(voter.accept(5, order).afterWrite).granted);
+  voter.boot();
+  CHECK(voter.agreement->accepted().size() == 1);
+  CHECK_FALSE(only<PrepareReply>(voter.prepare(4, order).messages).granted);
+}
+
+TEST_CASE("agreement: a voter answers in its own epoch only, and only while it may vote") {
+  Single voter(2);
+  const OrderPtr order = orderOf({itemAt(1, 1, 1)});
+  for (const std::uint64_t epoch : {1U, 3U}) {
+    const Ballot ballot{roundOf({epoch}, 9), {2}};
+    CHECK(voter.hear(Accept{ballot, {epoch}, order}).afterWrite.empty());
+    CHECK(voter.hear(Accept{ballot, {2}, order}).afterWrite.empty());
+    CHECK(voter.hear(Accept{voter.ballot(9), {epoch}, order}).afterWrite.empty());
+  }
+  voter.agreement->mayVote(false);
+  CHECK(voter.accept(9, order).afterWrite.empty());
+  voter.agreement->mayVote(true);
+  CHECK(voter.accept(9, order).afterWrite.size() == 1);
+}
+
+TEST_CASE(
+    "agreement: a voter drops an order that a higher ballot's disagrees with, and keeps one that agrees") {
+  Single voter;
+  voter.accept(1, orderOf({itemAt(1, 1, 1), itemAt(2, 1, 1)}));
+  voter.accept(2, orderOf({itemAt(2, 1, 1), itemAt(3, 1, 1)}));
+  CHECK(voter.agreement->accepted().size() == 2);
+  voter.accept(3, orderOf({itemAt(1, 1, 7)}));
+  CHECK(voter.agreement->accepted().size() == 2);
+  voter.boot();
+  CHECK(voter.agreement->accepted().size() == 2);
+}
+
+TEST_CASE("agreement: forgetting a promise never lets a lower ballot in") {
+  Single voter;
+  const OrderPtr order = orderOf({itemAt(1, 1, 1)});
+  voter.prepare(5, order);
+  voter.tick(11min);
+  CHECK(std::none_of(voter.disk.begin(), voter.disk.end(), [&](const auto& entry) {
+    return entry.first == agreement_store::promiseKey(voter.ballot(5));
+  }));
+  CHECK_FALSE(only<AcceptReply>(voter.accept(4, order).messages).granted);
+  voter.boot();
+  CHECK_FALSE(only<AcceptReply>(voter.accept(4, order).messages).granted);
+}
+
+TEST_CASE("agreement: a set of voters that may not be accepted gets no reply") {
+  Single voter;
+  VoterSet next = voter.set;
+  next.epoch = {2};
+  voter.acceptsSets = false;
+  CHECK(voter.accept(1, orderOf({itemOf(next)})).afterWrite.empty());
+  voter.acceptsSets = true;
+  CHECK(only<AcceptReply>(voter.accept(1, orderOf({itemOf(next)})).afterWrite).granted);
+  voter.agreement->voters(next, 0s, voter.effects);
+  CHECK(voter.agreement->accepted().empty());
+}
+
+TEST_CASE("agreement: no round is used again after a restart, nor told before it is reserved") {
+  Single proposer;
+  const Ballot before = only<Prepare>(proposer.propose(1, orderOf({itemAt(1, 1, 1)})).afterWrite).ballot;
+  proposer.boot();
+  CHECK(only<Prepare>(proposer.propose(1, orderOf({itemAt(1, 1, 2)})).afterWrite).ballot > before);
+}
+
+TEST_CASE("agreement: proposals begin anew with another set of voters") {
+  Single proposer;
+  proposer.propose(1, orderOf({itemAt(1, 1, 1)}));
+  VoterSet next = proposer.set;
+  next.epoch = {2};
+  proposer.agreement->voters(next, 0s, proposer.effects);
+  CHECK(only<Prepare>(proposer.done().afterWrite).epoch == next.epoch);
+}
+
+TEST_CASE("agreement: an accepted order whose proposer is silent is completed") {
+  Single voter;
+  voter.accept(1, orderOf({itemAt(1, 1, 1)}));
+  CHECK(voter.tick(300ms).afterWrite.empty());
+  CHECK(only<Prepare>(voter.tick(400ms).afterWrite).registers.size() == 1);
+}
+
+TEST_CASE("agreement: what a joiner learns it holds, and reports") {
+  Single voter;
+  const OrderPtr order = orderOf({itemAt(1, 1, 1)});
+  voter.agreement->learn(0s, {{voter.ballot(3), order}}, {}, voter.effects);
+  voter.done();
+  voter.boot();
+  CHECK(only<PrepareReply>(voter.prepare(4, order).afterWrite).accepted.size() == 1);
+}
+
+TEST_CASE("agreement: what is decided of an order already is not proposed again") {
+  Single proposer;
+  proposer.set.voters.resize(1);  // itself
+  proposer.boot();
+  const Item first = itemAt(1, 1, 1);
+  proposer.agreement->decided(0s, {first}, proposer.effects);
+  proposer.done();
+  const Prepare prepare = only<Prepare>(proposer.propose(1, orderOf({first, itemAt(2, 1, 1)})).afterWrite);
+  CHECK(prepare.registers == std::vector<RegisterId>{registerOf(itemAt(2, 1, 1))});
+  const Effects promised = proposer.hear(prepare);
+  proposer.agreement->heard(0s, only<PrepareReply>(promised.afterWrite), proposer.effects);
+  const Effects accepting = proposer.done();
+  CHECK(only<Accept>(accepting.messages).order->items.size() == 1);
+  const Effects accepted = proposer.hear(only<Accept>(accepting.messages));
+  proposer.agreement->heard(0s, only<AcceptReply>(accepted.afterWrite), proposer.effects);
+  const Effects decided = proposer.done();
+  CHECK(only<Decided>(decided.messages).order->items.size() == 2);
+  REQUIRE(decided.outcomes.size() == 1);
+  CHECK(decided.outcomes[0].result == OrderResult::decided);
+  CHECK(proposer.agreement->accepted().empty());
+  const Effects conflict = proposer.propose(2, orderOf({itemAt(1, 1, 9), itemAt(3, 1, 1)}));
+  REQUIRE(conflict.outcomes.size() == 1);
+  CHECK(conflict.outcomes[0].result == OrderResult::conflict);
+  CHECK(conflict.outcomes[0].standing.size() == 1);
+}
+
+TEST_CASE("agreement: proposals and remembered versions are bounded") {
+  Single proposer;
+  for (int i = 0; i < 64; ++i) proposer.propose(std::uint64_t(i) + 1, orderOf({itemAt(i, 1, 1)}));
+  const Effects over = proposer.propose(65, orderOf({itemAt(64, 1, 1)}));
+  REQUIRE(over.outcomes.size() == 1);
+  CHECK(over.outcomes[0].result == OrderResult::busy);
+  proposer.agreement->forgetCall(1);
+  CHECK(proposer.agreement->proposalsUnderWay() == 63);
+  for (std::uint64_t version = 1; version <= 40; ++version) {
+    proposer.agreement->decided(0s, {itemAt(99, version, 1)}, proposer.effects);
+  }
+  CHECK(proposer.agreement->decidedRegisters().size() == 33);  // with that of the set
+  const Effects old = proposer.propose(66, orderOf({itemAt(99, 3, 7)}));
+  REQUIRE(old.outcomes.size() == 1);
+  CHECK(old.outcomes[0].result == OrderResult::decided);
+}
