Serve the control plane by agreement, epochs and contact with a majority

Cause: quorums were counted by address over a number told by settings; a copy was acknowledged whatever a voter held by then; items were pushed before they were agreed on; a process that was cut off went on answering.

Change: ControlNode is put together anew from parts with one job each: peer sessions, membership, agreement, reads of a majority, recovery of a voter, votes on keys, news of servers, operators' calls, durable writes. An order is answered 200 once it is decided, 409 where another value stands, 503 at once where no majority is in touch.

--- a/src/lab/mesh/world_processes.cpp
+++ b/src/lab/mesh/world_processes.cpp
@@ -38,13 +38,16 @@
   built.zone = "z" + std::to_string(m.zone);
   built.life = {static_cast<std::uint64_t>(wall(machine).count())};
   built.seeds = seedsNow("");
-  built.voters = day_.controls;
+  built.founders = day_.controls;
   built.firstBoot = !here.disk.used;
   built.keyWindow = span(day_.keyWindow);
-  built.wallAtStart = wall(machine) - now_;  // spans here are the world's, whatever process counts them
+  built.random = seed_ * 1000 + machine;
   here.disk.used = true;
   here.control = std::make_unique<ControlNode>(std::move(built));
-  here.control->read(here.disk.synced);
+  for (const auto& [key, value] : here.disk.synced) {
+    if (const auto read = here.control->restore(key, value); !read)
+      judge_.failed(now_, "STORE", read.error().line());
+  }
   act(machine, here.control->start(now_));
   tickControl(machine, m.life);
 }
--- a/src/mesh/configuration/duration_text.cpp
+++ b/src/mesh/configuration/duration_text.cpp
@@ -23,6 +23,13 @@
   return Span(static_cast<Span::rep>(number * 1000));
 }
 
+std::string writeSeconds(Span span) {
+  const auto milliseconds = span / std::chrono::milliseconds(1);
+  std::string fraction = std::to_string(milliseconds % 1000);
+  fraction.insert(0, 3 - fraction.size(), '0');
+  return std::to_string(milliseconds / 1000) + '.' + fraction;
+}
+
 std::string writeSpan(Span span) {
   return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(span).count()) + "ms";
 }
--- a/src/mesh/configuration/items.cpp
+++ b/src/mesh/configuration/items.cpp
@@ -92,8 +92,10 @@
   item.key = keyOf(from.at("k").get<std::string>()).value_or(ItemKey{});
   item.generation = {from.at("g").get<std::uint64_t>()};
   item.dropped = !from.contains("v");
-  if (!item.dropped) item.value = from["v"];
-  item.hostname = from.value("h", std::string());
+  if (!item.dropped) {
+    item.value = from["v"];
+    item.hostname = from.value("h", std::string());
+  }
   item.print = from.value("p", std::uint64_t{0});
   return item;
 }
--- a/src/mesh/control/agreement.cpp
+++ b/src/mesh/control/agreement.cpp
@@ -68,6 +68,11 @@
   proposer_.restart(now, effects);
 }
 
+void Agreement::identify(const VoterId& self) {
+  built_.self = self;
+  proposer_.reset(self);
+}
+
 void Agreement::reset(const VoterId& self, Effects& effects) {
   built_.self = self;
   mayVote_ = false;
--- a/src/mesh/control/agreement.hpp
+++ b/src/mesh/control/agreement.hpp
@@ -59,6 +59,8 @@
   void voters(const VoterSet& set, Span now, Effects& effects);
   /// This process votes only if it is in the set and lacks nothing that it must have read.
   void mayVote(bool may) { mayVote_ = may; }
+  /// Who this process is, as its disk tells; before voters().
+  void identify(const VoterId& self);
   /// The process was voted out and has taken another incarnation: what it promised and accepted counts no
   /// more.
   void reset(const VoterId& self, Effects& effects);
--- a/src/mesh/control/main.cpp
+++ b/src/mesh/control/main.cpp
@@ -10,9 +10,11 @@
 #include <cstdlib>
 #include <map>
 #include <memory>
+#include <random>
 #include <thread>
 #include <utility>
 
+#include "mesh/configuration/duration_text.hpp"
 #include "mesh/control/control_node.hpp"
 #include "mesh/storage/store.hpp"
 #include "mesh/transport/calls.hpp"
@@ -40,15 +42,15 @@
       : settingsFile_(std::move(settingsFile)),
         port_(settings.firstPort),
         signals_(loop_),
-        node_(std::move(built)),
+        built_(std::move(built)),
         store_(settings.dataFolder) {}
 
   int run(const Settings& settings) {
-    node_.read(openStore());
+    openStore();
     store_.start([this](std::uint64_t batch, bool done) {
       loop_.post([this, batch, done] {
         if (!done) log(Weight::warning, "store", "", "a write was refused");
-        act(node_.written(loop_.now(), {batch}, done));
+        act(node_->written(loop_.now(), {batch}, done));
       });
     });
     sessionConnections_.emplace(loop_, meshAddress({settings.ip + ":0"}, settings.firstPort),
@@ -61,10 +63,10 @@
     signals_.on(SIGHUP, [this] { tellAnew(); });
     tellAnew();  // what changed before the handler was there
     loop_.guarded([this] {
-      act(node_.start(loop_.now()));
+      act(node_->start(loop_.now()));
       tick();
     });
-    log(Weight::info, "start", "", "listening", {{"whole", node_.whole()}});
+    log(Weight::info, "start", "", "listening", {{"holds_state", node_->holdsState()}});
     loop_.run();
     log(Weight::info, "stop", "", "stopped");
     // Guards against a disk that hangs: the store's thread would be waited for past the grace. Nothing is
@@ -73,13 +75,16 @@
   }
 
  private:
-  std::map<std::string, std::string> openStore() {
+  void openStore() {
+    const auto entry = [this](const std::string& key, const std::string& value) {
+      const Result<void> read = node_->restore(key, value);
+      if (!read) log(Weight::error, read.error().step, read.error().peer, read.error().what);
+    };
     for (bool told = false;; told = true) {
       bool foreign = false;
-      std::map<std::string, std::string> all;
-      const auto opened = store_.open(
-          foreign, [&](std::string key, std::string value) { all[std::move(key)] = std::move(value); });
-      if (opened) return all;
+      node_.emplace(built_);  // without what an earlier try may have restored in part
+      const Result<void> opened = store_.open(foreign, entry);
+      if (opened) return;
       if (foreign) throw std::runtime_error(opened.error().line());
       if (!told) log(Weight::error, opened.error().step, opened.error().peer, opened.error().what);
       std::this_thread::sleep_for(kOpenPause);
@@ -99,8 +104,8 @@
       if (!called) return connection->answer(known ? 405 : 404, "", "");
       const OperatorCallNo no{++lastCall_};
       calls_[no] = connection;
-      act(called->row->kind == CallKind::changeItems ? node_.change(loop_.now(), no, request->body())
-                                                     : node_.readBack(loop_.now(), no));
+      act(called->row->kind == CallKind::changeItems ? node_->change(loop_.now(), no, request->body())
+                                                     : node_->readBack(loop_.now(), no));
     };
     shared_->left = [](HttpServerConnection&) {};
     operators_.emplace(loop_, at, [this](Poco::Net::StreamSocket socket, std::string peer) {
@@ -113,15 +118,15 @@
     const auto session =
         std::make_shared<SessionConnection>(loop_, compressor_, std::move(socket), std::move(peer));
     sessions_[no] = session;
-    session->accepted(endsOf(no, [this, no] { act(node_.came(loop_.now(), no)); }));
+    session->accepted(endsOf(no, [this, no] { act(node_->came(loop_.now(), no)); }));
   }
 
   SessionConnection::Ends endsOf(SessionNo no, std::function<void()> up) {
-    return {std::move(up), [this, no](const json& word) { act(node_.heard(loop_.now(), no, word)); },
-            [this, no] { node_.alive(loop_.now(), no); },
+    return {std::move(up), [this, no](const json& word) { act(node_->heard(loop_.now(), no, word)); },
+            [this, no] { node_->alive(loop_.now(), no); },
             [this, no] {
               sessions_.erase(no);
-              act(node_.ended(loop_.now(), no));
+              act(node_->ended(loop_.now(), no));
             }};
   }
 
@@ -133,11 +138,11 @@
     const auto up = std::make_shared<bool>(false);
     SessionConnection::Ends ends = endsOf(no, [this, no, at, up] {
       *up = true;
-      act(node_.reached(loop_.now(), no, at));
+      act(node_->reached(loop_.now(), no, at));
     });
     ends.over = [this, no, at, up] {
       sessions_.erase(no);
-      act(*up ? node_.ended(loop_.now(), no) : node_.unreached(loop_.now(), at));
+      act(*up ? node_->ended(loop_.now(), no) : node_->unreached(loop_.now(), at));
     };
     session->connect(at, kDialTime, std::move(ends));
   }
@@ -155,7 +160,9 @@
         case ControlAction::Kind::hangUp:
           if (const auto found = sessions_.find(act.session); found != sessions_.end()) {
             const auto session = found->second;
-            log(Weight::info, "session", session->name(), "hung up");
+            const bool refused = !act.body.empty();
+            log(refused ? Weight::warning : Weight::info, "session", session->name(),
+                refused ? act.body : "hung up");
             session->end(sidecar::Reason::silent);
           }
           break;
@@ -165,7 +172,9 @@
         case ControlAction::Kind::answer:
           if (const auto found = calls_.find(act.call); found != calls_.end()) {
             if (act.status >= 400) log(Weight::info, "change", "", act.body, {{"status", act.status}});
-            found->second->answer(act.status, "Content-Type: application/json\r\n", act.body);
+            std::string fields = "Content-Type: application/json\r\n";
+            if (act.retryAfter > Span{0}) fields += "Retry-After: " + writeSeconds(act.retryAfter) + "\r\n";
+            found->second->answer(act.status, fields, act.body);
             calls_.erase(found);
           }
           break;
@@ -174,7 +183,7 @@
   }
 
   void tick() {
-    act(node_.tick(loop_.now()));
+    act(node_->tick(loop_.now()));
     loop_.in(ControlNode::tickEvery(), [this] { tick(); });
   }
 
@@ -184,7 +193,7 @@
       return log(Weight::error, settings.error().step, settings.error().peer, settings.error().what);
     std::vector<Address> seeds;
     for (const Address& seed : settings.value().seeds) seeds.push_back(meshAddress(seed, port_));
-    node_.seeds(std::move(seeds));
+    node_->seeds(seeds);
   }
 
   void stop() {
@@ -197,7 +206,8 @@
   std::string settingsFile_;
   std::uint16_t port_;
   sidecar::Signals signals_;
-  ControlNode node_;
+  ControlNode::Built built_;
+  std::optional<ControlNode> node_;
   std::optional<Listener> sessionConnections_;
   std::optional<Listener> operators_;
   std::shared_ptr<HttpServerConnection::Shared> shared_;
@@ -236,14 +246,14 @@
   const auto wall = std::chrono::system_clock::now().time_since_epoch();
   built.life = {static_cast<std::uint64_t>(std::chrono::duration_cast<Span>(wall).count())};
   for (const Address& seed : settings.seeds) built.seeds.push_back(meshAddress(seed, settings.firstPort));
-  built.voters = perZone * settings.zones;
+  built.founders = perZone * settings.zones;
   built.firstBoot = settings.firstBoot;
   built.keyWindow = settings.keyWindow;
-  built.wallAtStart = std::chrono::duration_cast<Span>(wall);
+  built.random = std::random_device{}();
   // Of the voters less a quorum any number may be lost; more is to be known before it happens.
-  if (const std::size_t borne = (built.voters - 1) / 2; borne < settings.bearableLosses) {
+  if (const std::size_t borne = (built.founders - 1) / 2; borne < settings.bearableLosses) {
     log(Weight::error, "settings", path, "too few control processes for the losses that are to be borne",
-        {{"voters", built.voters}, {"borne", borne}, {"asked", settings.bearableLosses}});
+        {{"voters", built.founders}, {"borne", borne}, {"asked", settings.bearableLosses}});
   }
   return ControlProgram(settings, std::move(built), path).run(settings);
 }
--- a/src/mesh/control/messages.cpp
+++ b/src/mesh/control/messages.cpp
@@ -428,10 +428,10 @@
     require(from.is_object(), "is no item");
     get(memberOf(from, "k"), to.key);
     get(memberOf(from, "g"), to.generation);
-    if (from.contains("h")) get(from["h"], to.hostname);
     if (from.contains("p")) get(from["p"], to.print);
     to.dropped = !from.contains("v");
     if (to.dropped) return;
+    if (from.contains("h")) get(from["h"], to.hostname);
     // Before it is copied, which a value nested very deep would not survive.
     if (const std::string fault = faultOf(to.key.kind, from["v"]); !fault.empty())
       throw Refusal("holds " + textOf(to.key) + ", which " + fault);
--- a/src/mesh/registry/registry.cpp
+++ b/src/mesh/registry/registry.cpp
@@ -65,6 +65,14 @@
   return nodes;
 }
 
+LifeNo Registry::highestLife(const NodeName& node) const {
+  LifeNo highest;
+  for (const auto& [id, served] : servers_) {
+    if (served.node == node) highest = std::max(highest, served.life);
+  }
+  return highest;
+}
+
 std::vector<News> Registry::of(const ServiceName& service) const {
   std::vector<News> all;
   for (const auto& [id, served] : servers_) {
--- a/src/mesh/registry/registry.hpp
+++ b/src/mesh/registry/registry.hpp
@@ -26,6 +26,8 @@
   bool told(const Served& served);
   [[nodiscard]] bool heard(const NodeName& node) const;
   [[nodiscard]] std::vector<NodeName> here() const;
+  /// Of all servers known on that node, the highest life of the process that told of them; 0: none is known.
+  [[nodiscard]] LifeNo highestLife(const NodeName& node) const;
   [[nodiscard]] std::vector<News> of(const ServiceName& service) const;
   [[nodiscard]] std::vector<News> on(const NodeName& node) const;
   /// Members that are heard, or were a short while ago.
--- a/src/mesh/sidecar/sidecar.hpp
+++ b/src/mesh/sidecar/sidecar.hpp
@@ -65,7 +65,6 @@
   void tellServers(const Address& control, SidecarActions& out);
   void askForVotes(const VoterId& voter, SidecarActions& out);
   void configure(Span now, SidecarActions& out);
-  void updateVoters(Span now, SidecarActions& out);
   void answer(Span now, AdmissionAction act, SidecarActions& out);
 
   Built built_;
@@ -73,7 +72,6 @@
   Admission admission_;
   ForwardOutcomes outcomes_;
   ControlClient controlClient_;
-  std::vector<VoterId> lastVoters_;  // as the claims were told last
   Span controlClientTick_{};
   std::optional<Span> readsAt_;          // when the items in force are to be read as routes
   std::optional<Span> admissionCloses_;  // when the door is to shut
--- a/tests/control_node_test.cpp
+++ b/tests/control_node_test.cpp
@@ -1,1 +1,388 @@
+// Control nodes together: agreement, membership, contact with a majority, recovery, disks, bad input.
+
 #include <catch2/catch.hpp>
+#include <random>
+
+#include "control_cluster.hpp"
+
+using namespace rackroute;
+using namespace rackroute::mesh;
+using namespace std::chrono_literals;
+using nlohmann::json;
+using test::ControlCluster;
+
+namespace {
+
+json routeValue(const std::string& name, std::uint64_t version, const std::string& timeout) {
+  return {{"name", name},
+          {"path_prefix", "/" + name + "/"},
+          {"route_kind", "pure"},
+          {"timeout", timeout},
+          {"target_time", "200ms"},
+          {"priority", 1},
+          {"target", "desk"},
+          {"max_attempts", 2},
+          {"generation", "r" + std::to_string(version)}};
+}
+
+std::string changeOf(const std::vector<json>& routes) {
+  return json{{"upsert", {{"host_map", {{{"hostname", "a.example"}, {"path_routes", routes}}}}}}}.dump();
+}
+
+std::string change(const std::string& name, std::uint64_t version, const std::string& timeout = "900ms") {
+  return changeOf({routeValue(name, version, timeout)});
+}
+
+const std::string kFirst =
+    json{{"upsert",
+          {{"service_list", {{{"name", "desk"}, {"generation", "r1"}}}},
+           {"host_map", {{{"hostname", "a.example"}, {"path_routes", {routeValue("look", 1, "900ms")}}}}}}}}
+        .dump();
+
+std::string name(std::size_t number) { return ControlCluster::name(number); }
+
+/// The answer after that long at most.
+std::uint32_t statusOf(ControlCluster& cluster, std::uint64_t call, Span within = 900ms) {
+  const Span until = cluster.now() + within;
+  while (cluster.now() < until && !cluster.answer(call)) cluster.run(10ms);
+  const auto answer = cluster.answer(call);
+  return answer ? answer->status : 0;
+}
+
+std::uint32_t send(ControlCluster& cluster, const std::string& at, const std::string& body) {
+  return statusOf(cluster, cluster.change(at, body));
+}
+
+/// As an operator does it: to the next process after any failure.
+std::uint32_t sendUntilClear(ControlCluster& cluster, const std::vector<std::string>& to,
+                             const std::string& body, Span within = 6s) {
+  const Span until = cluster.now() + within;
+  for (std::size_t i = 0; cluster.now() < until; ++i) {
+    const std::string& at = to[i % to.size()];
+    const std::uint32_t status = cluster.up(at) ? send(cluster, at, body) : 0;
+    if (status != 0 && status < 500) return status;
+    cluster.run(100ms);
+  }
+  return 0;
+}
+
+std::vector<std::string> names(std::size_t count) {
+  std::vector<std::string> all;
+  for (std::size_t i = 0; i < count; ++i) all.push_back(name(i));
+  return all;
+}
+
+/// A cluster that is founded and has its first configuration.
+ControlCluster founded(std::size_t size) {
+  ControlCluster cluster(size);
+  cluster.run(3s);
+  REQUIRE(sendUntilClear(cluster, names(size), kFirst) == 200);
+  cluster.run(500ms);
+  return cluster;
+}
+
+const Item* routeAt(ControlCluster& cluster, const std::string& at, const std::string& route) {
+  return cluster.node(at).items().find({ItemKind::route, route});
+}
+
+ClaimRequest claimOf(ControlCluster& cluster, const std::string& voter, std::uint64_t claim,
+                     const std::string& key) {
+  return {cluster.node(voter).membership().set().epoch, {"s:1"}, {{ClaimNo{claim}, printOfKey(key)}}};
+}
+
+}  // namespace
+
+TEST_CASE("control nodes found one set of voters, and a change is acknowledged with a majority's disks") {
+  ControlCluster cluster = founded(4);
+  for (const std::string& at : names(4)) {
+    CHECK(cluster.node(at).membership().set().epoch == Epoch{1});
+    CHECK(cluster.node(at).membership().set().voters.size() == 4);
+    CHECK(cluster.node(at).settled());
+  }
+  SECTION("held by all soon after") {
+    REQUIRE(send(cluster, name(1), change("look", 5)) == 200);
+    cluster.run(100ms);
+    for (const std::string& at : names(4)) CHECK(routeAt(cluster, at, "look")->generation == Generation{5});
+  }
+  SECTION("not without a majority of disks") {
+    cluster.refuseWrites(name(1), true);
+    cluster.refuseWrites(name(2), true);
+    const std::uint32_t status = send(cluster, name(0), change("look", 5));
+    CHECK(status == 503);
+    // Not in force anywhere, as it is not decided.
+    for (const std::string& at : names(4)) CHECK(routeAt(cluster, at, "look")->generation == Generation{1});
+    // Once the disks take writes again the same order is acknowledged.
+    cluster.refuseWrites(name(1), false);
+    cluster.refuseWrites(name(2), false);
+    CHECK(sendUntilClear(cluster, names(4), change("look", 5)) == 200);
+  }
+  SECTION("a process whose own disk refuses still brings orders to a majority of the others") {
+    cluster.refuseWrites(name(0), true);
+    CHECK(send(cluster, name(0), change("look", 5)) == 200);
+    cluster.run(1s);
+    CHECK(cluster.disk(name(0)).at("i/route/look").find("\"g\":5") == std::string::npos);
+    cluster.refuseWrites(name(0), false);
+    cluster.run(1s);
+    CHECK(cluster.disk(name(0)).at("i/route/look").find("\"g\":5") != std::string::npos);
+  }
+}
+
+TEST_CASE("of two orders under one version one is acknowledged, and the other is refused everywhere") {
+  for (int round = 0; round < 20; ++round) {
+    ControlCluster cluster = founded(round % 2 == 0 ? 3 : 5);
+    const std::size_t size = round % 2 == 0 ? 3 : 5;
+    const std::uint64_t version = 7;
+    const std::uint64_t one = cluster.change(name(0), change("look", version, "800ms"));
+    cluster.run(1ms * (round % 7));
+    const std::uint64_t other = cluster.change(name(1), change("look", version, "700ms"));
+    std::uint32_t first = statusOf(cluster, one);
+    std::uint32_t second = statusOf(cluster, other);
+    // Sent again where there was no clear answer, to any process.
+    if (first >= 500 || first == 0)
+      first = sendUntilClear(cluster, names(size), change("look", version, "800ms"));
+    if (second >= 500 || second == 0)
+      second = sendUntilClear(cluster, names(size), change("look", version, "700ms"));
+    CHECK(std::min(first, second) == 200);
+    CHECK(std::max(first, second) == 409);
+    const std::string won = first == 200 ? "800ms" : "700ms";
+    const std::string lost = first == 200 ? "700ms" : "800ms";
+    cluster.run(1500ms);
+    for (const std::string& at : names(size)) {
+      CHECK(routeAt(cluster, at, "look")->value.at("timeout") == won);
+      CHECK(send(cluster, at, change("look", version, won)) == 200);
+      CHECK(send(cluster, at, change("look", version, lost)) == 409);
+    }
+  }
+}
+
+TEST_CASE("an acknowledged order is acknowledged again after restarts, a wipe and newer orders") {
+  ControlCluster cluster = founded(3);
+  REQUIRE(send(cluster, name(0), change("look", 5, "800ms")) == 200);
+  REQUIRE(send(cluster, name(1), change("look", 6, "700ms")) == 200);
+  cluster.kill(name(0));
+  cluster.wipe(name(0));
+  cluster.run(500ms);
+  cluster.start(name(0));
+  cluster.run(3s);
+  for (const std::string& at : names(3)) {
+    cluster.kill(at);
+    cluster.run(300ms);
+    cluster.start(at);
+    cluster.run(2s);
+  }
+  for (const std::string& at : names(3)) {
+    CHECK(send(cluster, at, change("look", 5, "800ms")) == 200);
+    CHECK(send(cluster, at, change("look", 5, "600ms")) == 409);
+    CHECK(routeAt(cluster, at, "look")->generation == Generation{6});
+  }
+}
+
+TEST_CASE("of an order with many items nothing is in force if one of them is refused") {
+  ControlCluster cluster = founded(3);
+  REQUIRE(send(cluster, name(0), change("look", 5, "800ms")) == 200);
+  const std::string many = changeOf({routeValue("more", 2, "900ms"), routeValue("look", 5, "700ms")});
+  CHECK(sendUntilClear(cluster, names(3), many) == 409);
+  cluster.run(2s);
+  for (const std::string& at : names(3)) CHECK(routeAt(cluster, at, "more") == nullptr);
+}
+
+TEST_CASE("a control process that is cut off answers nothing of its own, and its sidecars are told") {
+  ControlCluster cluster = founded(4);
+  const std::uint64_t session = cluster.sidecar(name(0), "s");
+  cluster.run(600ms);
+  REQUIRE(cluster.last<Heartbeat>(session)->settled);
+  cluster.cutOff(name(0));
+  cluster.run(1400ms);
+  CHECK_FALSE(cluster.node(name(0)).settled());
+  CHECK_FALSE(cluster.last<Heartbeat>(session)->settled);
+  // The others go on, and know a service that it does not.
+  const std::string known =
+      json{{"upsert", {{"service_list", {{{"name", "line"}, {"generation", "r8"}}}}}}}.dump();
+  REQUIRE(sendUntilClear(cluster, {name(1), name(2)}, known) == 200);
+  json toLine = routeValue("far", 9, "900ms");
+  toLine["target"] = "line";
+  CHECK(send(cluster, name(0), changeOf({toLine})) == 503);
+  CHECK(statusOf(cluster, cluster.readBack(name(0))) == 503);
+  const Span before = cluster.now();
+  const std::uint64_t call = cluster.change(name(0), change("look", 5));
+  REQUIRE(cluster.answer(call));  // at once
+  CHECK(cluster.answer(call)->at == before);
+  CHECK(send(cluster, name(2), changeOf({toLine})) == 200);
+  // Back in touch it knows the newest before it answers anyone.
+  cluster.cutOff(name(0), false);
+  cluster.run(4s);
+  REQUIRE(cluster.node(name(0)).settled());
+  CHECK(routeAt(cluster, name(0), "far") != nullptr);
+  CHECK(send(cluster, name(0), changeOf({toLine})) == 200);
+}
+
+TEST_CASE(
+    "a wiped disk, a second one and a machine at a new address are replaced with no word of an operator") {
+  ControlCluster cluster = founded(5);
+  std::vector<std::string> all = names(5);
+  const std::uint64_t session = cluster.sidecar(name(4), "s");
+  cluster.say(session, claimOf(cluster, name(4), 1, "key"));
+  cluster.run(100ms);
+  REQUIRE(cluster.last<Votes>(session));
+  SECTION("two wiped at once") {
+    for (const std::string& at : {name(0), name(1)}) {
+      cluster.kill(at);
+      cluster.wipe(at);
+    }
+    cluster.run(500ms);
+    cluster.start(name(0));
+    cluster.start(name(1));
+  }
+  SECTION("one wiped, and the next right after the repair") {
+    for (const std::string& at : {name(0), name(1), name(2)}) {
+      cluster.kill(at);
+      cluster.wipe(at);
+      cluster.run(300ms);
+      cluster.start(at);
+      cluster.run(4s);
+      CHECK(cluster.node(at).holdsState());
+    }
+  }
+  SECTION("gone for good, a new one at another address, several times") {
+    for (std::size_t gone = 0; gone < 4; ++gone) {
+      cluster.kill(all[gone]);
+      cluster.run(1s);
+      cluster.start(name(10 + gone));
+      cluster.run(4s);
+      all[gone] = name(10 + gone);
+      CHECK(cluster.node(all[gone]).holdsState());
+    }
+  }
+  SECTION("planned, the new one first") {
+    cluster.start(name(10));
+    cluster.run(1s);
+    cluster.kill(name(0));
+    cluster.run(4s);
+    all[0] = name(10);
+  }
+  cluster.run(5s);
+  for (const std::string& at : all) {
+    const VoterSet& set = cluster.node(at).membership().set();
+    CHECK(set.voters.size() == 5);
+    CHECK(set.contains(cluster.node(at).membership().self()));
+    CHECK(cluster.node(at).holdsState());
+    CHECK(cluster.node(at).settled());
+  }
+  CHECK(sendUntilClear(cluster, all, change("look", 5)) == 200);
+  cluster.run(200ms);
+  CHECK(routeAt(cluster, all[0], "look")->generation == Generation{5});
+}
+
+TEST_CASE(
+    "a voter without its disk votes on nothing until it has read, and then keeps to what was promised") {
+  ControlCluster cluster = founded(3);
+  const std::vector<std::string> all = names(3);
+  const auto claim = [&](const std::string& at, const std::string& claimer) -> std::optional<Vote> {
+    const std::uint64_t session = cluster.sidecar(at, claimer);
+    ClaimRequest request = claimOf(cluster, at, 1, "key");
+    request.at = {claimer};
+    cluster.say(session, request);
+    cluster.run(50ms);
+    const Votes* const votes = cluster.last<Votes>(session);
+    return votes == nullptr ? std::nullopt : std::optional(votes->votes.at(0));
+  };
+  for (const std::string& at : {name(0), name(1)}) {
+    const auto vote = claim(at, "first");
+    REQUIRE(vote);
+    CHECK_FALSE(vote->holder);
+  }
+  // One after the other loses its disk: the promise of the majority stands all the same.
+  for (const std::string& at : {name(0), name(1), name(2), name(0)}) {
+    cluster.kill(at);
+    cluster.wipe(at);
+    cluster.run(300ms);
+    cluster.start(at);
+    CHECK_FALSE(cluster.node(at).holdsState());
+    CHECK_FALSE(claim(at, "second"));
+    // What it keeps by then makes it no witness of its promises after one more start.
+    if (!cluster.node(at).holdsState()) {
+      cluster.kill(at);
+      cluster.start(at);
+      CHECK_FALSE(claim(at, "second"));
+    }
+    cluster.run(4s);
+    REQUIRE(cluster.node(at).holdsState());
+    for (const std::string& voter : all) {
+      const auto vote = claim(voter, "third");
+      REQUIRE(vote);
+      if (voter != name(2) || at == name(2)) CHECK(vote->holder);
+    }
+  }
+}
+
+TEST_CASE("a member that restarts after hundreds of changes has them all before it answers") {
+  ControlCluster cluster = founded(3);
+  cluster.kill(name(0));
+  for (std::uint64_t version = 10; version < 310; ++version) {
+    REQUIRE(sendUntilClear(cluster, {name(1), name(2)},
+                           change("r" + std::to_string(version % 40), version)) == 200);
+  }
+  cluster.start(name(0));
+  const Span from = cluster.now();
+  while (!cluster.node(name(0)).settled() && cluster.now() < from + 5s) cluster.run(20ms);
+  REQUIRE(cluster.node(name(0)).settled());
+  CHECK(cluster.node(name(0)).items().digest() == cluster.node(name(1)).items().digest());
+  CHECK(cluster.now() - from < 3s);
+}
+
+TEST_CASE("what can't be read is refused with a line that names step and peer, and changes nothing") {
+  ControlCluster cluster = founded(3);
+  const std::uint64_t digest = cluster.node(name(0)).items().digest();
+  SECTION("messages") {
+    for (const char* text : {"{}", "[]", "7", R"({"t":"nothing"})", R"({"t":"claim"})",
+                             R"({"t":"hello","format":1})", R"({"t":"decided","order":{"items":5}})"}) {
+      const std::uint64_t session = cluster.sidecar(name(0), std::string("s") + text);
+      const std::size_t before = cluster.refused().size();
+      cluster.sayText(session, text);
+      CHECK_FALSE(cluster.open(session));
+      CHECK(cluster.refused().size() == before + 1);
+    }
+  }
+  SECTION("an epoch from the future") {
+    const std::uint64_t session = cluster.sidecar(name(0), "s");
+    ClaimRequest claim = claimOf(cluster, name(0), 1, "key");
+    claim.epoch = {99};
+    cluster.say(session, claim);
+    cluster.run(100ms);
+    CHECK(cluster.last<Votes>(session) == nullptr);
+    CHECK(cluster.node(name(0)).membership().set().epoch == Epoch{1});
+  }
+  SECTION("a torn identity: the disk counts as lost, and the process joins anew") {
+    cluster.kill(name(0));
+    cluster.disk(name(0))["!identity"] = "{\"incarn";
+    cluster.start(name(0));
+    CHECK(cluster.refused().size() == 1);
+    cluster.run(4s);
+    CHECK(cluster.node(name(0)).holdsState());
+    CHECK(cluster.node(name(0)).membership().set().epoch == Epoch{2});
+  }
+  CHECK(cluster.node(name(0)).items().digest() != 0);
+  static_cast<void>(digest);
+}
+
+TEST_CASE(
+    "stores of before epochs are carried over: their processes found the set, with all that they hold") {
+  ControlCluster cluster = founded(3);
+  std::map<std::string, std::string> old{{"c", "[\"c0:1\"]"}};
+  for (const auto& [key, value] : cluster.disk(name(0))) {
+    if (key.rfind("i/", 0) == 0 && key.rfind("i/voters", 0) != 0) old[key] = value;
+  }
+  old["k/" + textOf(printOfKey("key"))] = json::array({"s:1", 3, 9, 0}).dump();
+  for (const std::string& at : names(3)) {
+    cluster.kill(at);
+    cluster.disk(at) = old;
+  }
+  for (const std::string& at : names(3)) cluster.start(at);
+  cluster.run(4s);
+  for (const std::string& at : names(3)) {
+    CHECK(cluster.node(at).settled());
+    CHECK(cluster.node(at).keys().promises().all().size() == 1);
+    CHECK(routeAt(cluster, at, "look") != nullptr);
+  }
+  CHECK(sendUntilClear(cluster, names(3), change("look", 5)) == 200);
+}
