Refuse what peers would refuse in a change, dial a peer once, drop what nothing uses

A change nested deeper than peers take ended their sessions; readChange asks the same check now. A Hello made a second dial go beside one on its way, and its session ended the first. wordsOf, lastOf and a second writer of seconds are gone.

--- a/src/mesh/configuration/items.cpp
+++ b/src/mesh/configuration/items.cpp
@@ -7,6 +7,7 @@
 #include <utility>
 
 #include "mesh/configuration/duration_text.hpp"
+#include "mesh/configuration/item_check.hpp"
 #include "mesh/configuration/schema.hpp"
 
 namespace rackroute::mesh {
@@ -15,8 +16,7 @@
 using nlohmann::json;
 using namespace std::chrono_literals;
 
-constexpr std::size_t kItemsAWord = 150;  // some milliseconds' work on a slow machine
-constexpr Span kLongestTimeout = 10min;   // of a route, as the protocol has it
+constexpr Span kLongestTimeout = 10min;  // of a route, as the protocol has it
 
 std::uint64_t hashOf(std::string_view text) { return XXH3_64bits(text.data(), text.size()); }
 
@@ -105,29 +105,6 @@
   return *item.wire;
 }
 
-std::vector<std::shared_ptr<const std::string>> wordsOf(const json& head, const std::vector<Item>& items) {
-  const std::size_t parts = std::max<std::size_t>(1, (items.size() + kItemsAWord - 1) / kItemsAWord);
-  std::vector<std::shared_ptr<const std::string>> words;
-  for (std::size_t part = 0; part < parts; ++part) {
-    json numbered = head;
-    numbered["part"] = part;
-    numbered["parts"] = parts;
-    std::string word = numbered.dump();
-    word.back() = ',';
-    word += "\"list\":[";
-    const std::size_t end = std::min(items.size(), (part + 1) * kItemsAWord);
-    for (std::size_t i = part * kItemsAWord; i < end; ++i) word += wireOf(items[i]) + ',';
-    if (word.back() == ',') word.pop_back();
-    word += "]}";
-    words.push_back(std::make_shared<const std::string>(std::move(word)));
-  }
-  return words;
-}
-
-bool lastOf(const json& word) {
-  return word.value("part", std::size_t{0}) + 1 >= word.value("parts", std::size_t{1});
-}
-
 std::vector<std::string> servicesOf(const Item& route) {
   std::vector<std::string> services;
   if (route.dropped || route.key.kind != ItemKind::route) return services;
@@ -147,6 +124,9 @@
   const auto add = [&](Result<Item> read) -> Result<void> {
     if (!read) return std::move(read).error();
     Item item = std::move(read).value();
+    // Guards against a value that this process could take and the others refuse, such as one nested too deep.
+    const std::string fault = item.dropped ? std::string() : faultOf(item.key.kind, item.value);
+    if (!fault.empty()) return failure("change", textOf(item.key) + ' ' + fault);
     const auto [place, first] = places.try_emplace(item.key, items.size());
     if (first) {
       items.push_back(std::move(item));
--- a/src/mesh/configuration/items.hpp
+++ b/src/mesh/configuration/items.hpp
@@ -41,12 +41,6 @@
 std::uint64_t printOf(const Item& item);
 /// As toJson, in text; written out once, whatever it goes into, and shared by copies of the item.
 const std::string& wireOf(const Item& item);
-/// The words that carry these items, a bounded number each, so that none holds up who reads it: the head's
-/// fields, part and parts, and the list. One word without items, if there are none.
-std::vector<std::shared_ptr<const std::string>> wordsOf(const nlohmann::json& head,
-                                                        const std::vector<Item>& items);
-/// Whether a word is the last of such a row.
-bool lastOf(const nlohmann::json& word);
 /// Throws nlohmann's exceptions for what no process of the mesh sends.
 Item itemFrom(const nlohmann::json& from);
 std::string textOf(const ItemKey& key);
--- a/src/mesh/control/messages.hpp
+++ b/src/mesh/control/messages.hpp
@@ -58,8 +58,8 @@
   Ballot ballot;
   OrderPtr order;
 };
-/// A register that is decided, with the print of its value. Print 0: it is so old that the print is forgotten;
-/// whatever is proposed for it has no effect.
+/// A register that is decided, with the print of its value. Print 0: it is so old that the print is
+/// forgotten; whatever is proposed for it has no effect.
 struct DecidedRegister {
   RegisterId id;
   std::uint64_t print = 0;
--- a/src/mesh/control/peer_sessions.cpp
+++ b/src/mesh/control/peer_sessions.cpp
@@ -73,12 +73,15 @@
   session.at = at;
   session.lastHeard = now;
   dialled_[at] = no;
+  if (const auto known = known_.find(at); known != known_.end()) known->second.dialling = false;
   return older;
 }
 
 void PeerSessions::unreached(Span now, const Address& at) {
   const auto found = known_.find(at);
-  if (found != known_.end()) found->second.nextDial = now + kRedial;
+  if (found == known_.end()) return;
+  found->second.dialling = false;
+  found->second.nextDial = now + kRedial;
 }
 
 std::optional<PeerSession> PeerSessions::ended(Span now, SessionNo no) {
@@ -98,7 +101,8 @@
 
 void PeerSessions::dialSoon(const Address& at) {
   const auto found = known_.find(at);
-  if (found != known_.end()) found->second.nextDial = Span{0};
+  // Guards against a second dial beside one that is on its way: its session would end the first one's.
+  if (found != known_.end() && !found->second.dialling) found->second.nextDial = Span{0};
 }
 
 PeerSession* PeerSessions::find(SessionNo no) {
@@ -149,6 +153,7 @@
     }
     if (!up && at->second.nextDial <= now) {
       at->second.nextDial = now + kDialTime;
+      at->second.dialling = true;
       due.push_back(at->first);
     }
     ++at;
--- a/src/mesh/control/peer_sessions.hpp
+++ b/src/mesh/control/peer_sessions.hpp
@@ -71,6 +71,7 @@
  private:
   struct Known {
     Span nextDial{};
+    bool dialling = false;  // a dial is on its way
     Span unreachedSince{};
   };
   [[nodiscard]] bool permanent(const Address& at) const;
--- a/src/mesh/sidecar/main.cpp
+++ b/src/mesh/sidecar/main.cpp
@@ -65,13 +65,6 @@
   return Span(static_cast<Span::rep>(milliseconds * 1000));
 }
 
-std::string spanSeconds(Span span) {
-  const auto milliseconds = span / 1ms;
-  std::string fraction = std::to_string(milliseconds % 1000);
-  fraction.insert(0, 3 - fraction.size(), '0');
-  return std::to_string(milliseconds / 1000) + '.' + fraction;
-}
-
 class SidecarProgram {
  public:
   SidecarProgram(const Settings& settings, Sidecar::Built built, std::string settingsFile)
@@ -141,7 +134,7 @@
     if (deadline_.stopping() && now >= deadline_.endAt()) end();
     if (deadline_.stopping() && now + usualFor(*request) + kLastAnswer > deadline_.endAt()) {
       const Span back = std::max(Span{0}, deadline_.endAt() - now) + kNextLife;
-      return connection->answer(503, "Retry-After: " + spanSeconds(back) + "\r\n", "");
+      return connection->answer(503, "Retry-After: " + writeSeconds(back) + "\r\n", "");
     }
     const CallNo no{++lastCall_};
     Asked asked;
@@ -229,7 +222,7 @@
       inside.connection->pass(std::static_pointer_cast<const http::Message>(act.bytes), "");
     } else {
       std::string fields;
-      if (act.comeBack > Span{0}) fields = "Retry-After: " + spanSeconds(act.comeBack) + "\r\n";
+      if (act.comeBack > Span{0}) fields = "Retry-After: " + writeSeconds(act.comeBack) + "\r\n";
       inside.connection->answer(act.status, fields, "");
     }
   }
--- a/tests/emulator_test.cpp
+++ b/tests/emulator_test.cpp
@@ -197,8 +197,7 @@
   }
 }
 
-TEST_CASE("a sidecar that starts beside a control process that is cut off serves nothing old",
-          ) {
+TEST_CASE("a sidecar that starts beside a control process that is cut off serves nothing old", ) {
   const Day day = readDay(std::string(RACKROUTE_LAB_MESH) + "/stale-start-beside-cut-off.toml");
   for (const std::uint64_t seed : {1080, 1, 2, 3}) requireKept(day, seed);
 }
--- a/tests/mesh_test.cpp
+++ b/tests/mesh_test.cpp
@@ -769,8 +769,7 @@
   CHECK_FALSE(known);
 }
 
-TEST_CASE("a whole mesh keeps the rules on drawn days, and plays a seed the same each time",
-          ) {
+TEST_CASE("a whole mesh keeps the rules on drawn days, and plays a seed the same each time", ) {
   lab::mesh::Day size;
   size.seconds = 22;
   size.perSecond = 90;
