--- a/src/mesh/control/agreement.cpp
+++ b/src/mesh/control/agreement.cpp
@@ -209,16 +209,17 @@
   learnDecided(now, history_.all(), {}, effects);
 }
 
-Span Agreement::silenceAllowed() const {
+Span Agreement::silenceAllowed(const Order& order) const {
   const auto self = std::find(set_.voters.begin(), set_.voters.end(), built_.self);
-  return kSilenceAllowed + kSilenceAllowedPerRank * (self - set_.voters.begin());
+  return kSilenceAllowed + kSilenceAllowedPerRank * (self - set_.voters.begin()) +
+         2 * timeForSize(order.items.size());
 }
 
 void Agreement::completeSilentOrders(Span now, Effects& effects) {
   if (!mayVote_ || !set_.contains(built_.self)) return;
   std::vector<OrderPtr> silent;
   for (const auto& [id, held] : acceptor_.held()) {
-    if (now - held.since >= silenceAllowed()) silent.push_back(held.accepted.order);
+    if (now - held.since >= silenceAllowed(*held.accepted.order)) silent.push_back(held.accepted.order);
   }
   for (const OrderPtr& order : silent) {
     acceptor_.touch(now, order->id);
@@ -230,7 +231,7 @@
   std::optional<Span> next = proposer_.nextTick();
   if (!mayVote_ || !set_.contains(built_.self)) return next;
   for (const auto& [id, held] : acceptor_.held()) {
-    const Span silent = held.since + silenceAllowed();
+    const Span silent = held.since + silenceAllowed(*held.accepted.order);
     if (!next || silent < *next) next = silent;
   }
   return next;
--- a/src/mesh/control/agreement.hpp
+++ b/src/mesh/control/agreement.hpp
@@ -94,6 +94,8 @@
 
   /// Orders that this process accepted and does not know to be decided.
   [[nodiscard]] std::vector<AcceptedOrder> accepted() const;
+  /// Whether there are any.
+  [[nodiscard]] bool holdsAccepted() const { return !acceptor_.held().empty(); }
   /// Registers decided here, with their values' prints, as far as they are remembered.
   [[nodiscard]] std::vector<DecidedRegister> decidedRegisters() const;
   /// State of another voter, read while this one joins. Only of a fenced voter.
@@ -115,7 +117,7 @@
   void bringIntoForce(const std::vector<OrderPtr>& orders, Effects& effects) const;
   void settleRestored(Span now, Effects& effects);
   void completeSilentOrders(Span now, Effects& effects);
-  [[nodiscard]] Span silenceAllowed() const;
+  [[nodiscard]] Span silenceAllowed(const Order& order) const;
   [[nodiscard]] bool mayVoteOn(const Ballot& ballot, Epoch epoch) const;
   [[nodiscard]] bool acceptable(const Order& order) const;
   [[nodiscard]] bool undecided(const Order& order) const;
--- a/src/mesh/control/control_node.cpp
+++ b/src/mesh/control/control_node.cpp
@@ -277,6 +277,7 @@
       local_.pop_front();
       dispatch(now, SessionNo{}, message, actions);
     }
+    answerReads(now, actions);
     Effects effects;
     reads_.advance(now, effects);
     operators_.advance(now, effects, actions);
--- a/src/mesh/control/control_node.hpp
+++ b/src/mesh/control/control_node.hpp
@@ -87,6 +87,11 @@
     std::optional<std::uint64_t> digest;  // of the items that are on disk then
     std::optional<Epoch> recovered;       // the state that was read for that set is on disk then
   };
+  struct WaitingRead {  // of a reader that is answered once nothing is accepted and undecided here
+    Address from;
+    ReadRequest request;
+    Span until{};
+  };
   struct ConfirmedRequest {  // of a sidecar that starts
     SessionNo session;
     nlohmann::json versions;
@@ -136,6 +141,7 @@
                  ControlActions& actions);
   void requestItems(SessionNo from, ControlActions& actions);
   void answerConfirmed(ControlActions& actions);
+  void answerReads(Span now, ControlActions& actions);
 
   // --- voters
   void adopt(Span now, const VoterSet& set, Effects& effects);
@@ -184,6 +190,7 @@
   DurableWrites<Waiting> writes_;
   std::deque<Message> local_;  // to this process itself
   std::vector<ConfirmedRequest> confirmed_;
+  std::vector<WaitingRead> waitingReads_;
   std::uint64_t durableDigest_ = 0;                           // of the items on disk
   std::vector<std::shared_ptr<const std::string>> allItems_;  // encoded, for those that start with nothing
   std::uint64_t allItemsDigest_ = 0;
--- a/src/mesh/control/control_node_messages.cpp
+++ b/src/mesh/control/control_node_messages.cpp
@@ -11,7 +11,8 @@
 using nlohmann::json;
 using namespace std::chrono_literals;
 
-constexpr Span kDiffers = 1000ms;  // with another digest than a peer's, before its items are fetched
+constexpr Span kOrdersInFlight = 350ms;  // that a read waits for the decision of orders accepted here
+constexpr Span kDiffers = 1000ms;        // with another digest than a peer's, before its items are fetched
 
 }  // namespace
 
@@ -201,14 +202,32 @@
 
 void ControlNode::take(Span now, SessionNo from, const ReadRequest& request, ControlActions& actions) {
   if (!sameEpoch(from, request.epoch, actions) || !mayVote()) return;
-  static_cast<void>(now);
-  ReadReply reply;
-  reply.read = request.read;
-  reply.epoch = request.epoch;
-  reply.voter = self_;
-  reply.digest = items_.digest();
-  reply.accepted = agreement_.accepted();
-  send(Envelope{addressOf(from), std::move(reply)}, actions);
+  const Address reader = addressOf(from);
+  waitingReads_.erase(std::remove_if(waitingReads_.begin(), waitingReads_.end(),
+                                     [&](const WaitingRead& older) { return older.from == reader; }),
+                      waitingReads_.end());
+  waitingReads_.push_back({reader, request, now + kOrdersInFlight});
+  answerReads(now, actions);
+}
+
+// Guards against readers that are told of an order in flight, with all its items, and complete it beside its
+// proposer: most are decided a moment later.
+void ControlNode::answerReads(Span now, ControlActions& actions) {
+  for (auto at = waitingReads_.begin(); at != waitingReads_.end();) {
+    if (agreement_.holdsAccepted() && now < at->until) {
+      ++at;
+      continue;
+    }
+    ReadReply reply;
+    reply.read = at->request.read;
+    reply.epoch = at->request.epoch;
+    reply.voter = self_;
+    reply.digest = items_.digest();
+    reply.accepted = agreement_.accepted();
+    const bool stillVotes = mayVote() && at->request.epoch == membership_.set().epoch;
+    if (stillVotes) send(Envelope{at->from, std::move(reply)}, actions);
+    at = waitingReads_.erase(at);
+  }
 }
 
 void ControlNode::take(Span now, SessionNo, const ReadReply& reply, ControlActions& actions) {
--- a/src/mesh/control/majority_read.cpp
+++ b/src/mesh/control/majority_read.cpp
@@ -1,10 +1,13 @@
 #include "mesh/control/majority_read.hpp"
 
+#include <algorithm>
+
 namespace rackroute::mesh {
 namespace {
 
-constexpr Span kAskAgain =
-    std::chrono::milliseconds(300);  // where a message may have been lost with its session
+constexpr Span kAskAgain = std::chrono::milliseconds(400);  // a message may have been lost with its session
+constexpr Span kAskAgainLongest =
+    std::chrono::seconds(3);  // doubled up to that, as slow voters have more to do
 
 }  // namespace
 
@@ -21,9 +24,15 @@
 void MajorityRead::begin(Span now, Effects& effects) {
   running_ = ++last_;
   wanted_ = false;
+  beginCount();
+  ask(now, effects);
+}
+
+void MajorityRead::beginCount() {
   accepted_.clear();
+  fetching_.clear();
+  askAgain_ = kAskAgain;
   count_.emplace(set_);
-  ask(now, effects);
 }
 
 void MajorityRead::ask(Span now, Effects& effects) {
@@ -34,19 +43,22 @@
 void MajorityRead::voters(Span now, const VoterSet& set, Effects& effects) {
   set_ = set;
   if (running_ == 0) return;
-  accepted_.clear();
-  count_.emplace(set_);
+  beginCount();
   ask(now, effects);
 }
 
 void MajorityRead::heard(Span now, const ReadReply& reply, Effects& effects) {
   if (reply.read != running_ || running_ == 0 || reply.epoch != set_.epoch) return;
   if (!set_.contains(reply.voter)) return;
-  accepted_.insert(accepted_.end(), reply.accepted.begin(), reply.accepted.end());
-  if (!reply.accepted.empty()) agreement_.complete(now, reply.accepted, effects);
+  for (const AcceptedOrder& told : reply.accepted) {
+    const bool known = std::any_of(accepted_.begin(), accepted_.end(), [&](const AcceptedOrder& other) {
+      return other.order->id == told.order->id;
+    });
+    if (!known) accepted_.push_back(told);
+  }
   if (reply.digest == items_.digest()) {
     count_->add(reply.voter, reply.epoch);
-  } else {
+  } else if (fetching_.insert(reply.voter.at).second) {
     ItemsRequest request;
     request.versions = items_.versions();
     request.read = running_;
@@ -68,7 +80,12 @@
     if (wanted_) begin(now, effects);
     return;
   }
-  if (askedAt_ + kAskAgain <= now) ask(now, effects);
+  if (now < askedAt_ + askAgain_) return;
+  askAgain_ = std::min(2 * askAgain_, kAskAgainLongest);
+  fetching_.clear();
+  // Their proposers had time to bring them to a decision by themselves.
+  agreement_.complete(now, accepted_, effects);
+  ask(now, effects);
 }
 
 }  // namespace rackroute::mesh
--- a/src/mesh/control/majority_read.hpp
+++ b/src/mesh/control/majority_read.hpp
@@ -37,6 +37,7 @@
 
  private:
   void begin(Span now, Effects& effects);
+  void beginCount();
   void ask(Span now, Effects& effects);
 
   const Items& items_;
@@ -47,6 +48,8 @@
   std::uint64_t finished_ = 0;
   bool wanted_ = false;  // somebody waits for the next one
   Span askedAt_{};
+  Span askAgain_{};                      // from one time that all are asked to the next
+  std::set<Address> fetching_;           // voters that were asked for what is newer there
   std::optional<VoteCount> count_;       // voters whose items are held here
   std::vector<AcceptedOrder> accepted_;  // to be decided before the read is over
 };
--- a/src/mesh/control/messages.hpp
+++ b/src/mesh/control/messages.hpp
@@ -53,6 +53,10 @@
 using OrderPtr = std::shared_ptr<const Order>;
 /// Computes the prints of the items, where they lack one, and the id.
 OrderPtr makeOrder(std::vector<Item> items);
+/// More time for a step of an order's agreement than a small one needs: a slow process reads, writes and
+/// sends that many items in about that time. Guards against ballots that are begun anew, with all items sent
+/// again, while the one before is still at work.
+Span timeForSize(std::size_t items);
 
 struct AcceptedOrder {
   Ballot ballot;
--- a/src/mesh/control/order.cpp
+++ b/src/mesh/control/order.cpp
@@ -9,6 +9,11 @@
 
 namespace rackroute::mesh {
 
+Span timeForSize(std::size_t items) {
+  constexpr Span kTimePerItem = std::chrono::milliseconds(2);
+  return kTimePerItem * items;
+}
+
 RegisterId registerOf(const Item& item) { return {item.key, item.generation}; }
 
 OrderPtr makeOrder(std::vector<Item> items) {
--- a/src/mesh/control/order_proposer.cpp
+++ b/src/mesh/control/order_proposer.cpp
@@ -102,7 +102,7 @@
 }
 
 Span OrderProposer::ballotLasts(const Proposal& proposal) const {
-  return doubled(kBallotLasts, proposal.failures, kBallotLastsLongest);
+  return doubled(kBallotLasts, proposal.failures, kBallotLastsLongest) + timeForSize(proposal.open.size());
 }
 
 OrderProposer::Proposal* OrderProposer::find(const Ballot& ballot, Phase phase) {
