Keep the explorer's histories in place while new ones are added

The sanitizers found a use after free in the explorer of orders: a reference into a vector that grew. A deque keeps its elements in place. The sanitized test that failed passes; the second that failed with it was not run again.

--- a/src/lab/mesh/agreement_histories.hpp
+++ b/src/lab/mesh/agreement_histories.hpp
@@ -6,6 +6,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <memory>
 #include <optional>
@@ -125,7 +126,7 @@
   AgreementSearch search_;
   std::vector<VoterSet> sets_;
   std::vector<OrderPtr> orders_;
-  std::vector<Node> nodes_;
+  std::deque<Node> nodes_;
   std::unordered_map<std::string, NodeNo> byPrint_;
   std::map<std::tuple<NodeNo, InputKind, std::uint32_t, std::uint8_t>, Transition> transitions_;
   std::vector<Message> messages_;
