--- a/src/mesh/control/register_acceptor.cpp
+++ b/src/mesh/control/register_acceptor.cpp
@@ -29,10 +29,11 @@
   auto one = left.items.begin();
   auto other = right.items.begin();
   while (one != left.items.end() && other != right.items.end()) {
-    const auto order = std::tie(one->key, one->generation) <=> std::tie(other->key, other->generation);
-    if (order < 0) {
+    const auto leftRegister = std::tie(one->key, one->generation);
+    const auto rightRegister = std::tie(other->key, other->generation);
+    if (leftRegister < rightRegister) {
       ++one;
-    } else if (order > 0) {
+    } else if (rightRegister < leftRegister) {
       ++other;
     } else {
       if (one->print != other->print) return true;
--- a/src/mesh/forwarding/forward_outcomes.hpp
+++ b/src/mesh/forwarding/forward_outcomes.hpp
@@ -36,7 +36,7 @@
     std::shared_ptr<const void> bytes{};  // answer: the server's, if there is one
   };
 
-  ForwardOutcomes(LifeNo life, Limits limits) : life_(life), limits_(limits) {}
+  ForwardOutcomes(LifeNo life, const Limits& limits) : life_(life), limits_(limits) {}
 
   /// A forward or a question came; admit: it is to be asked of Admission, wait: ended() will name it.
   Arrival arrived(Span now, AskNo no, const ForwardRequest& request);
--- a/src/mesh/sidecar/main.cpp
+++ b/src/mesh/sidecar/main.cpp
@@ -254,10 +254,15 @@
             "\r\nConnection: rackroute-hop, rackroute-caller-service, rackroute-expect-instance, "
             "rackroute-deadline-ms\r\n";
     const Span now = loop_.now();
+    http::Gather message;
+    if (act.ask.outcomeOf) {
+      message = endQuestion(std::move(head));
+    } else {
+      message = endRequest(std::move(head), inside.request);
+    }
     forwardClient_.send(
-        act.at,
-        act.ask.outcomeOf ? endQuestion(std::move(head)) : endRequest(std::move(head), inside.request), {},
-        inside.request->word(0) == "HEAD", now + act.ask.left + kSpare + kForwardSpare,
+        act.at, std::move(message), {}, inside.request->word(0) == "HEAD",
+        now + act.ask.left + kSpare + kForwardSpare,
         [this, call = act.call, sent = act.sent](RequestOutcome how,
                                                  std::shared_ptr<const http::Message> answer) {
           forwarded(call, sent, how, std::move(answer));
