--- a/src/lab/main.cpp
+++ b/src/lab/main.cpp
@@ -445,7 +445,7 @@
   CLI::App* hollowing = app.add_subcommand(
       "hollow", "what control costs: many sidecars' control sessions in one process, real control processes");
   hollowing->add_option("--sidecars", hollow.sidecars)->check(CLI::Range(1U, 3700U));
-  hollowing->add_option("--controls", hollow.controls)->check(CLI::Range(3U, 5U));
+  hollowing->add_option("--controls", hollow.controls)->check(CLI::Range(3U, 12U));
   hollowing->add_option("--services", hollow.services, "0: 220 for 3,700 sidecars, in proportion");
   hollowing->add_option("--routes", hollow.routes, "0: two a service");
   hollowing->add_option("--threads", hollow.threads, "0: one for each 250 sidecars begun, at most 8");
--- a/src/lab/mesh/hollow.hpp
+++ b/src/lab/mesh/hollow.hpp
@@ -15,7 +15,7 @@
 struct HollowPlan {
   std::string control;           // the control process's program
   std::uint32_t sidecars = 100;  // 1 to 3,700
-  std::uint32_t controls = 4;    // 3 to 5
+  std::uint32_t controls = 4;    // 3 to 12
   std::uint32_t services = 0;    // 0: 220 for 3,700 sidecars, in proportion, at least 2
   std::uint32_t routes = 0;      // 0: two a service
   std::uint32_t threads = 0;     // that the sidecars share; 0: one for each 250 begun, at most 8
--- a/src/lab/mesh/voter_set_explorer.cpp
+++ b/src/lab/mesh/voter_set_explorer.cpp
@@ -1,12 +1,10 @@
 #include "lab/mesh/voter_set_explorer.hpp"
 
 #include <algorithm>
-#include <array>
-#include <bit>
 #include <cstddef>
-#include <numeric>
 #include <utility>
 
+#include "lab/mesh/voter_set_state.hpp"
 #include "mesh/claims/claims.hpp"
 #include "mesh/control/voter_set.hpp"
 
@@ -15,161 +13,8 @@
 
 using namespace std::chrono_literals;
 using namespace rackroute::mesh;
+using namespace voter_set_model;
 using Flaw = VoterSetFlaw;
-using Bits = std::uint8_t;  // a set of processes, claimers or epochs, by number
-
-constexpr std::size_t kProcesses = 8;  // voters and standbys; fits Bits
-constexpr std::size_t kClaimers = 3;
-constexpr std::size_t kEpochs = 5;        // 0: none is known; 1: the first set
-constexpr std::size_t kFewestVoters = 3;  // a set does not shrink below
-constexpr Bits kRelease = 0x80;           // in Process::inFlight, beside the epochs
-constexpr Span kNow = 1s;                 // nothing here goes by time
-const KeyPrint kKey = printOfKey("the key");
-
-constexpr Bits bit(std::size_t number) { return static_cast<Bits>(1U << number); }
-constexpr bool has(Bits bits, std::size_t number) { return (bits >> number & 1U) != 0; }
-void add(Bits& bits, Bits more) { bits = static_cast<Bits>(bits | more); }
-void remove(Bits& bits, Bits fewer) { bits = static_cast<Bits>(bits & ~fewer); }
-std::size_t size(Bits bits) { return static_cast<std::size_t>(std::popcount(bits)); }
-
-/// A control process at one address.
-struct Process {
-  std::uint8_t exists = 0;
-  std::uint8_t incarnation = 0;  // disks that were lost here before, and times it was put out of the set
-  std::uint8_t epoch = 0;        // of the set that it adopted
-  std::uint8_t epochOnDisk = 0;  // the same, of its disk; else it is not told before it is written
-  std::uint8_t holdsState = 0;   // it may vote
-  std::uint8_t heldBefore = 0;   // it held state in the set before, so that others may read from it
-  Bits promised = 0;             // the claims that hold the key, as far as it knows
-  Bits onDisk = 0;               // the same, of its disk
-  Bits owedVotes = 0;            // claims whose votes wait for the disk
-  Bits readFrom = 0;             // processes whose state it has read
-  std::array<Bits, kClaimers> inFlight{};  // claims by their epoch, and kRelease, on their way to it
-};
-
-enum class Work : std::uint8_t { claiming, won, freedButMayRun, over };
-
-struct Claimer {
-  Work work = Work::claiming;
-  std::uint8_t epoch = 1;  // of the set in which it counts
-  Bits votes = 0;          // processes whose votes it has counted
-};
-
-struct Set {
-  Bits voters = 0;
-  Bits readers = 0;
-  std::uint8_t previousSize = 0;
-  std::array<std::uint8_t, kProcesses> incarnation{};  // of its voters
-};
-
-struct ModelState {
-  std::array<Process, kProcesses> processes{};
-  std::array<Claimer, kClaimers> claimers{};
-  std::array<Set, kEpochs> sets{};
-  std::uint8_t newest = 1;  // epoch that was agreed on last
-  std::uint8_t wipes = 0;
-  std::uint8_t powerLosses = 0;
-};
-
-enum class Kind : std::uint8_t {
-  votes,        // process a grants the claim of b
-  syncs,        // process a
-  releases,     // process a hears that b has given up
-  givesUp,      // claimer a
-  givesBack,    // claimer a
-  lateRun,      // claimer a
-  wiped,        // process a
-  losesPower,   // process a
-  joinsBeside,  // process a; only of a flaw
-  replaces,     // process a takes the place of b
-  joins,        // process a
-  leaves,       // process a
-  adopts,       // process a adopts the set of epoch b
-  learns,       // claimer a learns the set of epoch b
-  reads,        // process a reads the state of b
-};
-
-struct ModelStep {
-  Kind kind = Kind::votes;
-  std::uint8_t a = 0;
-  std::uint8_t b = 0;
-  bool operator==(const ModelStep&) const = default;
-};
-
-std::uint64_t mixed(std::uint64_t value) {  // splitmix64
-  value += 0x9e3779b97f4a7c15U;
-  value = (value ^ (value >> 30U)) * 0xbf58476d1ce4e5b9U;
-  value = (value ^ (value >> 27U)) * 0x94d049bb133111ebU;
-  return value ^ (value >> 31U);
-}
-
-template <class... Parts>
-std::uint64_t hashed(Parts... parts) {
-  std::uint64_t hash = 0;
-  ((hash = mixed(hash + static_cast<std::uint64_t>(parts))), ...);
-  return hash;
-}
-
-/// Who stands where: the old number at each new one.
-struct Order {
-  std::array<std::uint8_t, kProcesses> processes{};
-  std::array<std::uint8_t, kClaimers> claimers{};
-};
-
-template <std::size_t N>
-Bits reordered(Bits bits, const std::array<std::uint8_t, N>& order) {
-  Bits result = 0;
-  for (std::size_t i = 0; i < N; ++i) {
-    if (has(bits, order[i])) add(result, bit(i));
-  }
-  return result;
-}
-
-Holder holderOf(std::size_t claimer) { return {{"c" + std::to_string(claimer)}, {1}, {claimer + 1}}; }
-
-VoterId voterId(std::size_t process, std::uint8_t incarnation) {
-  return {{std::string(1, static_cast<char>('0' + process))}, {incarnation + 1U}};
-}
-std::size_t processOf(const VoterId& voter) { return static_cast<std::size_t>(voter.at.value.front() - '0'); }
-
-VoterSet voterSetOf(const Set& set, std::size_t epoch) {
-  VoterSet result;
-  result.epoch = {epoch};
-  result.previousSize = set.previousSize;
-  for (std::size_t p = 0; p < kProcesses; ++p) {
-    if (!has(set.voters, p)) continue;
-    result.voters.push_back(voterId(p, set.incarnation[p]));
-    if (has(set.readers, p)) result.readers.push_back(result.voters.back());
-  }
-  return result;
-}
-
-Set packed(const VoterSet& set) {
-  Set result;
-  result.previousSize = static_cast<std::uint8_t>(set.previousSize);
-  for (const VoterId& voter : set.voters) {
-    const std::size_t p = processOf(voter);
-    add(result.voters, bit(p));
-    if (set.mustRead(voter)) add(result.readers, bit(p));
-    result.incarnation[p] = static_cast<std::uint8_t>(voter.incarnation.value - 1);
-  }
-  return result;
-}
-
-/// What a voter has promised of the key, in the mesh's own class.
-Promises promisesOf(Bits promised) {
-  Promises promises(60s);
-  for (std::size_t c = 0; c < kClaimers; ++c) {
-    if (has(promised, c)) promises.learn(kNow, kKey, holderOf(c));
-  }
-  return promises;
-}
-
-Bits bitsOf(const Promises& promises) {
-  Bits bits = 0;
-  for (const Holder& holder : promises.holders(kKey)) add(bits, bit(holder.no.value - 1));
-  return bits;
-}
 
 class Model {
  public:
@@ -225,89 +70,13 @@
     changeSteps(state, step);
   }
 
-  static void canonical(State& state) {
-    const Order order = orderOf(state);
-    State result = state;
-    for (std::size_t p = 0; p < kProcesses; ++p) {
-      const Process& from = state.processes[order.processes[p]];
-      Process& to = result.processes[p];
-      to = from;
-      to.promised = reordered(from.promised, order.claimers);
-      to.onDisk = reordered(from.onDisk, order.claimers);
-      to.owedVotes = reordered(from.owedVotes, order.claimers);
-      to.readFrom = reordered(from.readFrom, order.processes);
-      for (std::size_t c = 0; c < kClaimers; ++c) to.inFlight[c] = from.inFlight[order.claimers[c]];
-    }
-    for (std::size_t c = 0; c < kClaimers; ++c) {
-      result.claimers[c] = state.claimers[order.claimers[c]];
-      result.claimers[c].votes = reordered(result.claimers[c].votes, order.processes);
-    }
-    for (std::size_t e = 0; e < kEpochs; ++e) {
-      Set& to = result.sets[e];
-      to.voters = reordered(to.voters, order.processes);
-      to.readers = reordered(to.readers, order.processes);
-      for (std::size_t p = 0; p < kProcesses; ++p)
-        to.incarnation[p] = state.sets[e].incarnation[order.processes[p]];
-    }
-    state = result;
-  }
-
-  static Names firstNames() {
-    Names names;
-    std::iota(names.processes.begin(), names.processes.end(), std::uint8_t{0});
-    std::iota(names.claimers.begin(), names.claimers.end(), std::uint8_t{0});
-    return names;
-  }
-
+  static void canonical(State& state) { voter_set_model::canonical(state); }
+  static Names firstNames() { return voter_set_model::firstNames(); }
   static Names renamed(const Names& names, const State& before) {
-    const Order order = orderOf(before);
-    Names result;
-    for (std::size_t p = 0; p < kProcesses; ++p) result.processes[p] = names.processes[order.processes[p]];
-    for (std::size_t c = 0; c < kClaimers; ++c) result.claimers[c] = names.claimers[order.claimers[c]];
-    return result;
+    return voter_set_model::renamed(names, before);
   }
-
   static std::string describe(const Names& names, const Step& step, const State& before) {
-    const auto process = [&](std::size_t p) {
-      return std::string(1, static_cast<char>('A' + names.processes[p]));
-    };
-    const auto claim = [&](std::size_t c) { return "claim " + std::to_string(names.claimers[c] + 1); };
-    const auto epoch = [](std::size_t e) { return "the set of epoch " + std::to_string(e); };
-    switch (step.kind) {
-      case Kind::votes:
-        return process(step.a) + " votes for " + claim(step.b % kClaimers) + " in epoch " +
-               std::to_string(step.b / kClaimers);
-      case Kind::syncs:
-        return process(step.a) + " writes, and tells its votes";
-      case Kind::releases:
-        return process(step.a) + " releases " + claim(step.b);
-      case Kind::givesUp:
-        return claim(step.a) + " is given up";
-      case Kind::givesBack:
-        return claim(step.a) + " is given back after it was won";
-      case Kind::lateRun:
-        return claim(step.a) + " runs late";
-      case Kind::wiped:
-        return process(step.a) + " loses its disk";
-      case Kind::losesPower:
-        return process(step.a) + " loses power";
-      case Kind::joinsBeside:
-        return process(step.a) + " joins beside the others";
-      case Kind::replaces:
-        return process(step.a) + " takes the place of " + process(step.b) + " as of epoch " +
-               std::to_string(before.newest + 1);
-      case Kind::joins:
-        return process(step.a) + " joins as of epoch " + std::to_string(before.newest + 1);
-      case Kind::leaves:
-        return process(step.a) + " leaves as of epoch " + std::to_string(before.newest + 1);
-      case Kind::adopts:
-        return process(step.a) + " adopts " + epoch(step.b);
-      case Kind::learns:
-        return claim(step.a) + " learns " + epoch(step.b) + " and asks anew";
-      case Kind::reads:
-        return process(step.a) + " reads the state of " + process(step.b);
-    }
-    return {};
+    return voter_set_model::describe(names, step, before);
   }
 
  private:
@@ -380,7 +149,7 @@
     const VoterSet set = electorateOf(state, c);
     Claims claims;
     claims.electorate(set);
-    const ClaimNo no = claims.open(kNow, kKey, kNow + 1s);
+    const ClaimNo no = claims.open(kNow, theKey(), kNow + 1s);
     for (const VoterId& earlier : set.voters) {
       if (has(before, processOf(earlier))) claims.vote(earlier, set.epoch, no, true, std::nullopt);
     }
@@ -401,7 +170,7 @@
     const VoterSet after = voterSetOf(state.sets[epoch], epoch);
     Claims claims;
     claims.electorate(before);
-    const ClaimNo no = claims.open(kNow, kKey, kNow + 1s);
+    const ClaimNo no = claims.open(kNow, theKey(), kNow + 1s);
     for (const VoterId& voter : before.voters) {
       if (has(claimer.votes, processOf(voter))) claims.vote(voter, before.epoch, no, true, std::nullopt);
     }
@@ -477,7 +246,7 @@
           Process& voter = next.processes[p];
           voter.inFlight[c] = 0;
           Promises promises = promisesOf(voter.promised);
-          if (promises.giveBack(kKey, holderOf(c)))
+          if (promises.giveBack(theKey(), holderOf(c)))
             voter.promised = flaw_ == Flaw::releaseFreesKey ? Bits{0} : bitsOf(promises);
           if (!writesApart()) voter.onDisk = voter.promised;
           return true;
@@ -532,7 +301,7 @@
   bool vote(State& state, std::size_t p, std::size_t c, std::size_t epoch) const {
     Process& voter = state.processes[p];
     Promises promises = promisesOf(voter.promised);
-    if (promises.claim(kNow, kKey, holderOf(c)) != holderOf(c)) return false;
+    if (promises.claim(kNow, theKey(), holderOf(c)) != holderOf(c)) return false;
     voter.promised = bitsOf(promises);
     remove(voter.inFlight[c], static_cast<Bits>((2U << epoch) - 1U));  // earlier ones came before it
     if (!writesApart()) voter.onDisk = voter.promised;
@@ -622,7 +391,7 @@
     for (std::size_t c = 0; c < kClaimers; ++c) {
       if (!has(state.processes[other].promised, c)) continue;
       if (flaw_ == Flaw::firstHolderOnly && !promises.all().empty()) continue;
-      promises.learn(kNow, kKey, holderOf(c));
+      promises.learn(kNow, theKey(), holderOf(c));
     }
     reader.promised = bitsOf(promises);
     add(reader.readFrom, bit(other));
@@ -697,47 +466,6 @@
     return able > size(state.sets[state.newest].voters) / 2;
   }
 
-  /// An order that depends on what the processes and claimers are, not on their numbers, as far as cheap
-  /// hashes tell.
-  static Order orderOf(const State& state) {
-    std::array<std::uint64_t, kProcesses> alone{};
-    for (std::size_t p = 0; p < kProcesses; ++p) {
-      const Process& it = state.processes[p];
-      alone[p] = hashed(it.exists, it.incarnation, it.epoch, it.epochOnDisk, it.holdsState, it.heldBefore,
-                        size(it.readFrom));
-      for (const Set& set : state.sets)
-        alone[p] = hashed(alone[p], has(set.voters, p), has(set.readers, p), set.incarnation[p]);
-    }
-    const auto relation = [&](std::size_t p, std::size_t c) {
-      const Process& it = state.processes[p];
-      return hashed(has(it.promised, c), has(it.onDisk, c), has(it.owedVotes, c), it.inFlight[c],
-                    has(state.claimers[c].votes, p));
-    };
-    std::array<std::uint64_t, kClaimers> claimers{};
-    for (std::size_t c = 0; c < kClaimers; ++c) {
-      for (std::size_t p = 0; p < kProcesses; ++p) claimers[c] += mixed(alone[p] ^ relation(p, c));
-      claimers[c] = hashed(claimers[c], state.claimers[c].work, state.claimers[c].epoch);
-    }
-    std::array<std::uint64_t, kProcesses> related = alone;
-    for (std::size_t p = 0; p < kProcesses; ++p) {
-      for (std::size_t c = 0; c < kClaimers; ++c) related[p] += mixed(claimers[c] ^ relation(p, c));
-    }
-    std::array<std::uint64_t, kProcesses> whole = related;
-    for (std::size_t p = 0; p < kProcesses; ++p) {
-      for (std::size_t other = 0; other < kProcesses; ++other) {
-        if (!has(state.processes[p].readFrom, other)) continue;
-        whole[p] += mixed(related[other] + 1);
-        whole[other] += mixed(related[p] + 2);
-      }
-    }
-    Order order = firstNames();
-    std::sort(order.processes.begin(), order.processes.end(),
-              [&](auto a, auto b) { return whole[a] != whole[b] ? whole[a] < whole[b] : a < b; });
-    std::sort(order.claimers.begin(), order.claimers.end(),
-              [&](auto a, auto b) { return claimers[a] != claimers[b] ? claimers[a] < claimers[b] : a < b; });
-    return order;
-  }
-
   VoterSetSearch search_;
   Flaw flaw_;
   std::size_t quorum_;
