Cancel what a client has left: queued requests, and repeatable ones at work

Cause: a client that closes its connection left its request at work: it waited, was sent and ran on for nobody, and held a slot. Change: the router cancels all tries of a request whose client left, but for keyed ones, whose answer a repeat may want; a cancelled forward closes its connection; the sidecar beside the server turns away what waits, tells the server to stop what may be repeated by closing its connection, and lets effectful work go on. A broken way counts the same. HttpClient returns a handle to cancel with, and no longer keeps a connection whose request was not written whole when its answer came: what is sent next would come in the place of the rest.

--- a/src/lab/mesh/day.cpp
+++ b/src/lab/mesh/day.cpp
@@ -78,6 +78,7 @@
   day.keyed = top.number("keyed", day.keyed, 0, 1);
   day.effectful = top.number("effectful", day.effectful, 0, 1);
   day.again = top.number("again", day.again, 0, 1);
+  day.leaving = top.number("leaving", day.leaving, 0, 1);
   day.slots = top.whole("slots", day.slots, 1, 10000);
   day.work = top.number("work_s", day.work, 0.001, 100);
   day.sync = top.number("sync_s", day.sync, 0, 10);
@@ -121,8 +122,8 @@
   text << "name = \"" << day.name << "\"\nzones = " << day.zones << "\ncontrols = " << day.controls
        << "\nsidecars = " << day.sidecars << "\nlength_s = " << day.seconds << "\nper_s = " << day.perSecond
        << "\nkeyed = " << day.keyed << "\neffectful = " << day.effectful << "\nagain = " << day.again
-       << "\nslots = " << day.slots << "\nwork_s = " << day.work << "\nsync_s = " << day.sync
-       << "\nacross_s = " << day.across << "\nkey_window_s = " << day.keyWindow
+       << "\nleaving = " << day.leaving << "\nslots = " << day.slots << "\nwork_s = " << day.work
+       << "\nsync_s = " << day.sync << "\nacross_s = " << day.across << "\nkey_window_s = " << day.keyWindow
        << "\nidle_routes = " << day.idleRoutes << "\nleast_served = " << day.leastServed << "\nclosing = \""
        << std::find_if(kClosingFaults.begin(), kClosingFaults.end(),
                        [&](const auto& e) { return e.second == day.closing; })
--- a/src/lab/mesh/day.hpp
+++ b/src/lab/mesh/day.hpp
@@ -73,6 +73,7 @@
   double keyed = 0.4;      // part of them
   double effectful = 0.1;
   double again = 0.08;       // part of the keyed that come again after a good answer
+  double leaving = 0;        // part of the clients that close their connection before an answer
   std::uint32_t slots = 12;  // of a server
   double work = 0.12;        // seconds, in the mean
   double sync = 0.003;       // seconds
--- a/src/lab/mesh/emulated.hpp
+++ b/src/lab/mesh/emulated.hpp
@@ -127,6 +127,8 @@
       std::function<void(ForwardReply, std::uint32_t, std::uint64_t, std::shared_ptr<const void>)> reply;
     };
     std::map<std::uint64_t, Inside> asks;
+    std::map<std::uint64_t, std::function<void()>> forwards;  // by try: cancels it
+    std::map<std::uint64_t, std::function<void()>> runs;      // by ask: the server here is told to stop
     Span fitSince{};  // its server could be given work all the time since
     Span lastRun{};   // a request was at work there
   };
@@ -211,6 +213,12 @@
                 std::uint64_t seal, Span comeBack);
   void hop(std::size_t machine, const RoutingAction& act);
   void serve(std::size_t machine, const AdmissionAction& act);
+  /// The client of a request that this machine's process has just taken leaves early, as the day has it.
+  void mayLeave(std::size_t machine, std::uint64_t call, Span deadline);
+  void leave(std::size_t machine, std::uint64_t call);
+  void cancelForward(std::size_t machine, const RoutingAction& act);
+  void cancelRun(std::size_t machine, const AdmissionAction& act);
+  void freeSlot(std::size_t machine, std::uint64_t serverLife);
   void beat(std::size_t machine, std::uint64_t serverLife);
   void newServer(std::size_t machine);
 
--- a/src/lab/mesh/judge.cpp
+++ b/src/lab/mesh/judge.cpp
@@ -3,6 +3,24 @@
 #include <algorithm>
 
 namespace rackroute::lab::mesh {
+namespace {
+
+constexpr Span kGoneAfter = std::chrono::milliseconds(500);  // after a client left, nobody works for it
+constexpr std::uint64_t kFewGone = 5;                        // requests that may begin all the same
+constexpr std::uint64_t kGonePart = 4;                       // one part in so many may still be at work
+
+}  // namespace
+
+void Judge::left(Span now, std::uint64_t attempt) { attempts_[attempt].leftAt = now; }
+
+void Judge::worked(Span now, std::uint64_t attempt, Span notWorked) {
+  const Attempt& made = attempts_[attempt];
+  if (made.sort != Sort::pure || made.leftAt == Span::max()) return;
+  const Span bound = made.leftAt + kGoneAfter;
+  if (now + notWorked <= bound) return;
+  ++abandoned_.mayHaveBeen;
+  if (now > bound) ++abandoned_.atWork;
+}
 
 void Judge::sent(Span now, std::uint64_t attempt, Sort sort, const std::string& key, int service) {
   Attempt& made = attempts_[attempt];
@@ -27,6 +45,8 @@
   Attempt& made = found->second;
   ++made.ran;
   made.seals.insert(seal);
+  if (made.sort != Sort::keyed && made.leftAt != Span::max() && now > made.leftAt + kGoneAfter)
+    ++abandoned_.begun;
   if (made.sort != Sort::pure && made.ran > 1) failed(now, "TWICE", "attempt " + std::to_string(attempt));
   if (made.sort != Sort::pure && made.promised) failed(now, "REFUSED", "attempt " + std::to_string(attempt));
   if (drainAcked >= Span{0} && now > drainAcked + bounds_.drain)
@@ -74,6 +94,12 @@
 }
 
 void Judge::end() {
+  if (abandoned_.begun > kFewGone)
+    failed({}, "GONE", std::to_string(abandoned_.begun) + " requests began after their clients had left");
+  if (abandoned_.atWork * kGonePart > abandoned_.mayHaveBeen)
+    failed({}, "GONE",
+           "of " + std::to_string(abandoned_.mayHaveBeen) + " runs for clients that had left " +
+               std::to_string(abandoned_.atWork) + " went on");
   for (const auto& [service, further] : further_) {
     const std::vector<Span>& all = requests_[service];
     const auto within = [&](const std::vector<Span>& times, Span from, Span to) {
--- a/src/lab/mesh/world.cpp
+++ b/src/lab/mesh/world.cpp
@@ -51,6 +51,8 @@
   played.figures["syncs"] = syncs_;
   played.figures["events"] = eventNo_;
   played.figures["session"] = session;
+  played.figures["runs_that_clients_left"] = judge_.abandonedThatMayHaveBeen();
+  played.figures["of_these_still_at_work"] = judge_.abandonedAtWork();
   return played;
 }
 
--- a/src/lab/mesh/world_processes.cpp
+++ b/src/lab/mesh/world_processes.cpp
@@ -178,6 +178,10 @@
       hop(machine, act);
       continue;
     }
+    if (act.kind == RoutingAction::Kind::cancel) {
+      cancelForward(machine, act);
+      continue;
+    }
     const std::uint64_t attempt = found->second;
     here.attemptOf.erase(found);
     const auto open = open_.find(attempt);
@@ -199,6 +203,10 @@
       serve(machine, act);
       continue;
     }
+    if (act.kind == AdmissionAction::Kind::cancel) {
+      cancelRun(machine, act);
+      continue;
+    }
     const auto reply = found->second.reply;
     here.asks.erase(found);
     std::uint32_t status = 503;
--- a/src/lab/mesh/world_requests.cpp
+++ b/src/lab/mesh/world_requests.cpp
@@ -59,6 +59,7 @@
     told.path = asked.prefix;
     told.patience = deadline - now_;
     act(machine, here.sidecar->asked(now_, {call}, told));
+    mayLeave(machine, call, deadline);
   });
 }
 
@@ -126,9 +127,17 @@
     if (const auto self = weak.lock()) in(20ms, [self] { (*self)(); });
   };
   in(20ms, [watch] { (*watch)(); });
+  const auto received = std::make_shared<std::uint64_t>(0);  // as what the other process took it
+  side(machine).forwards[act.sent.value] = [=, this] {
+    *over = true;
+    atProcess(now_ + delay(machine, to), to, lifeB, [=, this] {
+      if (*received > 0) this->act(to, side(to).sidecar->forwardAbandoned(now_, {*received}));
+    });
+  };
   atProcess(now_ + delay(machine, to), to, lifeB, [=, this, act = act] {
     Side& there = side(to);
     const std::uint64_t no = ++there.nextAsk;
+    *received = no;
     there.asks[no] = {attempt, [=, this](const ForwardReply& told, std::uint32_t status, std::uint64_t,
                                          const std::shared_ptr<const void>& bytes) {
                         if (isCut(to, machine))
@@ -167,9 +176,12 @@
     return ends(now_ + 200us, AtServer::answered, {421, true, bytesOf(421, 0), 0});
   const std::uint64_t serverLife = server.lives;
   const Span giveUp = now_ + act.left;
-  auto run = [=, this, left = act.left] {
+  const auto stopped = std::make_shared<bool>(false);  // its connection was closed
+  side(machine).runs[act.ask.value] = [stopped] { *stopped = true; };
+  auto run = [=, this, left = act.left, ask = act.ask] {
     Server& there = side(machine).server;
     if (there.lives != serverLife) return;
+    if (*stopped) return freeSlot(machine, serverLife);
     if (now_ >= giveUp) {
       --there.busy;
       return ends(now_, AtServer::answered, {503, true, bytesOf(503, 0), 0});
@@ -184,16 +196,15 @@
     const double loses = there.loses;
     const double spoils = there.spoils;
     const Span done = now_ + span(takes);
-    at(done, [this, machine, serverLife] {
-      Server& then = side(machine).server;
-      if (then.lives != serverLife) return;
-      if (then.queue.empty()) {
-        --then.busy;
-      } else {
-        const auto nextRun = std::move(then.queue.front());
-        then.queue.pop_front();
-        nextRun();
-      }
+    const auto stop = [=, this] {
+      if (std::exchange(*stopped, true)) return;
+      judge_.worked(now_, attempt, done - now_);
+      freeSlot(machine, serverLife);
+    };
+    side(machine).runs[ask.value] = stop;
+    at(done, [=, this] {
+      side(machine).runs.erase(ask.value);
+      stop();
     });
     at(std::min(done, until), [=, this] {
       if (side(machine).server.lives != serverLife) return ends(now_, AtServer::broken, {});
--- a/src/mesh/admission/admission.cpp
+++ b/src/mesh/admission/admission.cpp
@@ -407,6 +407,31 @@
   return acts;
 }
 
+// Guards against servers that work, and room that is held, for nobody.
+AdmissionActions Admission::abandoned(Span now, AskNo no) {
+  AdmissionActions acts;
+  const auto found = jobs_.find(no);
+  if (found == jobs_.end() || found->second.key) return acts;
+  const Job& job = found->second;
+  const auto at = servers_.find(job.ask.instance);
+  Server* server = at == servers_.end() ? nullptr : &at->second;
+  if (job.stage == Stage::waiting) {
+    refuse(now, no, Verdict::full, server, acts);
+  } else if (job.ask.kind == RouteKind::pure) {
+    acts.push_back({AdmissionAction::Kind::cancel, no});
+    AdmissionAction act{AdmissionAction::Kind::answer, no};
+    act.told = toldOf(now, Verdict::unknown, server);
+    acts.push_back(std::move(act));
+    jobs_.erase(found);
+    if (server != nullptr) {
+      --server->busy;
+      next(now, *server, acts);
+    }
+  }
+  check();
+  return acts;
+}
+
 void Admission::endOperation(Span now, const KeyPrint& key, Past past, const ServerAnswer& answer,
                              AdmissionActions& acts) {
   Operation& operation = operations_.at(key);
--- a/src/mesh/admission/admission.hpp
+++ b/src/mesh/admission/admission.hpp
@@ -48,7 +48,7 @@
 
 /// What the door wants done. Which fields matter goes by the kind.
 struct AdmissionAction {
-  enum class Kind { run, answer, claim, giveBack, tell };
+  enum class Kind { run, answer, claim, giveBack, tell, cancel };
   Kind kind = Kind::run;
   AskNo ask;
   Address server{};                     // run
@@ -92,6 +92,10 @@
                          const std::optional<std::string>& key);
   AdmissionActions claimEnded(Span now, const Claims::Ended& ended);
   AdmissionActions ran(Span now, AskNo no, AtServer how, const ServerAnswer& answer);
+  /// The connection that the request came on has ended: its caller left, or the way broke. One that waits is
+  /// turned away; one at work is cancelled if it may be repeated; a keyed one goes on, as a repeat may want
+  /// its answer.
+  AdmissionActions abandoned(Span now, AskNo no);
   AdmissionActions tick(Span now);
   /// When tick() is to be called at the latest; none: whenever.
   [[nodiscard]] std::optional<Span> nextTick() const;
--- a/src/mesh/routing/request_router.cpp
+++ b/src/mesh/routing/request_router.cpp
@@ -285,6 +285,20 @@
   return acts;
 }
 
+// Guards against servers that work, and slots that are held, for nobody.
+RoutingActions RequestRouter::abandoned(Span now, CallNo no) {
+  RoutingActions acts;
+  const auto found = calls_.find(no);
+  if (found == calls_.end() || found->second.route->kind == RouteKind::keyed) return acts;
+  for (const auto& [sent, tried] : found->second.out) {
+    // That its client left says nothing of the server's health.
+    if (tried.kind == Try::Kind::request) pool_.ended(now, tried.instance, Ending::full, std::nullopt);
+    acts.push_back({RoutingAction::Kind::cancel, no, sent});
+  }
+  calls_.erase(found);
+  return acts;
+}
+
 void RequestRouter::giveUp(Span now, CallNo no, Call& call, RoutingActions& acts) {
   if (!call.out.empty()) return;
   if (call.lastBytes) {
--- a/src/mesh/routing/request_router.hpp
+++ b/src/mesh/routing/request_router.hpp
@@ -40,10 +40,10 @@
 };
 
 struct RoutingAction {
-  enum class Kind { send, answer, pass };
+  enum class Kind { send, answer, pass, cancel };
   Kind kind = Kind::send;
   CallNo call;
-  TryNo sent{};                         // send
+  TryNo sent{};                         // send, cancel
   Address at{};                         // send
   ForwardRequest ask{};                 // send
   std::uint32_t status = 0;             // answer
@@ -71,6 +71,10 @@
   /// status: of the server's answer, if the verdict is that it ran.
   RoutingActions forwarded(Span now, CallNo no, TryNo sent, ForwardResult how, const ForwardReply& told,
                            std::uint32_t status, std::shared_ptr<const void> bytes);
+  /// Its client has closed its connection and waits for nothing. What may be repeated is cancelled wherever
+  /// it is; an effectful request is, too, and runs on where it has begun to; a keyed one goes on, as a repeat
+  /// may want its answer.
+  RoutingActions abandoned(Span now, CallNo no);
   RoutingActions tick(Span now);
   [[nodiscard]] std::optional<Span> nextTick() const;
   [[nodiscard]] const RouteTable& book() const { return table_; }
--- a/src/mesh/sidecar/main.cpp
+++ b/src/mesh/sidecar/main.cpp
@@ -91,7 +91,8 @@
         settings_.control, beats_, HttpServerConnection::Shared{},
         [this](const auto& connection, auto request) { called(CallSocket::control, connection, *request); });
     clients_->mostBody = kMostAnswer;
-    clients_->left = [this](HttpServerConnection& connection) { forget(connection); };
+    clients_->left = [this](HttpServerConnection& connection) { clientLeft(connection); };
+    forwardListener_->left = [this](HttpServerConnection& connection) { forwarderLeft(connection); };
     signals_.on(SIGTERM, [this] { stop(); });
     signals_.on(SIGINT, [this] { stop(); });
     signals_.on(SIGHUP, [this] { tellAnew(); });
@@ -150,10 +151,25 @@
     return route ? route->aim : Span{0};
   }
 
-  void forget(const HttpServerConnection& connection) {
-    // Its request goes on where it is at work; only the answer has nowhere to go.
+  void clientLeft(const HttpServerConnection& connection) {
     for (auto& [no, inside] : calls_) {
-      if (inside.connection.get() == &connection) inside.connection.reset();
+      if (inside.connection.get() != &connection) continue;
+      inside.connection.reset();  // what goes on has nowhere to send its answer
+      loop_.soon([this, call = no] { abandon(call); });
+    }
+  }
+
+  void abandon(CallNo call) {
+    SidecarActions acts = sidecar_.abandoned(loop_.now(), call);
+    const bool over = !acts.calls.empty();
+    act(std::move(acts));
+    if (over) calls_.erase(call);
+  }
+
+  void forwarderLeft(const HttpServerConnection& connection) {
+    for (const auto& [no, inside] : asks_) {
+      if (inside.connection.get() != &connection) continue;
+      loop_.soon([this, ask = no] { act(sidecar_.forwardAbandoned(loop_.now(), ask)); });
     }
   }
 
@@ -215,6 +231,7 @@
     const auto found = calls_.find(act.call);
     if (found == calls_.end()) return;
     if (act.kind == RoutingAction::Kind::send) return forward(found->second, act);
+    if (act.kind == RoutingAction::Kind::cancel) return cancelForward(act);
     const Inside inside = std::move(found->second);
     calls_.erase(found);
     if (!inside.connection) return;
@@ -227,6 +244,13 @@
     }
   }
 
+  void cancelForward(const RoutingAction& act) {
+    const auto forward = forwards_.find(act.sent);
+    if (forward == forwards_.end()) return;
+    forward->second.cancel();
+    forwards_.erase(forward);
+  }
+
   static void beginRequest(std::string& head, const http::Message& request, std::string_view but) {
     head += request.word(0);
     head += ' ';
@@ -260,7 +284,7 @@
     } else {
       message = endRequest(std::move(head), inside.request);
     }
-    forwardClient_.send(
+    forwards_[act.sent] = forwardClient_.send(
         act.at, std::move(message), {}, inside.request->word(0) == "HEAD",
         now + act.ask.left + kSpare + kForwardSpare,
         [this, call = act.call, sent = act.sent](RequestOutcome how,
@@ -278,6 +302,7 @@
   }
 
   void forwarded(CallNo call, TryNo sent, RequestOutcome how, std::shared_ptr<const http::Message> answer) {
+    forwards_.erase(sent);
     ForwardReply told;
     ForwardResult result = resultOf(how);
     std::uint32_t status = 0;
@@ -316,6 +341,7 @@
     const auto found = asks_.find(act.ask);
     if (found == asks_.end()) return;
     if (act.kind == AdmissionAction::Kind::run) return serve(found->second, act);
+    if (act.kind == AdmissionAction::Kind::cancel) return cancelRun(act.ask);
     const Inside inside = std::move(found->second);
     asks_.erase(found);
     const std::string told =
@@ -328,6 +354,13 @@
                             kAttempt);
   }
 
+  void cancelRun(AskNo ask) {
+    const auto run = runs_.find(ask);
+    if (run == runs_.end()) return;
+    run->second.cancel();
+    runs_.erase(run);
+  }
+
   void serve(const Inside& inside, const AdmissionAction& act) {
     std::string head;
     beginRequest(head, *inside.request, kForwardHeader);
@@ -335,10 +368,11 @@
             "\r\nRackroute-Expect-Instance: " + act.instance.value + "\r\n";
     if (!act.caller.value.empty()) head += std::string(kCaller) + ": " + act.caller.value + "\r\n";
     const std::string attempt(inside.request->field(kAttempt).value_or(""));
-    servers_.send(
+    runs_[act.ask] = servers_.send(
         act.server, endRequest(std::move(head), inside.request), attempt, inside.request->word(0) == "HEAD",
         loop_.now() + act.left + kSpare,
         [this, ask = act.ask](RequestOutcome how, const std::shared_ptr<const http::Message>& answer) {
+          runs_.erase(ask);
           ServerAnswer told;
           AtServer end = AtServer::broken;
           switch (how) {
@@ -487,6 +521,8 @@
   std::vector<std::unique_ptr<Listener>> listeners_;
   std::map<CallNo, Inside> calls_;
   std::map<AskNo, Inside> asks_;
+  std::map<TryNo, HttpClient::InFlight> forwards_;  // to other processes, without an answer yet
+  std::map<AskNo, HttpClient::InFlight> runs_;      // at the server here, without an answer yet
   std::map<Address, std::shared_ptr<SessionConnection>> sessionConnections_;
   sidecar::Loop::TimerId wake_;
   Span wakeAt_{};
--- a/src/mesh/sidecar/sidecar.cpp
+++ b/src/mesh/sidecar/sidecar.cpp
@@ -46,6 +46,7 @@
   for (AdmissionAction& act : acts) {
     switch (act.kind) {
       case AdmissionAction::Kind::run:
+      case AdmissionAction::Kind::cancel:
         out.door.push_back(std::move(act));
         break;
       case AdmissionAction::Kind::answer:
@@ -193,6 +194,18 @@
   return out;
 }
 
+SidecarActions Sidecar::abandoned(Span now, CallNo no) {
+  SidecarActions out;
+  out.calls = router_.abandoned(now, no);
+  return out;
+}
+
+SidecarActions Sidecar::forwardAbandoned(Span now, AskNo no) {
+  SidecarActions out;
+  take(now, admission_.abandoned(now, no), out);
+  return out;
+}
+
 SidecarActions Sidecar::beat(Span now, const Beat& beat) {
   SidecarActions out;
   take(now, admission_.beat(now, beat), out);
--- a/src/mesh/sidecar/sidecar.hpp
+++ b/src/mesh/sidecar/sidecar.hpp
@@ -20,7 +20,7 @@
 /// All that the process is to do after an input, in this order.
 struct SidecarActions {
   RoutingActions calls;
-  AdmissionActions door;      // run and answer only
+  AdmissionActions door;      // run, answer and cancel only
   ControlClientActions feed;  // say, dial, hangUp and refused only
 };
 
@@ -39,6 +39,10 @@
   SidecarActions forwardRequested(Span now, AskNo no, const ForwardRequest& ask,
                                   const std::optional<std::string>& key);
   SidecarActions ran(Span now, AskNo no, AtServer how, const ServerAnswer& answer);
+  /// The client of a request here has closed its connection.
+  SidecarActions abandoned(Span now, CallNo no);
+  /// The connection that another process's request came on has ended before its answer.
+  SidecarActions forwardAbandoned(Span now, AskNo no);
   SidecarActions beat(Span now, const Beat& beat);
   SidecarActions reached(Span now, const Address& control);
   SidecarActions ended(Span now, const Address& control);
--- a/src/mesh/transport/http_client.cpp
+++ b/src/mesh/transport/http_client.cpp
@@ -50,7 +50,9 @@
     });
     dial(Poco::Net::SocketAddress(to_.value));
   }
-  void request(http::Gather pieces, std::string attempt, bool headOnly, Span until, Done done) {
+  void request(std::uint64_t number, http::Gather pieces, std::string attempt, bool headOnly, Span until,
+               Done done) {
+    number_ = number;
     attempt_ = std::move(attempt);
     headOnly_ = headOnly;
     done_ = std::move(done);
@@ -69,6 +71,11 @@
       end(Reason::idle);
     });
   }
+  void cancel(std::uint64_t number) {
+    if (number != number_ || !done_ || ended()) return;
+    done_ = nullptr;
+    end(Reason::cancelled);
+  }
   [[nodiscard]] const Address& to() const { return to_; }
   [[nodiscard]] Span idle() const { return idle_; }
 
@@ -112,7 +119,9 @@
         continue;
       }
       ++messages_;
-      keeps_ = answer->keepsOpen() && in_.empty() && !skipped_;
+      // Guards against a server that answered before it had the whole body, and reads on later: what is sent
+      // next would come in the place of the rest.
+      keeps_ = answer->keepsOpen() && in_.empty() && !skipped_ && allWritten();
       idle_ = httpClient_.terms_.idle;
       if (const auto promised = promisedIdle(*answer)) idle_ = std::min(idle_, *promised - kKeepAliveMargin);
       if (idle_ <= Span{0}) keeps_ = false;
@@ -158,6 +167,7 @@
   Span until_{};
   Span sendBy_ = Span::max();
   Span idle_{};
+  std::uint64_t number_ = 0;         // of the request under way
   std::uint64_t writtenBefore_ = 0;  // bytes of earlier requests
   bool up_ = false;
   bool headOnly_ = false;
@@ -168,8 +178,13 @@
 
 HttpClient::~HttpClient() = default;
 
-void HttpClient::send(const Address& to, http::Gather request, std::string attempt, bool headOnly, Span until,
-                      Done done, Span sendBy) {
+void HttpClient::InFlight::cancel() {
+  if (const auto connection = connection_.lock()) connection->cancel(number_);
+}
+
+HttpClient::InFlight HttpClient::send(const Address& to, http::Gather request, std::string attempt,
+                                      bool headOnly, Span until, Done done, Span sendBy) {
+  const std::uint64_t number = ++requests_;
   for (;;) {
     const auto kept = idle_.find(to);
     if (kept == idle_.end() || kept->second.empty()) break;
@@ -182,14 +197,15 @@
       way->end(Reason::idle);
       continue;
     }
-    way->request(std::move(request), std::move(attempt), headOnly, until, std::move(done));
-    return;
+    way->request(number, std::move(request), std::move(attempt), headOnly, until, std::move(done));
+    return {way, number};
   }
   ++dialled_;
   const auto way = std::make_shared<ClientConnection>(*this, to);
   busy_[way.get()] = way;
   way->connect(std::max(sendBy, loop_.now()));
-  way->request(std::move(request), std::move(attempt), headOnly, until, std::move(done));
+  way->request(number, std::move(request), std::move(attempt), headOnly, until, std::move(done));
+  return {way, number};
 }
 
 void HttpClient::release(const std::shared_ptr<ClientConnection>& way) {
--- a/src/mesh/transport/http_client.hpp
+++ b/src/mesh/transport/http_client.hpp
@@ -4,10 +4,12 @@
 // the connections; it must never give an answer to a request that it does not belong to, and never say that
 // something was not sent when a byte of it may have been.
 
+#include <cstdint>
 #include <functional>
 #include <map>
 #include <memory>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "http/gather.hpp"
@@ -28,6 +30,8 @@
 };
 
 class HttpClient {
+  class ClientConnection;
+
  public:
   struct Terms {
     Span dial{};    // for a connection to come up
@@ -38,19 +42,36 @@
   };
   using Done = std::function<void(RequestOutcome, std::shared_ptr<const http::Message>)>;
 
+  /// A request under way, for who may want to cancel it. May outlive the request, not the client.
+  class InFlight {
+   public:
+    InFlight() = default;
+    /// Ends the connection that the request is on, so that its peer knows; done is not called any more.
+    /// Nothing happens where the request has ended.
+    void cancel();
+
+   private:
+    friend class HttpClient;
+    InFlight(std::weak_ptr<ClientConnection> connection, std::uint64_t number)
+        : connection_(std::move(connection)), number_(number) {}
+
+    std::weak_ptr<ClientConnection> connection_;
+    std::uint64_t number_ = 0;  // of the request among those of all connections
+  };
+
   HttpClient(sidecar::Loop& loop, Terms terms) : loop_(loop), terms_(terms) {}
   HttpClient(const HttpClient&) = delete;
   HttpClient& operator=(const HttpClient&) = delete;
   ~HttpClient();
 
   /// attempt: what an answer must name to be this request's; empty: any does. done is called exactly once, in
-  /// a later turn; until: silence is the end of it then; sendBy: without a connection by then it is not sent.
-  void send(const Address& to, http::Gather request, std::string attempt, bool headOnly, Span until,
-            Done done, Span sendBy = Span::max());
+  /// a later turn, unless it is cancelled; until: silence is the end of it then; sendBy: without a connection
+  /// by then it is not sent.
+  InFlight send(const Address& to, http::Gather request, std::string attempt, bool headOnly, Span until,
+                Done done, Span sendBy = Span::max());
   [[nodiscard]] std::size_t dialled() const { return dialled_; }
 
  private:
-  class ClientConnection;
   void release(const std::shared_ptr<ClientConnection>& way);
   void forget(const ClientConnection* way);
 
@@ -59,6 +80,7 @@
   std::map<Address, std::vector<std::shared_ptr<ClientConnection>>> idle_;
   std::map<const ClientConnection*, std::shared_ptr<ClientConnection>> busy_;
   std::size_t dialled_ = 0;
+  std::uint64_t requests_ = 0;
 };
 
 }  // namespace rackroute::mesh
--- a/tests/forwarding_test.cpp
+++ b/tests/forwarding_test.cpp
@@ -167,6 +167,7 @@
   double serverRefuses = 0.05;
   double serverResetsBefore = 0.02;  // before it ran
   double voteLost = 0.03;
+  double clientLeaves = 0.06;
   double perSecond = 1.2;  // restarts and freezes of each process
 };
 
@@ -207,6 +208,8 @@
   std::uint64_t neverCame = 0;       // questions answered so
   std::uint64_t lateTurnedAway = 0;  // late copies that met their fence
   std::uint64_t outcomesWaited = 0;  // questions that waited for the forward's end
+  std::uint64_t departed = 0;        // clients that left before an answer
+  std::uint64_t runsStopped = 0;     // servers that were told to stop
 
  private:
   static constexpr std::size_t kVoters = 3;
@@ -260,6 +263,7 @@
     std::string key;
     bool over = false;  // the caller was told how it ended
     bool arrived = false;
+    AskNo ask{};  // once it has arrived
   };
   using ForwardRef = std::shared_ptr<Forward>;
 
@@ -421,6 +425,22 @@
       callers_[i].open[no] = {wanted, attempt};
       const Asked asked{"a.example", kPaths[static_cast<int>(wanted.kind)], wanted.until - now_};
       act(i, callers_[i].router->asked(now_, no, asked));
+      if (happens(faults_.clientLeaves)) leave(i, no);
+    });
+  }
+
+  void leave(std::size_t i, CallNo no) {
+    in(drawn(1ms, 500ms), [this, i, no, life = callers_[i].life] {
+      turn(callers_[i], life, [this, i, no] {
+        Caller& caller = callers_[i];
+        if (caller.open.count(no) == 0) return;
+        ++departed;
+        const RoutingActions acts = caller.router->abandoned(now_, no);
+        const RouteKind kind = caller.open.at(no).wanted.kind;
+        REQUIRE(acts.empty() == (kind == RouteKind::keyed));
+        act(i, acts);
+        if (!acts.empty()) caller.open.erase(no);
+      });
     });
   }
 
@@ -432,6 +452,12 @@
         send(i, action, found->second);
         continue;
       }
+      if (action.kind == RoutingAction::Kind::cancel) {
+        const ForwardRef forward = forwards_.at({callers_[i].life, action.sent});
+        forward->over = true;
+        connectionEnds(forward);
+        continue;
+      }
       const Open open = found->second;
       callers_[i].open.erase(found);
       answer(open, action);
@@ -481,6 +507,7 @@
     forward->request = action.ask;
     forward->attempt = open.attempt;
     forward->key = open.wanted.key;
+    forwards_[{forward->callerLife, forward->sent}] = forward;
     const std::uint64_t life = besides_[forward->to].life.value;
     if (happens(0.02)) return in(trip(), [this, forward] { result(forward, ForwardResult::notSent); });
     if (!happens(faults_.reset)) return in(trip(), [this, forward, life] { deliver(forward, life); });
@@ -491,7 +518,22 @@
     } else if (happens(0.5)) {
       in(trip(), [this, forward, life] { deliver(forward, life); });
     }
-    in(drawn(1ms, 400ms), [this, forward] { result(forward, ForwardResult::broken); });
+    in(drawn(1ms, 400ms), [this, forward] {
+      result(forward, ForwardResult::broken);
+      connectionEnds(forward);
+    });
+  }
+
+  /// The process beside the server notices, if the forward has come by then.
+  void connectionEnds(const ForwardRef& forward) {
+    const std::uint64_t life = besides_[forward->to].life.value;
+    in(trip(), [this, forward, life] {
+      turn(besides_[forward->to], life, [this, forward, life] {
+        const auto asked = asked_.find({forward->to, life, forward->ask});
+        if (!forward->arrived || asked == asked_.end() || asked->second != forward) return;
+        act(forward->to, besides_[forward->to].admission->abandoned(now_, forward->ask));
+      });
+    });
   }
 
   void deliver(const ForwardRef& forward, std::uint64_t life) {
@@ -501,6 +543,7 @@
       Beside& then = besides_[forward->to];
       forward->arrived = true;
       const AskNo no{++then.asks};
+      forward->ask = no;
       asked_[{forward->to, then.life.value, no}] = forward;
       const Arrival arrival = then.outcomes->arrived(now_, no, forward->request);
       const bool late = !forward->request.outcomeOf && arrival.kind == Arrival::Kind::answer;
@@ -570,6 +613,10 @@
         case AdmissionAction::Kind::giveBack:
           for (std::size_t voter = 0; voter < kVoters; ++voter) giveBack(i, life, voter, action);
           break;
+        case AdmissionAction::Kind::cancel:
+          REQUIRE(asked_.at({i, life, action.ask})->request.kind == RouteKind::pure);
+          ++runsStopped;
+          break;
         case AdmissionAction::Kind::tell:
           break;
       }
@@ -640,6 +687,9 @@
   }
 
   void judge() {
+    // Nothing is held for what has ended.
+    for (const Caller& caller : callers_) CHECK(caller.router->atWork() == 0);
+    for (const Beside& beside : besides_) CHECK(beside.admission->atWork() == 0);
     for (const auto& [no, attempt] : all_) {
       if (attempt.kind != RouteKind::pure && attempt.promised) CHECK(attempt.runs == 0);
     }
@@ -655,6 +705,7 @@
   std::vector<Caller> callers_;
   std::vector<Beside> besides_;
   std::map<std::tuple<std::size_t, std::uint64_t, AskNo>, ForwardRef> asked_;
+  std::map<std::pair<std::uint64_t, TryNo>, ForwardRef> forwards_;  // by their caller's life
   std::map<std::pair<std::size_t, std::size_t>, Span> sessions_;
   std::map<std::uint64_t, Attempt> all_;
   std::map<std::uint64_t, std::uint64_t> runs_;  // of operations that must not run twice
@@ -664,9 +715,9 @@
 
 }  // namespace
 
-TEST_CASE("drawn resets, silences, restarts and freezes break no promise and mix up no answer") {
+TEST_CASE("drawn resets, silences, restarts, freezes and departures break no promise and mix up no answer") {
   std::uint64_t neverCame = 0, late = 0, waited = 0, answered = 0, served = 0;
-  std::uint64_t promised = 0, unknown = 0, unrun = 0;
+  std::uint64_t promised = 0, unknown = 0, unrun = 0, departed = 0, stopped = 0;
   for (std::uint64_t seed = 1; seed <= 40; ++seed) {
     INFO("seed " << seed);
     Faults faults;
@@ -682,13 +733,18 @@
     promised += mesh.promised;
     unknown += mesh.unknown;
     unrun += mesh.unknownUnrun;
+    departed += mesh.departed;
+    stopped += mesh.runsStopped;
   }
   INFO("answers " << answered << ", served " << served << ", promised " << promised << ", unknown " << unknown
                   << " of which ran nowhere " << unrun << "; never came " << neverCame
-                  << ", late copies turned away " << late << ", outcomes waited for " << waited);
+                  << ", late copies turned away " << late << ", outcomes waited for " << waited
+                  << ", departed " << departed << ", runs stopped " << stopped);
   // The load reaches the paths that it is meant for.
   CHECK(neverCame > 100);
   CHECK(late > 50);
   CHECK(waited > 10);
+  CHECK(departed > 200);
+  CHECK(stopped > 50);
   CHECK(served > answered / 2);
 }
