Read an answer without a length until its connection ends: it was passed on empty

Cause: where a server's 200 said Connection: close and no length, the mesh's HTTP client took the answer for whole at its head; its client got the seal and an empty body. Change: the client reads the head, then the body as the balancer does (http::Body); an orderly end of the connection is the answer's end, a reset is not; another success without a length counts as spoilt. The lab's servers on real processes leave out the length of each twelfth answer.

--- a/src/lab/mesh/process_servers.cpp
+++ b/src/lab/mesh/process_servers.cpp
@@ -16,6 +16,16 @@
 constexpr Span kCall = 1s;  // a server waits for its beat's answer
 constexpr std::string_view kNotRunField = "Rackroute-Not-Run: 1\r\n";
 
+constexpr std::uint64_t kUnframedEach = 12;  // each of so many answers has no length
+
+void answerUntilClose(const std::shared_ptr<HttpServerConnection>& connection, const std::string& fields,
+                      const std::string& body) {
+  http::Gather pieces;
+  pieces.text("HTTP/1.1 200 OK\r\n" + fields + "Connection: close\r\n\r\n" + body);
+  connection->send(std::move(pieces));
+  connection->finish(sidecar::Reason::done);
+}
+
 http::Gather callOf(const std::string& method, const std::string& path, const std::string& body) {
   http::Gather pieces;
   pieces.text(method + ' ' + path + " HTTP/1.1\r\nHost: control\r\nContent-Type: application/json\r\n" +
@@ -180,6 +190,7 @@
     return connection->answer(200, "Rackroute-Attempt-Id: 0\r\nConnection: close\r\n", "other");
   const std::string fields = named + std::string(kSeal) + ": " + std::to_string(seal) + "\r\n";
   const std::string body = bodyOf(asked.attempt, seal);
+  if (seal % kUnframedEach == 0) return answerUntilClose(connection, fields, body);
   connection->answer(200, fields, body);
   if (!spoilt || connection->ended()) return;
   // A surplus answer, late, in the place of the next one.
--- a/src/mesh/transport/http_client.cpp
+++ b/src/mesh/transport/http_client.cpp
@@ -61,6 +61,8 @@
     keeps_ = true;
     writtenBefore_ = bytesWritten();
     reader_ = http::Reader(http::Reader::Kind::answer, httpClient_.terms_.mostAnswer);
+    head_.reset();
+    held_.clear();
     send(std::move(pieces));
     if (!dialing() && !ended()) watch();
   }
@@ -99,23 +101,14 @@
   void received() override {
     if (!done_) return end(Reason::unreadAnswer);  // bytes that nobody asked for
     for (;;) {
-      const Progress progress = headOnly_ ? reader_.readHead(in_) : reader_.read(in_);
+      const Progress progress = readAnswer();
       if (progress == Progress::more) return;
-      if (progress != Progress::done) {
-        why_ = "answer";
-        spoilt_ = true;
-        return end(Reason::badMessage);
-      }
-      auto answer =
-          std::make_shared<const http::Message>(headOnly_ ? reader_.takeHead(in_) : reader_.take(in_));
-      if (answer->status() < 200) continue;  // word that an answer will come
+      if (progress != Progress::done) return spoil();
+      auto answer = takeAnswer();
       // Guards against an answer to an earlier request that comes in this one's place.
-      if (!attempt_.empty() && answer->field(kAttempt) != std::string_view(attempt_)) {
+      if (!names(*answer)) {
         skipped_ = true;
-        if (!answer->keepsOpen()) {
-          spoilt_ = true;
-          return end(Reason::badMessage);
-        }
+        if (!answer->keepsOpen()) return spoil();
         continue;
       }
       ++messages_;
@@ -133,13 +126,46 @@
   }
   void gone(Reason reason) override {
     loop_.cancel(timer_);
-    if (done_) {
-      tell(outcome(reason), nullptr);
-    }
+    // Without a length, the peer's orderly end is the answer's; a reset is not.
+    const bool whole = reason == Reason::peerClosed && head_ && body_.untilClose();
+    if (done_ && whole && names(*head_)) tell(RequestOutcome::answered, takeAnswer());
+    if (done_) tell(outcome(reason), nullptr);
     httpClient_.forget(this);
   }
 
  private:
+  /// The head of the answer proper, then its body; done: takeAnswer() has both.
+  Progress readAnswer() {
+    while (!head_) {
+      const Progress progress = reader_.readHead(in_);
+      if (progress != Progress::done) return progress;
+      auto head = std::make_shared<http::Message>(reader_.takeHead(in_));
+      if (head->status() < 200) continue;  // word that an answer will come
+      if (!headOnly_ && hidesItsEnd(*head)) return Progress::malformed;
+      body_ = headOnly_ ? http::Body()
+                        : http::Body(*head, http::Reader::Kind::answer, httpClient_.terms_.mostAnswer);
+      head_ = std::move(head);
+    }
+    return body_.read(in_, held_);
+  }
+  std::shared_ptr<const http::Message> takeAnswer() {
+    const auto answer = std::exchange(head_, nullptr);
+    if (!headOnly_) answer->giveBody(std::exchange(held_, {}));
+    return answer;
+  }
+  /// A success without a length, other than a 200: http::Body reads only that one until the connection ends.
+  static bool hidesItsEnd(const http::Message& head) {
+    const bool success = head.status() > 200 && head.status() < 300 && head.status() != 204;
+    return success && !head.length() && !head.chunked();
+  }
+  [[nodiscard]] bool names(const http::Message& answer) const {
+    return attempt_.empty() || answer.field(kAttempt) == std::string_view(attempt_);
+  }
+  void spoil() {
+    why_ = "answer";
+    spoilt_ = true;
+    end(Reason::badMessage);
+  }
   [[nodiscard]] RequestOutcome outcome(Reason reason) const {
     if (spoilt_) return RequestOutcome::spoilt;
     if (!up_ || bytesWritten() == writtenBefore_) return RequestOutcome::notSent;
@@ -161,6 +187,9 @@
   HttpClient& httpClient_;
   Address to_;
   http::Reader reader_{http::Reader::Kind::answer};
+  std::shared_ptr<http::Message> head_;  // of the answer that is being read
+  http::Body body_;                      // likewise
+  std::string held_;                     // what has come of it
   Done done_;
   std::string attempt_;
   sidecar::Loop::TimerId timer_;
