Give each test process a loopback address of its own for ports it looks for

Cause, by reading: tests look for a free port on 127.0.0.1, close it and name it to the program; the outgoing connections of other tests, side by side, may take it meanwhile. That fits 'a new process that dies leaves the old one serving', which failed once in 17 s (its waits for readiness ran out) and passed 61 times; not shown by a run. Change: unusedAddress() binds to 127.N.M.1 by the test process's id, where no other test's connections come from.

--- a/tests/handover_test.cpp
+++ b/tests/handover_test.cpp
@@ -16,7 +16,7 @@
 /// A process beside the first, with the same addresses but for its door.
 class Version {
  public:
-  SocketAddress door = ServerSocket(SocketAddress("127.0.0.1", 0)).address();
+  SocketAddress door = unusedAddress();
 
   explicit Version(Sidecar& sidecar, const std::string& folder, const std::string& name = "n0") {
     process_.also = {{"LB_ADMIN", door.toString()}, {"TMPDIR", folder}};
@@ -113,7 +113,7 @@
     "a new version's two processes are one member of the fleet, and one that dies gives its place back") {
   Folder folder;
   Folder elsewhere;
-  const auto free = [] { return ServerSocket(SocketAddress("127.0.0.1", 0)).address().toString(); };
+  const auto free = [] { return unusedAddress().toString(); };
   const std::string first = free();
   const std::string second = free();
   Sidecar other;
@@ -153,7 +153,7 @@
 TEST_CASE("a member that is flooded with garbage drops it within bounds, counts it, and serves on") {
   Folder folder;
   Sidecar sidecar;
-  const SocketAddress address = ServerSocket(SocketAddress("127.0.0.1", 0)).address();
+  const SocketAddress address = unusedAddress();
   sidecar.more = R"(,"fleet":{"name":"f","listen":")" + address.toString() + "\"}";
   Version member(sidecar, folder.path());
   Poco::Net::DatagramSocket source(SocketAddress("127.0.0.1", 0));
--- a/tests/operations_test.cpp
+++ b/tests/operations_test.cpp
@@ -74,7 +74,7 @@
 TEST_CASE("the door tells readiness and true figures, and takes a server out and back") {
   using namespace rackroute::program;
   Sidecar sidecar;
-  const SocketAddress door = ServerSocket(SocketAddress("127.0.0.1", 0)).address();
+  const SocketAddress door = unusedAddress();
   sidecar.also["LB_ADMIN"] = door.toString();
   sidecar.start();
   CHECK(has(call(door, "GET /ops/readiness"), "HTTP/1.1 200 "));
@@ -125,7 +125,7 @@
   using namespace rackroute::program;
   Sidecar sidecar;
   sidecar.sockets = "128";
-  const SocketAddress door = ServerSocket(SocketAddress("127.0.0.1", 0)).address();
+  const SocketAddress door = unusedAddress();
   sidecar.more = R"(,"admin":")" + door.toString() + '"';
   sidecar.start();
   std::vector<Peer> silent;
--- a/tests/program.hpp
+++ b/tests/program.hpp
@@ -12,6 +12,7 @@
 #include <Poco/TemporaryFile.h>
 #include <signal.h>
 #include <sys/wait.h>
+#include <unistd.h>
 
 #include <catch2/catch.hpp>
 #include <chrono>
@@ -33,6 +34,16 @@
 
 inline const Poco::Timespan kPatience(20, 0);  // far more than anything here takes, also with sanitizers
 
+/// An address that nothing listens at. It is on a loopback address of this test process's own: guards against
+/// other tests, side by side, whose outgoing connections take the port between this look and the program's
+/// start.
+inline SocketAddress unusedAddress() {
+  const auto id = static_cast<unsigned>(::getpid());
+  const std::string own =
+      "127." + std::to_string(100 + id / 256 % 100) + '.' + std::to_string(id % 256) + ".1";
+  return ServerSocket(SocketAddress(own, 0)).address();
+}
+
 /// The other end of one of the sidecar's connections.
 class Peer {
  public:
@@ -122,7 +133,7 @@
  public:
   ServerSocket discovery{SocketAddress("127.0.0.1", 0)};
   std::vector<ServerSocket> servers;
-  SocketAddress address = ServerSocket(SocketAddress("127.0.0.1", 0)).address();
+  SocketAddress address = unusedAddress();
   std::string bounds = R"("conn_idle_ms":60000)";
   std::string sockets = "256";
   std::string more;         // of the configuration
