--- a/src/lab/mesh/emulated.hpp
+++ b/src/lab/mesh/emulated.hpp
@@ -211,7 +211,7 @@
   void ask(std::size_t machine, const Wanted& wanted);
   void answered(std::size_t machine, const Wanted& wanted, std::uint64_t attempt, std::uint32_t status,
                 std::uint64_t seal, Span comeBack);
-  void hop(std::size_t machine, const RoutingAction& act);
+  void forward(std::size_t machine, const RoutingAction& act);
   void serve(std::size_t machine, const AdmissionAction& act);
   /// The client of a request that this machine's process has just taken leaves early, as the day has it.
   void mayLeave(std::size_t machine, std::uint64_t call, Span deadline);
--- a/src/lab/mesh/hollow_sidecar.cpp
+++ b/src/lab/mesh/hollow_sidecar.cpp
@@ -73,25 +73,25 @@
   const auto wall = std::chrono::system_clock::now().time_since_epoch();
   const LifeNo life{static_cast<std::uint64_t>(std::chrono::duration_cast<Span>(wall).count())};
   Sidecar::Built built;
-  built.caller.node = node;
-  built.caller.zone = identity_.zone;
-  built.caller.service = {identity_.service};
-  built.caller.allowance = {kRetryRatio, kRetrySlack, kRetryWindow};
-  built.caller.seed = identity_.number;
-  built.door.node = node;
-  built.door.at = inbound;
-  built.door.zone = identity_.zone;
-  built.door.life = life;
-  built.door.service = {identity_.service};
-  built.door.server = {identity_.ip + ':' + std::to_string(kServerPort)};
-  built.door.drain = kDrain;
-  built.door.keyWindow = 60s;
-  built.door.mostKept = (kSidecarMemoryMb << 20) / kKeptPart;
-  built.feed.node = node;
-  built.feed.at = inbound;
-  built.feed.zone = identity_.zone;
-  built.feed.life = life;
-  built.feed.seeds = identity_.controls;
+  built.router.node = node;
+  built.router.zone = identity_.zone;
+  built.router.service = {identity_.service};
+  built.router.allowance = {kRetryRatio, kRetrySlack, kRetryWindow};
+  built.router.seed = identity_.number;
+  built.admission.node = node;
+  built.admission.at = inbound;
+  built.admission.zone = identity_.zone;
+  built.admission.life = life;
+  built.admission.service = {identity_.service};
+  built.admission.server = {identity_.ip + ':' + std::to_string(kServerPort)};
+  built.admission.drain = kDrain;
+  built.admission.keyWindow = 60s;
+  built.admission.mostKept = (kSidecarMemoryMb << 20) / kKeptPart;
+  built.controlClient.node = node;
+  built.controlClient.at = inbound;
+  built.controlClient.zone = identity_.zone;
+  built.controlClient.life = life;
+  built.controlClient.seeds = identity_.controls;
   return built;
 }
 
@@ -114,8 +114,8 @@
 
 void HollowSidecar::act(SidecarActions actions) {
   if (ending_) return;
-  for (const AdmissionAction& action : actions.door) act(action);
-  for (const ControlClientAction& action : actions.feed) act(action);
+  for (const AdmissionAction& action : actions.admission) act(action);
+  for (const ControlClientAction& action : actions.control) act(action);
   watch();
   wakeInTime();
 }
@@ -190,17 +190,17 @@
 }
 
 void HollowSidecar::watch() {
-  const std::size_t sessions = sidecar_.feed().sessions();
+  const std::size_t sessions = sidecar_.controlClient().sessions();
   const bool whole = sessions == identity_.controls.size() && sidecar_.ready(loop_.now());
   if (whole != whole_) board_.whole.fetch_add(whole ? 1U : -1U);
   whole_ = whole;
   const bool connected = sessions > 0;
   if (connected != connected_) board_.unconnected.fetch_add(connected ? -1U : 1U);
   connected_ = connected;
-  const std::uint64_t digest = sidecar_.feed().items().digest();
+  const std::uint64_t digest = sidecar_.controlClient().items().digest();
   if (digest == digest_) return;
   digest_ = digest;
-  const Item* item = sidecar_.feed().items().find({ItemKind::route, kWatchedRoute});
+  const Item* item = sidecar_.controlClient().items().find({ItemKind::route, kWatchedRoute});
   if (item == nullptr) return;
   for (; held_ < item->generation.value; ++held_) board_.changes.held(held_ + 1);
 }
--- a/src/lab/mesh/world_processes.cpp
+++ b/src/lab/mesh/world_processes.cpp
@@ -79,15 +79,15 @@
   const LifeNo life{static_cast<std::uint64_t>(wall(machine).count())};
   Side& here = side(machine);
   Sidecar::Built built;
-  built.caller.node = {m.name};
-  built.caller.zone = "z" + std::to_string(m.zone);
-  built.caller.service = {serviceName(here.server.service)};
-  built.caller.allowance = {kRetryRatio, kRetrySlack, 10s};
-  built.caller.seed = seed_ * 1000 + machine * 31 + m.life;
-  built.door = {{m.name}, {address(machine)},   built.caller.zone,
-                life,     built.caller.service, {m.name + ":app"},
-                kDrain,   span(day_.keyWindow), 32 << 20};
-  built.feed = {{m.name}, {address(machine)}, built.caller.zone, life, seedsNow(m.firstSeed)};
+  built.router.node = {m.name};
+  built.router.zone = "z" + std::to_string(m.zone);
+  built.router.service = {serviceName(here.server.service)};
+  built.router.allowance = {kRetryRatio, kRetrySlack, 10s};
+  built.router.seed = seed_ * 1000 + machine * 31 + m.life;
+  built.admission = {{m.name}, {address(machine)},   built.router.zone,
+                     life,     built.router.service, {m.name + ":app"},
+                     kDrain,   span(day_.keyWindow), 32 << 20};
+  built.controlClient = {{m.name}, {address(machine)}, built.router.zone, life, seedsNow(m.firstSeed)};
   here.sidecar = std::make_unique<Sidecar>(std::move(built));
   here.asks.clear();
   here.attemptOf.clear();
@@ -171,11 +171,11 @@
 
 void World::act(std::size_t machine, const SidecarActions& acts) {
   Side& here = side(machine);
-  for (const RoutingAction& act : acts.calls) {
+  for (const RoutingAction& act : acts.routing) {
     const auto found = here.attemptOf.find(act.call.value);
     if (found == here.attemptOf.end()) continue;
     if (act.kind == RoutingAction::Kind::send) {
-      hop(machine, act);
+      forward(machine, act);
       continue;
     }
     if (act.kind == RoutingAction::Kind::cancel) {
@@ -196,7 +196,7 @@
     const Wanted wanted = open->second.second;
     answered(machine, wanted, attempt, status, seal, act.comeBack);
   }
-  for (const AdmissionAction& act : acts.door) {
+  for (const AdmissionAction& act : acts.admission) {
     const auto found = here.asks.find(act.ask.value);
     if (found == here.asks.end()) continue;
     if (act.kind == AdmissionAction::Kind::run) {
@@ -218,7 +218,7 @@
     }
     reply(act.told, status, seal, act.bytes);
   }
-  for (const ControlClientAction& act : acts.feed) {
+  for (const ControlClientAction& act : acts.control) {
     auto& all = dialled_[machine];
     const auto link = all.find(act.at.value);
     if (act.kind == ControlClientAction::Kind::say) {
--- a/src/lab/mesh/world_requests.cpp
+++ b/src/lab/mesh/world_requests.cpp
@@ -47,7 +47,7 @@
     Side& here = side(machine);
     const RouteTold& asked = kRoutes[wanted.route];
     if (!here.sidecar->serving(now_)) return answered(machine, wanted, attempt, 503, 0, 300ms);
-    const auto known = here.sidecar->caller().book().find(kHost, asked.prefix);
+    const auto known = here.sidecar->router().routes().find(kHost, asked.prefix);
     const std::uint64_t least =
         calm() && inTouch(machine) ? ledger_.newestAt(std::string("route/") + asked.name, now_ - kApply) : 0;
     judge_.used(now_, static_cast<std::uint32_t>(machine * 100 + wanted.route), machines_[machine].life,
@@ -89,7 +89,7 @@
 }
 
 // A request from one process to the one beside a server, and the answer back.
-void World::hop(std::size_t machine, const RoutingAction& act) {
+void World::forward(std::size_t machine, const RoutingAction& act) {
   const std::uint64_t lifeA = machines_[machine].life;
   const std::uint64_t attempt = side(machine).attemptOf.at(act.call.value);
   const auto ended = [this, machine, call = act.call, sent = act.sent](
--- a/src/lab/mesh/world_watch.cpp
+++ b/src/lab/mesh/world_watch.cpp
@@ -41,7 +41,7 @@
 void World::took(std::size_t machine, const json& word) {
   const auto list = word.find("list");
   if (list == word.end() || word.at("t") != "items") return;
-  const Items& items = side(machine).sidecar->feed().items();
+  const Items& items = side(machine).sidecar->controlClient().items();
   for (const json& told : *list) {
     const auto key = keyOf(told.at("k").get<std::string>());
     if (!key || key->kind == ItemKind::voters) continue;
@@ -68,7 +68,7 @@
   const bool young = now_ < machines_[machine].started + kContact + kApply;
   if (young && !sidecar.serving(now_)) return;
   for (const auto& [text, least] : floor) {
-    const Item* held = sidecar.feed().items().find(*keyOf(text));
+    const Item* held = sidecar.controlClient().items().find(*keyOf(text));
     if (held != nullptr && held->generation.value >= least) continue;
     if (++lateTold_ > kToldOnce) return;
     judge_.failed(now_, "CONFIG not in force",
--- a/src/mesh/admission/admission.hpp
+++ b/src/mesh/admission/admission.hpp
@@ -1,6 +1,6 @@
 #pragma once
 
-// The last door before a server: the process on its machine. It knows which servers live here and what they
+// Admission to a server, by the process on its machine. It knows which servers live here and what they
 // say of themselves, how many requests each is working on, and which operations ran here. It owns all of
 // that; it takes inputs and returns what to send, claim and answer, with no I/O and no clock. It must never
 // let a request to a server that is another, gone, or drains for too long; never run a key without a won
@@ -46,7 +46,7 @@
   std::size_t size = 0;
 };
 
-/// What the door wants done. Which fields matter goes by the kind.
+/// What is to be done. Which fields matter goes by the kind.
 struct AdmissionAction {
   enum class Kind { run, answer, claim, giveBack, tell, cancel };
   Kind kind = Kind::run;
--- a/src/mesh/balancing/server_pool.cpp
+++ b/src/mesh/balancing/server_pool.cpp
@@ -67,7 +67,7 @@
 
 double ServerPool::slotsOf(const Server& server) { return std::max<std::uint32_t>(server.told.capacity, 1); }
 
-// Free slots as its door told last, less what was sent from here since.
+// Free slots as its admission told last, less what was sent from here since.
 double ServerPool::roomOf(const Server& server) {
   const double since = static_cast<double>(server.mine) - static_cast<double>(server.mineThen);
   return slotsOf(server) - std::max(0.0, server.load.busy + server.load.queued + since);
--- a/src/mesh/control/main.cpp
+++ b/src/mesh/control/main.cpp
@@ -49,7 +49,7 @@
     openStore();
     store_.start([this](std::uint64_t batch, bool done) {
       loop_.post([this, batch, done] {
-        if (!done) log(Weight::warning, "store", "", "a write was refused");
+        if (!done) log(LogLevel::warning, "store", "", "a write was refused");
         act(node_->written(loop_.now(), {batch}, done));
       });
     });
@@ -66,9 +66,9 @@
       act(node_->start(loop_.now()));
       tick();
     });
-    log(Weight::info, "start", "", "listening", {{"holds_state", node_->holdsState()}});
+    log(LogLevel::info, "start", "", "listening", {{"holds_state", node_->holdsState()}});
     loop_.run();
-    log(Weight::info, "stop", "", "stopped");
+    log(LogLevel::info, "stop", "", "stopped");
     // Guards against a disk that hangs: the store's thread would be waited for past the grace. Nothing is
     // lost, as nothing is acknowledged before its sync.
     std::quick_exit(0);
@@ -78,7 +78,7 @@
   void openStore() {
     const auto entry = [this](const std::string& key, const std::string& value) {
       const Result<void> read = node_->restore(key, value);
-      if (!read) log(Weight::error, read.error().step, read.error().peer, read.error().what);
+      if (!read) log(LogLevel::error, read.error().step, read.error().peer, read.error().what);
     };
     for (bool told = false;; told = true) {
       bool foreign = false;
@@ -86,7 +86,7 @@
       const Result<void> opened = store_.open(foreign, entry);
       if (opened) return;
       if (foreign) throw std::runtime_error(opened.error().line());
-      if (!told) log(Weight::error, opened.error().step, opened.error().peer, opened.error().what);
+      if (!told) log(LogLevel::error, opened.error().step, opened.error().peer, opened.error().what);
       std::this_thread::sleep_for(kOpenPause);
     }
   }
@@ -161,7 +161,7 @@
           if (const auto found = sessions_.find(act.session); found != sessions_.end()) {
             const auto session = found->second;
             const bool refused = !act.body.empty();
-            log(refused ? Weight::warning : Weight::info, "session", session->name(),
+            log(refused ? LogLevel::warning : LogLevel::info, "session", session->name(),
                 refused ? act.body : "hung up");
             session->end(sidecar::Reason::silent);
           }
@@ -171,7 +171,7 @@
           break;
         case ControlAction::Kind::answer:
           if (const auto found = calls_.find(act.call); found != calls_.end()) {
-            if (act.status >= 400) log(Weight::info, "change", "", act.body, {{"status", act.status}});
+            if (act.status >= 400) log(LogLevel::info, "change", "", act.body, {{"status", act.status}});
             std::string fields = "Content-Type: application/json\r\n";
             if (act.retryAfter > Span{0}) fields += "Retry-After: " + writeSeconds(act.retryAfter) + "\r\n";
             found->second->answer(act.status, fields, act.body);
@@ -190,7 +190,7 @@
   void tellAnew() {
     auto settings = readSettingsFile(settingsFile_);
     if (!settings)
-      return log(Weight::error, settings.error().step, settings.error().peer, settings.error().what);
+      return log(LogLevel::error, settings.error().step, settings.error().peer, settings.error().what);
     std::vector<Address> seeds;
     for (const Address& seed : settings.value().seeds) seeds.push_back(meshAddress(seed, port_));
     node_->seeds(seeds);
@@ -252,7 +252,7 @@
   built.random = std::random_device{}();
   // Of the voters less a quorum any number may be lost; more is to be known before it happens.
   if (const std::size_t borne = (built.founders - 1) / 2; borne < settings.bearableLosses) {
-    log(Weight::error, "settings", path, "too few control processes for the losses that are to be borne",
+    log(LogLevel::error, "settings", path, "too few control processes for the losses that are to be borne",
         {{"voters", built.founders}, {"borne", borne}, {"asked", settings.bearableLosses}});
   }
   return ControlProgram(settings, std::move(built), path).run(settings);
--- a/src/mesh/forwarding/forwarding.hpp
+++ b/src/mesh/forwarding/forwarding.hpp
@@ -14,7 +14,7 @@
 
 namespace rackroute::mesh {
 
-inline constexpr std::string_view kForwardHeader = "Rackroute-Hop";
+inline constexpr std::string_view kForwardHeader = "Rackroute-Forward";
 inline constexpr std::string_view kAttempt = "Rackroute-Attempt-Id";
 inline constexpr std::string_view kDeadline = "Rackroute-Deadline-Ms";
 inline constexpr std::string_view kExpect = "Rackroute-Expect-Instance";
--- a/src/mesh/routing/request_router.hpp
+++ b/src/mesh/routing/request_router.hpp
@@ -77,8 +77,8 @@
   RoutingActions abandoned(Span now, CallNo no);
   RoutingActions tick(Span now);
   [[nodiscard]] std::optional<Span> nextTick() const;
-  [[nodiscard]] const RouteTable& book() const { return table_; }
-  [[nodiscard]] const ServerPool& rack() const { return pool_; }
+  [[nodiscard]] const RouteTable& routes() const { return table_; }
+  [[nodiscard]] const ServerPool& servers() const { return pool_; }
   [[nodiscard]] std::size_t atWork() const { return calls_.size(); }
 
  private:
--- a/src/mesh/sidecar/main.cpp
+++ b/src/mesh/sidecar/main.cpp
@@ -98,7 +98,7 @@
     signals_.on(SIGHUP, [this] { tellAnew(); });
     tellAnew();  // what changed before the handler was there
     loop_.guarded([this] { tick(); });
-    log(Weight::info, "start", "", "listening");
+    log(LogLevel::info, "start", "", "listening");
     loop_.run();
     return 0;
   }
@@ -147,7 +147,7 @@
   }
 
   [[nodiscard]] Span usualFor(const http::Message& request) const {
-    const auto route = sidecar_.caller().book().find(request.field("Host").value_or(""), request.word(1));
+    const auto route = sidecar_.router().routes().find(request.field("Host").value_or(""), request.word(1));
     return route ? route->aim : Span{0};
   }
 
@@ -161,7 +161,7 @@
 
   void abandon(CallNo call) {
     SidecarActions acts = sidecar_.abandoned(loop_.now(), call);
-    const bool over = !acts.calls.empty();
+    const bool over = !acts.routing.empty();
     act(std::move(acts));
     if (over) calls_.erase(call);
   }
@@ -188,10 +188,10 @@
     act(sidecar_.forwardRequested(loop_.now(), no, *ask, key));
   }
 
-  void called(CallSocket door, const std::shared_ptr<HttpServerConnection>& connection,
+  void called(CallSocket socket, const std::shared_ptr<HttpServerConnection>& connection,
               const http::Message& request) {
     bool known = false;
-    const auto call = findCall(door, CallBy::auxiliary, request.word(0), request.word(1), known);
+    const auto call = findCall(socket, CallBy::auxiliary, request.word(0), request.word(1), known);
     if (!call) return connection->answer(known ? 405 : 404, "", "");
     if (call->row->kind == CallKind::readiness)
       return connection->answer(sidecar_.ready(loop_.now()) ? 200 : 503, "", "");
@@ -212,7 +212,7 @@
         beat.seq = observed.at("call_seq").get<std::uint64_t>();
         beat.coldLeft = readSpan(observed.value("cold_left", std::string("0ms"))).value_or(Span{0});
       } catch (const json::exception& error) {
-        log(Weight::warning, "beat", std::string(call->name), error.what());
+        log(LogLevel::warning, "beat", std::string(call->name), error.what());
         return connection->answer(400, "", "");
       }
     }
@@ -221,9 +221,9 @@
   }
 
   void act(SidecarActions acts) {
-    for (RoutingAction& act : acts.calls) this->act(act);
-    for (AdmissionAction& act : acts.door) this->act(act);
-    for (ControlClientAction& act : acts.feed) this->act(act);
+    for (RoutingAction& act : acts.routing) this->act(act);
+    for (AdmissionAction& act : acts.admission) this->act(act);
+    for (ControlClientAction& act : acts.control) this->act(act);
     wakeInTime();
   }
 
@@ -275,7 +275,7 @@
     std::string head;
     beginRequest(head, *inside.request, kForwardHeader);
     head += std::string(kForwardHeader) + ": " + textOf(act.ask) +
-            "\r\nConnection: rackroute-hop, rackroute-caller-service, rackroute-expect-instance, "
+            "\r\nConnection: rackroute-forward, rackroute-caller-service, rackroute-expect-instance, "
             "rackroute-deadline-ms\r\n";
     const Span now = loop_.now();
     http::Gather message;
@@ -345,7 +345,7 @@
     const Inside inside = std::move(found->second);
     asks_.erase(found);
     const std::string told =
-        std::string(kForwardHeader) + ": " + textOf(act.told) + "\r\nConnection: rackroute-hop\r\n";
+        std::string(kForwardHeader) + ": " + textOf(act.told) + "\r\nConnection: rackroute-forward\r\n";
     if (!act.bytes) return inside.connection->answer(503, told, "");
     std::string fields;
     if (const auto attempt = inside.request->field(kAttempt))
@@ -411,12 +411,12 @@
         if (found != sessionConnections_.end()) {
           const auto session = found->second;
           sessionConnections_.erase(found);
-          log(Weight::info, "session", act.at.value, "silent");
+          log(LogLevel::info, "session", act.at.value, "silent");
           session->end(sidecar::Reason::silent);
         }
         break;
       case ControlClientAction::Kind::refused:
-        log(Weight::warning, act.error.step, act.error.peer, act.error.what);
+        log(LogLevel::warning, act.error.step, act.error.peer, act.error.what);
         if (found != sessionConnections_.end()) {
           const auto session = found->second;
           sessionConnections_.erase(found);
@@ -461,21 +461,21 @@
 
   void tick() {
     if (clients_) {
-      const Limits& limits = sidecar_.caller().book().limits();
+      const Limits& limits = sidecar_.router().routes().limits();
       clients_->header = limits.header;
       clients_->idle = limits.idle;
     }
     act(sidecar_.tick(loop_.now()));
     if (const bool ready = sidecar_.ready(loop_.now()); ready != told_) {
       told_ = ready;
-      log(Weight::info, "ready", "", ready ? "requests are taken" : "clients are to go elsewhere");
+      log(LogLevel::info, "ready", "", ready ? "requests are taken" : "clients are to go elsewhere");
     }
   }
 
   void tellAnew() {
     auto settings = readSettingsFile(settingsFile_);
     if (!settings)
-      return log(Weight::error, settings.error().step, settings.error().peer, settings.error().what);
+      return log(LogLevel::error, settings.error().step, settings.error().peer, settings.error().what);
     std::vector<Address> seeds;
     for (const Address& seed : settings.value().seeds)
       seeds.push_back(meshAddress(seed, settings_.firstPort));
@@ -486,7 +486,7 @@
     if (deadline_.stopping()) return;
     stoppedAt_ = loop_.now();
     deadline_.stop(stoppedAt_);
-    log(Weight::info, "stop", "", "leaving");
+    log(LogLevel::info, "stop", "", "leaving");
     clients_->closing = forwardListener_->closing = true;
     act(sidecar_.leave(loop_.now()));
     look();
@@ -505,7 +505,7 @@
   // Guards against a slow machine that goes through all ready connections once more, or takes hundreds of
   // them apart one by one, past the grace. All answers are written; the kernel sees them off.
   [[noreturn]] static void end() {
-    log(Weight::info, "stop", "", "stopped");
+    log(LogLevel::info, "stop", "", "stopped");
     std::quick_exit(0);
   }
 
@@ -559,26 +559,26 @@
   const auto wall = std::chrono::system_clock::now().time_since_epoch();
   const LifeNo life{static_cast<std::uint64_t>(std::chrono::duration_cast<Span>(wall).count())};
   Sidecar::Built built;
-  built.caller.node = settings.node;
-  built.caller.zone = settings.zone;
-  built.caller.service = settings.target;
-  built.caller.allowance = {settings.retryRatio, settings.retrySlack, settings.retryWindow};
-  built.caller.seed = life.value ^ std::hash<std::string>{}(settings.node.value);
-  built.door.node = settings.node;
-  built.door.at = settings.inbound;
-  built.door.zone = settings.zone;
-  built.door.life = life;
-  built.door.service = settings.target;
-  built.door.server = settings.server;
-  built.door.drain = settings.drain;
-  built.door.keyWindow = settings.keyWindow;
-  built.door.mostKept = (std::max<std::size_t>(settings.memoryMb, 64) << 20) / kKeptPart;
-  built.feed.node = settings.node;
-  built.feed.at = settings.inbound;
-  built.feed.zone = settings.zone;
-  built.feed.life = life;
+  built.router.node = settings.node;
+  built.router.zone = settings.zone;
+  built.router.service = settings.target;
+  built.router.allowance = {settings.retryRatio, settings.retrySlack, settings.retryWindow};
+  built.router.seed = life.value ^ std::hash<std::string>{}(settings.node.value);
+  built.admission.node = settings.node;
+  built.admission.at = settings.inbound;
+  built.admission.zone = settings.zone;
+  built.admission.life = life;
+  built.admission.service = settings.target;
+  built.admission.server = settings.server;
+  built.admission.drain = settings.drain;
+  built.admission.keyWindow = settings.keyWindow;
+  built.admission.mostKept = (std::max<std::size_t>(settings.memoryMb, 64) << 20) / kKeptPart;
+  built.controlClient.node = settings.node;
+  built.controlClient.at = settings.inbound;
+  built.controlClient.zone = settings.zone;
+  built.controlClient.life = life;
   for (const Address& seed : settings.seeds)
-    built.feed.seeds.push_back(meshAddress(seed, settings.firstPort));
+    built.controlClient.seeds.push_back(meshAddress(seed, settings.firstPort));
   return SidecarProgram(settings, std::move(built), path).run();
 }
 
--- a/src/mesh/sidecar/sidecar.cpp
+++ b/src/mesh/sidecar/sidecar.cpp
@@ -24,30 +24,30 @@
 }
 
 void append(ControlClientActions acts, SidecarActions& out) {
-  std::move(acts.begin(), acts.end(), std::back_inserter(out.feed));
+  std::move(acts.begin(), acts.end(), std::back_inserter(out.control));
 }
 
 }  // namespace
 
 Sidecar::Sidecar(Built built)
     : built_(std::move(built)),
-      router_(built_.caller),
-      admission_(built_.door),
-      outcomes_(built_.door.life, outcomeLimits(built_.door)),
-      controlClient_(built_.feed) {}
+      router_(built_.router),
+      admission_(built_.admission),
+      outcomes_(built_.admission.life, outcomeLimits(built_.admission)),
+      controlClient_(built_.controlClient) {}
 
 void Sidecar::take(Span now, AdmissionActions acts, SidecarActions& out) {
   ClaimRequest claims;
   claims.epoch = controlClient_.voters().epoch;
-  claims.at = built_.door.at;
+  claims.at = built_.admission.at;
   ReleaseRequest released;
-  released.at = built_.door.at;
+  released.at = built_.admission.at;
   ServersUpdate servers;
   for (AdmissionAction& act : acts) {
     switch (act.kind) {
       case AdmissionAction::Kind::run:
       case AdmissionAction::Kind::cancel:
-        out.door.push_back(std::move(act));
+        out.admission.push_back(std::move(act));
         break;
       case AdmissionAction::Kind::answer:
         answer(now, std::move(act), out);
@@ -75,9 +75,9 @@
   for (const AskNo waiter : outcomes_.ended(now, act.ask, act.told, act.bytes, act.size)) {
     AdmissionAction same = act;
     same.ask = waiter;
-    out.door.push_back(std::move(same));
+    out.admission.push_back(std::move(same));
   }
-  out.door.push_back(std::move(act));
+  out.admission.push_back(std::move(act));
 }
 
 void Sidecar::take(Span now, ControlClientActions acts, SidecarActions& out) {
@@ -88,14 +88,14 @@
       case ControlClientAction::Kind::dial:
       case ControlClientAction::Kind::hangUp:
       case ControlClientAction::Kind::refused:
-        out.feed.push_back(std::move(act));
+        out.control.push_back(std::move(act));
         break;
       case ControlClientAction::Kind::server:
         router_.told(now, act.news.served, act.news.heard);
         take(now, admission_.adopt(now, act.news.served), out);
         break;
       case ControlClientAction::Kind::configured:
-        if (router_.book().services().empty()) {
+        if (router_.routes().services().empty()) {
           configure(now, out);
         } else if (!readsAt_) {
           readsAt_ = now + kGather;
@@ -135,7 +135,7 @@
 void Sidecar::askForVotes(const VoterId& voter, SidecarActions& out) {
   ClaimRequest request;
   request.epoch = controlClient_.voters().epoch;
-  request.at = built_.door.at;
+  request.at = built_.admission.at;
   for (const Claims::Open& open : admission_.claims().without(voter))
     request.claims.emplace_back(open.no, open.key);
   if (!request.claims.empty()) append(controlClient_.sendTo(voter.at, request), out);
@@ -150,12 +150,12 @@
 void Sidecar::configure(Span now, SidecarActions& out) {
   readsAt_.reset();
   router_.configured(controlClient_.items());
-  take(now, controlClient_.follow(router_.book().services()), out);
+  take(now, controlClient_.follow(router_.routes().services()), out);
 }
 
 SidecarActions Sidecar::asked(Span now, CallNo no, const Asked& asked) {
   SidecarActions out;
-  out.calls = router_.asked(now, no, asked);
+  out.routing = router_.asked(now, no, asked);
   return out;
 }
 
@@ -163,7 +163,7 @@
                                   const ForwardReply& told, std::uint32_t status,
                                   std::shared_ptr<const void> bytes) {
   SidecarActions out;
-  out.calls = router_.forwarded(now, no, sent, how, told, status, std::move(bytes));
+  out.routing = router_.forwarded(now, no, sent, how, told, status, std::move(bytes));
   return out;
 }
 
@@ -179,7 +179,7 @@
       AdmissionAction act{AdmissionAction::Kind::answer, no};
       act.told = std::move(arrival.reply);
       act.bytes = std::move(arrival.bytes);
-      out.door.push_back(std::move(act));
+      out.admission.push_back(std::move(act));
       break;
     }
     case ForwardOutcomes::Arrival::Kind::wait:
@@ -196,7 +196,7 @@
 
 SidecarActions Sidecar::abandoned(Span now, CallNo no) {
   SidecarActions out;
-  out.calls = router_.abandoned(now, no);
+  out.routing = router_.abandoned(now, no);
   return out;
 }
 
@@ -221,7 +221,7 @@
 SidecarActions Sidecar::ended(Span now, const Address& control) {
   SidecarActions out;
   take(now, controlClient_.ended(now, control), out);
-  // Claims that wait for votes which can't come any more hold room at the door.
+  // Claims that wait for votes which can't come any more hold room.
   take(now, admission_.tick(now), out);
   return out;
 }
@@ -235,7 +235,7 @@
 
 SidecarActions Sidecar::tick(Span now) {
   SidecarActions out;
-  out.calls = router_.tick(now);
+  out.routing = router_.tick(now);
   if (readsAt_ && *readsAt_ <= now) configure(now, out);
   if (admissionCloses_ && *admissionCloses_ <= now) {
     admissionCloses_ = Span::max();
--- a/src/mesh/sidecar/sidecar.hpp
+++ b/src/mesh/sidecar/sidecar.hpp
@@ -1,6 +1,6 @@
 #pragma once
 
-// The data-plane process as one state machine: the caller's decisions, the door of the server here, and what
+// The data-plane process as one state machine: the caller's decisions, admission to the server here, and what
 // is heard from the control plane, put together. It owns these three and decides nothing of its own; no I/O,
 // no clock.
 
@@ -19,17 +19,17 @@
 
 /// All that the process is to do after an input, in this order.
 struct SidecarActions {
-  RoutingActions calls;
-  AdmissionActions door;      // run, answer and cancel only
-  ControlClientActions feed;  // say, dial, hangUp and refused only
+  RoutingActions routing;
+  AdmissionActions admission;    // run, answer and cancel only
+  ControlClientActions control;  // say, dial, hangUp and refused only
 };
 
 class Sidecar {
  public:
   struct Built {
-    RequestRouter::Built caller;
-    Admission::Built door;
-    ControlClient::Built feed;
+    RequestRouter::Built router;
+    Admission::Built admission;
+    ControlClient::Built controlClient;
   };
   explicit Sidecar(Built built);
 
@@ -59,9 +59,9 @@
   [[nodiscard]] bool serving(Span now) const { return controlClient_.ready(now) && (served_ || !readsAt_); }
   [[nodiscard]] bool ready(Span now) const { return !leaving_ && serving(now); }
   [[nodiscard]] std::size_t atWork() const { return router_.atWork() + admission_.atWork(); }
-  [[nodiscard]] const RequestRouter& caller() const { return router_; }
-  [[nodiscard]] const Admission& door() const { return admission_; }
-  [[nodiscard]] const ControlClient& feed() const { return controlClient_; }
+  [[nodiscard]] const RequestRouter& router() const { return router_; }
+  [[nodiscard]] const Admission& admission() const { return admission_; }
+  [[nodiscard]] const ControlClient& controlClient() const { return controlClient_; }
 
  private:
   void take(Span now, AdmissionActions acts, SidecarActions& out);
@@ -78,7 +78,7 @@
   ControlClient controlClient_;
   Span controlClientTick_{};
   std::optional<Span> readsAt_;          // when the items in force are to be read as routes
-  std::optional<Span> admissionCloses_;  // when the door is to shut
+  std::optional<Span> admissionCloses_;  // when nothing more is admitted
   bool served_ = false;                  // requests were taken before
   bool leaving_ = false;
 };
--- a/src/mesh/transport/calls.hpp
+++ b/src/mesh/transport/calls.hpp
@@ -18,7 +18,7 @@
   std::string_view method;
   std::string_view path;
   bool named;  // the path goes on with a name
-  CallSocket door;
+  CallSocket socket;
   CallBy by;
   std::size_t mostBytes;  // of its body
 };
@@ -37,13 +37,13 @@
   std::string_view name;  // that the path ends with
 };
 
-/// The row that a request at this door means; pathKnown: some row has the path, whatever the method.
-inline std::optional<Called> findCall(CallSocket door, CallBy by, std::string_view method,
+/// The row that a request at this socket means; pathKnown: some row has the path, whatever the method.
+inline std::optional<Called> findCall(CallSocket socket, CallBy by, std::string_view method,
                                       std::string_view path, bool& pathKnown) {
   path = path.substr(0, path.find('?'));
   pathKnown = false;
   for (const CallRow& row : kCalls) {
-    if (row.door != door || row.by != by) continue;
+    if (row.socket != socket || row.by != by) continue;
     const bool fits = row.named ? path.substr(0, row.path.size()) == row.path && path.size() > row.path.size()
                                 : path == row.path;
     if (!fits) continue;
--- a/src/mesh/transport/listener.cpp
+++ b/src/mesh/transport/listener.cpp
@@ -57,7 +57,7 @@
         loop_.in(kAcceptPause, [this, readable] {
           if (open_) loop_.addEventHandler(socket_, readable);
         });
-        log(Weight::warning, "accept", "", "no descriptor left");
+        log(LogLevel::warning, "accept", "", "no descriptor left");
         return;
       }
       const Poco::Net::SocketAddress peer(reinterpret_cast<sockaddr*>(&from), size);
--- a/src/mesh/transport/log.cpp
+++ b/src/mesh/transport/log.cpp
@@ -12,7 +12,7 @@
 namespace {
 
 std::string name;
-Weight lowest = Weight::warning;
+LogLevel lowest = LogLevel::warning;
 const auto start = std::chrono::steady_clock::now();
 
 }  // namespace
@@ -20,11 +20,11 @@
 bool openLog(std::string_view program, std::string_view level) {
   name = program;
   if (level == "info") {
-    lowest = Weight::info;
+    lowest = LogLevel::info;
   } else if (level == "warning") {
-    lowest = Weight::warning;
+    lowest = LogLevel::warning;
   } else if (level == "error") {
-    lowest = Weight::error;
+    lowest = LogLevel::error;
   } else {
     return false;
   }
@@ -39,7 +39,7 @@
   return true;
 }
 
-void log(Weight weight, std::string_view step, std::string_view peer, std::string_view what,
+void log(LogLevel weight, std::string_view step, std::string_view peer, std::string_view what,
          nlohmann::json more) {
   if (weight < lowest) return;
   static constexpr const char* kNames[] = {"info", "warning", "error"};
--- a/src/mesh/transport/log.hpp
+++ b/src/mesh/transport/log.hpp
@@ -9,11 +9,11 @@
 
 namespace rackroute::mesh {
 
-enum class Weight { info, warning, error };
+enum class LogLevel { info, warning, error };
 
 /// program: shown in every line. level: info, warning or error; false: no such level.
 bool openLog(std::string_view program, std::string_view level);
-void log(Weight weight, std::string_view step, std::string_view peer, std::string_view what,
+void log(LogLevel weight, std::string_view step, std::string_view peer, std::string_view what,
          nlohmann::json more = nullptr);
 
 }  // namespace rackroute::mesh
--- a/src/mesh/transport/session_connection.cpp
+++ b/src/mesh/transport/session_connection.cpp
@@ -69,14 +69,14 @@
 bool SessionConnection::hear(std::string_view text) {
   const nlohmann::json word = nlohmann::json::parse(text, nullptr, false);
   if (word.is_discarded() || !word.is_object()) {
-    log(Weight::warning, "session", name_, "a word that can't be read");
+    log(LogLevel::warning, "session", name_, "a word that can't be read");
     end(Reason::badMessage);
     return false;
   }
   try {
     ends_.heard(word);
   } catch (const nlohmann::json::exception& error) {
-    log(Weight::warning, "session", name_, error.what());
+    log(LogLevel::warning, "session", name_, error.what());
     end(Reason::badMessage);
   }
   return !ended();
@@ -111,7 +111,7 @@
     if (packedNow) {
       const Piece piece = packedWord(from, line);
       if (piece == Piece::bad) {
-        log(Weight::warning, "session", name_, "a packed word that can't be read");
+        log(LogLevel::warning, "session", name_, "a packed word that can't be read");
         return end(Reason::badMessage);
       }
       if (ended()) return;
--- a/tests/mesh_test.cpp
+++ b/tests/mesh_test.cpp
@@ -213,7 +213,7 @@
   CHECK(furtherInAll > 100);
 }
 
-TEST_CASE("the door lets in what its server has room for, the most worth for its time first") {
+TEST_CASE("admission lets in what its server has room for, the most worth for its time first") {
   Admission here = admissionWithVoters();
   here.beat(0s, beat("i1", 1));
   const auto running = [&](std::uint64_t no, const ForwardRequest& ask) {
@@ -292,7 +292,7 @@
   CHECK(here.asked(3s, {7}, ask(RouteKind::keyed), "k3").back().told.verdict == Verdict::unknown);
 }
 
-TEST_CASE("without a quorum a key is refused at once, and room at the door is not spent on it") {
+TEST_CASE("without a quorum a key is refused at once, and room for others is not spent on it") {
   Admission here = admissionWithVoters();
   here.beat(0s, beat("i1", 1, 1));
   const AdmissionActions claiming = here.asked(0s, {1}, ask(RouteKind::keyed), "k");
@@ -376,7 +376,7 @@
       CHECK(acts[0].status == 504);
     }
   }
-  SECTION("one that no door let in goes on, and is refused with the time to come back") {
+  SECTION("one that was admitted nowhere goes on, and is refused with the time to come back") {
     RequestRouter here = caller(RouteKind::effectful);
     TryNo sent = send(here.asked(1s, {1}, kAsked));
     ForwardReply full;
@@ -520,7 +520,7 @@
   REQUIRE(texts.size() > 1);
   REQUIRE(itemsReplies(head, {}).size() == 1);
   Sidecar::Built built;
-  built.feed = {{"s"}, {"s:1"}, "z", {1}, {{"v0"}}};
+  built.controlClient = {{"s"}, {"s:1"}, "z", {1}, {{"v0"}}};
   Sidecar here(built);
   here.reached(0s, {"v0"});
   here.heard(0s, {"v0"}, json::parse(encode(welcomeOf({"v0"}))));
@@ -541,7 +541,7 @@
   CHECK_FALSE(here.serving(0s));
   here.tick(here.nextTick(0s) + 100ms);
   REQUIRE(here.serving(100ms));
-  for (const Item& item : list) CHECK(here.caller().book().find("a.example", "/" + item.key.name + "/"));
+  for (const Item& item : list) CHECK(here.router().routes().find("a.example", "/" + item.key.name + "/"));
 }
 
 TEST_CASE("a process that came back serves its server at once, and none that another has replaced") {
--- a/tests/sidecar_control_client_test.cpp
+++ b/tests/sidecar_control_client_test.cpp
@@ -107,10 +107,10 @@
 
 Sidecar sidecarWith(LifeNo life) {
   Sidecar::Built built;
-  built.caller = {{"s"}, "z", {"line"}, {0.2, 100, 10s}, 5};
-  built.door = {{"s"}, {"s:1"}, "z", life, {"desk"}, {"app"}, 2500ms, 60s, 1 << 20};
-  built.feed = builtWith(kControls);
-  built.feed.life = life;
+  built.router = {{"s"}, "z", {"line"}, {0.2, 100, 10s}, 5};
+  built.admission = {{"s"}, {"s:1"}, "z", life, {"desk"}, {"app"}, 2500ms, 60s, 1 << 20};
+  built.controlClient = builtWith(kControls);
+  built.controlClient.life = life;
   return Sidecar(built);
 }
 
@@ -297,14 +297,14 @@
   request.kind = RouteKind::keyed;
   request.route = "r";
   SECTION("and given back to them") {
-    REQUIRE(sentIn<ClaimRequest>(sidecar.forwardRequested(0s, {1}, request, "k").feed).size() == 2);
-    const auto released = sentIn<ReleaseRequest>(sidecar.tick(500ms).feed);
+    REQUIRE(sentIn<ClaimRequest>(sidecar.forwardRequested(0s, {1}, request, "k").control).size() == 2);
+    const auto released = sentIn<ReleaseRequest>(sidecar.tick(500ms).control);
     REQUIRE(released.size() == 2);
     CHECK(released[0].first == Address{"v0"});
     CHECK(released[1].first == Address{"v1"});
     return;
   }
-  const auto asked = sentIn<ClaimRequest>(sidecar.forwardRequested(0s, {1}, request, "k").feed);
+  const auto asked = sentIn<ClaimRequest>(sidecar.forwardRequested(0s, {1}, request, "k").control);
   REQUIRE(asked.size() == 2);
   CHECK(asked[0].first == Address{"v0"});
   CHECK(asked[1].first == Address{"v1"});
@@ -313,12 +313,12 @@
   const auto granted = [&](const Address& at, std::uint64_t epoch, std::uint64_t incarnation = 1) {
     const SidecarActions acts =
         tell(sidecar, 1ms, at, Votes{{epoch}, voterAt(at, incarnation), {{claim, std::nullopt}}});
-    return std::count_if(acts.door.begin(), acts.door.end(),
+    return std::count_if(acts.admission.begin(), acts.admission.end(),
                          [](const AdmissionAction& act) { return act.kind == AdmissionAction::Kind::run; });
   };
   CHECK(granted({"v0"}, 1) == 0);
   // The vote of the earlier set does not count in the newer one, whose voters are all asked.
-  const auto anew = sentIn<ClaimRequest>(tell(sidecar, 1ms, {"v2"}, VotersUpdate{votersOf(2)}).feed);
+  const auto anew = sentIn<ClaimRequest>(tell(sidecar, 1ms, {"v2"}, VotersUpdate{votersOf(2)}).control);
   REQUIRE(anew.size() == 3);
   for (const auto& [at, again] : anew) {
     CHECK(again.epoch == Epoch{2});
@@ -332,9 +332,9 @@
   sidecar.ended(1ms, {"v1"});
   sidecar.reached(1ms, {"v1"});
   const auto welcome = welcomeOf(voterAt({"v1"}), votersOf(1));
-  CHECK(sentIn<ClaimRequest>(tell(sidecar, 1ms, {"v1"}, welcome).feed).size() == 1);
+  CHECK(sentIn<ClaimRequest>(tell(sidecar, 1ms, {"v1"}, welcome).control).size() == 1);
   tell(sidecar, 1ms, {"v1"}, heartbeatOf(false, 0, 1));
-  CHECK(sentIn<ClaimRequest>(tell(sidecar, 1ms, {"v1"}, heartbeatOf(true, 0, 2)).feed).size() == 1);
+  CHECK(sentIn<ClaimRequest>(tell(sidecar, 1ms, {"v1"}, heartbeatOf(true, 0, 2)).control).size() == 1);
   CHECK(granted({"v1"}, 2) == 1);
 }
 
@@ -349,39 +349,39 @@
   };
   Sidecar before = sidecarWith({500});
   before.reached(0s, {"v0"});
-  REQUIRE(taken(before.beat(0s, beatOf("i1")).feed, {"v0"}) == 1);
+  REQUIRE(taken(before.beat(0s, beatOf("i1")).control, {"v0"}) == 1);
 
   Sidecar here = sidecarWith({100});
   here.reached(0s, {"v0"});
   Welcome welcome = welcomeOf(voterAt({"v0"}), votersOf(1));
   SECTION("the break: with nothing told of the earlier life, its news is refused") {
     tell(here, 0s, {"v0"}, welcome);
-    CHECK(taken(here.beat(0s, beatOf("i1")).feed, {"v0"}) == 0);
+    CHECK(taken(here.beat(0s, beatOf("i1")).control, {"v0"}) == 0);
     welcome.highestLife = {500};
-    CHECK(taken(tell(here, 1s, {"v0"}, welcome).feed, {"v0"}) == 1);
+    CHECK(taken(tell(here, 1s, {"v0"}, welcome).control, {"v0"}) == 1);
   }
   SECTION("told of the earlier life, it goes on in the next one, and adopts what that one served") {
     welcome.highestLife = {500};
     tell(here, 0s, {"v0"}, welcome);
     const News known{registry.on({"s"}).at(0).served, true};
-    CHECK(taken(tell(here, 0s, {"v0"}, ServersUpdate{{known}}).feed, {"v0"}) == 1);
+    CHECK(taken(tell(here, 0s, {"v0"}, ServersUpdate{{known}}).control, {"v0"}) == 1);
     CHECK(registry.on({"s"}).at(0).served.life == LifeNo{501});
     // Its own life, as the control process now knows it, is no reason to go on to another.
     welcome.highestLife = {501};
-    CHECK(taken(tell(here, 1s, {"v0"}, welcome).feed, {"v0"}) == 0);
-    CHECK(here.door().servers().at(0).life == LifeNo{501});
+    CHECK(taken(tell(here, 1s, {"v0"}, welcome).control, {"v0"}) == 0);
+    CHECK(here.admission().servers().at(0).life == LifeNo{501});
     // Nor is its own news, of any life of its own, a server to adopt once it has forgotten that server.
     here.tick(62s);
-    REQUIRE(here.door().servers().empty());
+    REQUIRE(here.admission().servers().empty());
     here.reached(62s, {"v0"});
     for (const std::uint64_t life : {100U, 300U, 501U}) {
       News own = known;
       own.served.life = {life};
       tell(here, 62s, {"v0"}, ServersUpdate{{own}});
-      CHECK(here.door().servers().empty());
+      CHECK(here.admission().servers().empty());
     }
     here.ended(63s, {"v0"});
-    const auto hello = sentIn<Hello>(here.reached(64s, {"v0"}).feed);
+    const auto hello = sentIn<Hello>(here.reached(64s, {"v0"}).control);
     CHECK(hello.at(0).second.life == LifeNo{100});
   }
 }
