Split the sidecar's program: command line, program, request messages, sessions, server calls

Need: main.cpp (about 600 lines) parsed the command line, built HTTP messages, read beats, kept the sessions with control processes and carried requests. Each has a file of its own; no logic changes.

--- a/src/mesh/sidecar/main.cpp
+++ b/src/mesh/sidecar/main.cpp
@@ -1,540 +1,52 @@
-// The data plane's program: one thread that carries requests between clients, other processes and the server
-// here, as the Sidecar says. It owns the bytes and decides nothing; it must never block but in the poll.
-
-#include <Poco/Exception.h>
+// The command line and the settings of the data plane's program.
 
 #include <CLI/CLI.hpp>
 #include <algorithm>
-#include <charconv>
 #include <chrono>
-#include <csignal>
-#include <cstdlib>
-#include <map>
-#include <memory>
-#include <nlohmann/json.hpp>
-#include <optional>
+#include <functional>
+#include <stdexcept>
+#include <string>
 #include <utility>
 
-#include "mesh/configuration/duration_text.hpp"
-#include "mesh/sidecar/shutdown_deadline.hpp"
-#include "mesh/sidecar/sidecar.hpp"
-#include "mesh/transport/calls.hpp"
-#include "mesh/transport/event_loop.hpp"
-#include "mesh/transport/http_client.hpp"
-#include "mesh/transport/http_server_connection.hpp"
-#include "mesh/transport/listener.hpp"
+#include "mesh/configuration/settings.hpp"
+#include "mesh/sidecar/sidecar_program.hpp"
 #include "mesh/transport/log.hpp"
 #include "mesh/transport/process_start.hpp"
-#include "mesh/transport/session_connection.hpp"
-#include "sidecar/signals.hpp"
 
 namespace rackroute::mesh {
 namespace {
 
-using namespace std::chrono_literals;
-using nlohmann::json;
-
-constexpr Span kDialForward = 300ms;  // to another process; some hundred trips
-constexpr Span kDialServer = 500ms;   // to the server here; its queue of connections may be full for a while
-constexpr Span kIdleForward =
-    20s;                          // a connection between processes is kept unused; the other keeps it longer
-constexpr Span kIdleServer = 4s;  // to the server, where it announces nothing
-constexpr Span kUnread = 1500ms;  // without word of another machine's kernel, it is gone
-constexpr Span kDialControl = 400ms;  // for a session; a hung dial is given up before the next is due
-constexpr Span kSpare = 250ms;        // beyond the client's deadline, for a server's own word that it is over
-constexpr Span kForwardSpare = 300ms;          // beyond that, for the process beside it
-constexpr std::size_t kMostIdle = 64;          // connections for one address
-constexpr std::size_t kMostAnswer = 64 << 20;  // bytes of a body
-constexpr std::size_t kKeptPart =
-    8;  // one part in so many of the memory is for answers that repeats may want
-constexpr Span kStillComing =
-    2600ms;                        // after the call to stop: two missed looks at the readiness, and a margin
-constexpr Span kQuiet = 300ms;     // without work before it ends
-constexpr Span kNextLife = 900ms;  // from the end of a process until the next one takes requests
-constexpr Span kLastAnswer = 150ms;  // for an answer to leave, before the end
-constexpr Span kUnsent = 20ms;       // before its client's time is over, a request is not sent any more
-constexpr Span kLook = 50ms;         // between looks while it ends
-constexpr Span kForwardIdle = 60s;   // a connection from another process; that one ends it first
+// One part in so many of the memory is for answers that repeats may want.
+constexpr std::size_t kKeptPart = 8;
+constexpr std::size_t kLeastMemoryMb = 64;  // that is reckoned with, whatever the settings tell
 
-std::optional<Span> patienceOf(const http::Message& request) {
-  const auto field = request.field(kDeadline);
-  double milliseconds = 0;
-  if (!field) return std::nullopt;
-  const auto [end, error] = std::from_chars(field->data(), field->data() + field->size(), milliseconds);
-  if (error != std::errc{} || !(milliseconds >= 0) || milliseconds > 1e9) return std::nullopt;
-  return Span(static_cast<Span::rep>(milliseconds * 1000));
+Sidecar::Built builtFrom(const Settings& settings) {
+  const auto wall = std::chrono::system_clock::now().time_since_epoch();
+  const LifeNo life{static_cast<std::uint64_t>(std::chrono::duration_cast<Span>(wall).count())};
+  Sidecar::Built built;
+  built.router.node = settings.node;
+  built.router.zone = settings.zone;
+  built.router.service = settings.target;
+  built.router.allowance = {settings.retryRatio, settings.retrySlack, settings.retryWindow};
+  built.router.seed = life.value ^ std::hash<std::string>{}(settings.node.value);
+  built.admission.node = settings.node;
+  built.admission.at = settings.inbound;
+  built.admission.zone = settings.zone;
+  built.admission.life = life;
+  built.admission.service = settings.target;
+  built.admission.server = settings.server;
+  built.admission.drain = settings.drain;
+  built.admission.keyWindow = settings.keyWindow;
+  built.admission.mostKept = (std::max(settings.memoryMb, kLeastMemoryMb) << 20) / kKeptPart;
+  built.controlClient.node = settings.node;
+  built.controlClient.at = settings.inbound;
+  built.controlClient.zone = settings.zone;
+  built.controlClient.life = life;
+  for (const Address& seed : settings.seeds)
+    built.controlClient.seeds.push_back(meshAddress(seed, settings.firstPort));
+  return built;
 }
 
-class SidecarProgram {
- public:
-  SidecarProgram(const Settings& settings, Sidecar::Built built, std::string settingsFile)
-      : settings_(settings),
-        settingsFile_(std::move(settingsFile)),
-        signals_(loop_),
-        sidecar_(std::move(built)),
-        forwardClient_(loop_, {kDialForward, kIdleForward, kUnread, kMostAnswer, kMostIdle}),
-        servers_(loop_, {kDialServer, kIdleServer, Span{0}, kMostAnswer, kMostIdle}),
-        deadline_(settings.grace) {}
-
-  int run() {
-    listen(settings_.outbound, clients_, HttpServerConnection::Shared{},
-           [this](const auto& connection, auto request) { asked(connection, std::move(request)); });
-    HttpServerConnection::Shared forwards;
-    forwards.idle = kForwardIdle;
-    forwards.mostBody = kMostAnswer;
-    listen(
-        settings_.inboundBind, forwardListener_, std::move(forwards),
-        [this](const auto& connection, auto request) { forwardRequested(connection, std::move(request)); });
-    listen(settings_.ready, looks_, HttpServerConnection::Shared{},
-           [this](const auto& connection, auto request) { called(CallSocket::ready, connection, *request); });
-    listen(
-        settings_.control, beats_, HttpServerConnection::Shared{},
-        [this](const auto& connection, auto request) { called(CallSocket::control, connection, *request); });
-    clients_->mostBody = kMostAnswer;
-    clients_->left = [this](HttpServerConnection& connection) { clientLeft(connection); };
-    forwardListener_->left = [this](HttpServerConnection& connection) { forwarderLeft(connection); };
-    signals_.on(SIGTERM, [this] { stop(); });
-    signals_.on(SIGINT, [this] { stop(); });
-    signals_.on(SIGHUP, [this] { tellAnew(); });
-    tellAnew();  // what changed before the handler was there
-    loop_.guarded([this] { tick(); });
-    log(LogLevel::info, "start", "", "listening");
-    loop_.run();
-    return 0;
-  }
-
- private:
-  using Shared = std::shared_ptr<HttpServerConnection::Shared>;
-  struct Inside {  // a client's request
-    std::shared_ptr<HttpServerConnection> connection;
-    std::shared_ptr<const http::Message> request;
-  };
-
-  template <class Asked>
-  void listen(const Address& at, Shared& shared, HttpServerConnection::Shared made, Asked asked) {
-    shared = std::make_shared<HttpServerConnection::Shared>(std::move(made));
-    shared->asked = std::move(asked);
-    shared->left = [](HttpServerConnection&) {};
-    if (at.value.empty()) return;
-    listeners_.push_back(std::make_unique<Listener>(
-        loop_, at, [this, shared](Poco::Net::StreamSocket socket, std::string peer) {
-          std::make_shared<HttpServerConnection>(loop_, shared, std::move(socket), std::move(peer))->start();
-        }));
-  }
-
-  // A request of a client here.
-  void asked(const std::shared_ptr<HttpServerConnection>& connection,
-             std::shared_ptr<const http::Message> request) {
-    lastAsked_ = loop_.now();
-    if (!sidecar_.serving(loop_.now())) return connection->answer(503, "Retry-After: 0.3\r\n", "");
-    // Guards against a request that this process could not see to its end before it is killed. What is usual
-    // for its route counts, not how long its client would wait: that turned away a machine's long look-ups
-    // for as long as it was sent any. What takes longer has been at work for half of the grace.
-    // Its client is told when the next life takes requests, not to use up its tries on this one.
-    const Span now = loop_.now();
-    if (deadline_.stopping() && now >= deadline_.endAt()) end();
-    if (deadline_.stopping() && now + usualFor(*request) + kLastAnswer > deadline_.endAt()) {
-      const Span back = std::max(Span{0}, deadline_.endAt() - now) + kNextLife;
-      return connection->answer(503, "Retry-After: " + writeSeconds(back) + "\r\n", "");
-    }
-    const CallNo no{++lastCall_};
-    Asked asked;
-    asked.host = request->field("Host").value_or("");
-    asked.path = request->word(1);
-    asked.patience = patienceOf(*request);
-    calls_[no] = {connection, request};
-    act(sidecar_.asked(loop_.now(), no, asked));
-  }
-
-  [[nodiscard]] Span usualFor(const http::Message& request) const {
-    const auto route = sidecar_.router().routes().find(request.field("Host").value_or(""), request.word(1));
-    return route ? route->aim : Span{0};
-  }
-
-  void clientLeft(const HttpServerConnection& connection) {
-    for (auto& [no, inside] : calls_) {
-      if (inside.connection.get() != &connection) continue;
-      inside.connection.reset();  // what goes on has nowhere to send its answer
-      loop_.soon([this, call = no] { abandon(call); });
-    }
-  }
-
-  void abandon(CallNo call) {
-    SidecarActions acts = sidecar_.abandoned(loop_.now(), call);
-    const bool over = !acts.routing.empty();
-    act(std::move(acts));
-    if (over) calls_.erase(call);
-  }
-
-  void forwarderLeft(const HttpServerConnection& connection) {
-    for (const auto& [no, inside] : asks_) {
-      if (inside.connection.get() != &connection) continue;
-      loop_.soon([this, ask = no] { act(sidecar_.forwardAbandoned(loop_.now(), ask)); });
-    }
-  }
-
-  // A request of another process for the server here.
-  void forwardRequested(const std::shared_ptr<HttpServerConnection>& connection,
-                        std::shared_ptr<const http::Message> request) {
-    const auto field = request->field(kForwardHeader);
-    const auto ask = field ? askFrom(*field) : std::nullopt;
-    if (!ask) return connection->answer(400, "", "");
-    const AskNo no{++lastAsk_};
-    asks_[no] = {connection, request};
-    std::optional<std::string> key;
-    if (ask->kind == RouteKind::keyed) {
-      if (const auto given = request->field(kOperation)) key = std::string(*given);
-    }
-    act(sidecar_.forwardRequested(loop_.now(), no, *ask, key));
-  }
-
-  void called(CallSocket socket, const std::shared_ptr<HttpServerConnection>& connection,
-              const http::Message& request) {
-    bool known = false;
-    const auto call = findCall(socket, CallBy::auxiliary, request.word(0), request.word(1), known);
-    if (!call) return connection->answer(known ? 405 : 404, "", "");
-    if (call->row->kind == CallKind::readiness)
-      return connection->answer(sidecar_.ready(loop_.now()) ? 200 : 503, "", "");
-    Beat beat;
-    beat.id = {std::string(call->name)};
-    if (call->row->kind == CallKind::signOff) {
-      beat.gone = true;
-    } else {
-      const json body = json::parse(request.body(), nullptr, false);
-      try {
-        const json& details = body.at("details");
-        const json& observed = body.at("observed");
-        beat.address = {body.at("address").get<std::string>()};
-        beat.service = {details.at("target").get<std::string>()};
-        beat.zone = details.value("zone", std::string());
-        beat.capacity = details.value("capacity", 1U);
-        beat.draining = observed.at("phase") == "draining";
-        beat.seq = observed.at("call_seq").get<std::uint64_t>();
-        beat.coldLeft = readSpan(observed.value("cold_left", std::string("0ms"))).value_or(Span{0});
-      } catch (const json::exception& error) {
-        log(LogLevel::warning, "beat", std::string(call->name), error.what());
-        return connection->answer(400, "", "");
-      }
-    }
-    act(sidecar_.beat(loop_.now(), beat));
-    connection->answer(200, "Content-Type: application/json\r\n", "{}");
-  }
-
-  void act(SidecarActions acts) {
-    for (RoutingAction& act : acts.routing) this->act(act);
-    for (AdmissionAction& act : acts.admission) this->act(act);
-    for (ControlClientAction& act : acts.control) this->act(act);
-    wakeInTime();
-  }
-
-  void act(RoutingAction& act) {
-    const auto found = calls_.find(act.call);
-    if (found == calls_.end()) return;
-    if (act.kind == RoutingAction::Kind::send) return forward(found->second, act);
-    if (act.kind == RoutingAction::Kind::cancel) return cancelForward(act);
-    const Inside inside = std::move(found->second);
-    calls_.erase(found);
-    if (!inside.connection) return;
-    if (act.kind == RoutingAction::Kind::pass) {
-      inside.connection->pass(std::static_pointer_cast<const http::Message>(act.bytes), "");
-    } else {
-      std::string fields;
-      if (act.comeBack > Span{0}) fields = "Retry-After: " + writeSeconds(act.comeBack) + "\r\n";
-      inside.connection->answer(act.status, fields, "");
-    }
-  }
-
-  void cancelForward(const RoutingAction& act) {
-    const auto forward = forwards_.find(act.sent);
-    if (forward == forwards_.end()) return;
-    forward->second.cancel();
-    forwards_.erase(forward);
-  }
-
-  static void beginRequest(std::string& head, const http::Message& request, std::string_view but) {
-    head += request.word(0);
-    head += ' ';
-    head += request.word(1);
-    head += " HTTP/1.1\r\n";
-    for (const std::string_view lines : request.endToEnd(but)) head += lines;
-  }
-  static http::Gather endRequest(std::string head, const std::shared_ptr<const http::Message>& request) {
-    if (!request->body().empty() || request->length() || request->chunked())
-      head += "Content-Length: " + std::to_string(request->body().size()) + "\r\n";
-    head += "\r\n";
-    http::Gather pieces;
-    pieces.text(std::move(head));
-    pieces.keep(request);
-    pieces.view(request->body());
-    return pieces;
-  }
-
-  void forward(const Inside& inside, const RoutingAction& act) {
-    // Fields of this connection alone are named in Connection: the next process drops them, and whatever a
-    // client put under these names.
-    std::string head;
-    beginRequest(head, *inside.request, kForwardHeader);
-    head += std::string(kForwardHeader) + ": " + textOf(act.ask) +
-            "\r\nConnection: rackroute-forward, rackroute-caller-service, rackroute-expect-instance, "
-            "rackroute-deadline-ms\r\n";
-    const Span now = loop_.now();
-    http::Gather message;
-    if (act.ask.outcomeOf) {
-      message = endQuestion(std::move(head));
-    } else {
-      message = endRequest(std::move(head), inside.request);
-    }
-    forwards_[act.sent] = forwardClient_.send(
-        act.at, std::move(message), {}, inside.request->word(0) == "HEAD",
-        now + act.ask.left + kSpare + kForwardSpare,
-        [this, call = act.call, sent = act.sent](RequestOutcome how,
-                                                 std::shared_ptr<const http::Message> answer) {
-          forwarded(call, sent, how, std::move(answer));
-        },
-        now + act.ask.left - kUnsent);
-  }
-
-  // A question after a request has its head, as the answer may be that request's, and no body.
-  static http::Gather endQuestion(std::string head) {
-    http::Gather pieces;
-    pieces.text(std::move(head) + "Content-Length: 0\r\n\r\n");
-    return pieces;
-  }
-
-  void forwarded(CallNo call, TryNo sent, RequestOutcome how, std::shared_ptr<const http::Message> answer) {
-    forwards_.erase(sent);
-    ForwardReply told;
-    ForwardResult result = resultOf(how);
-    std::uint32_t status = 0;
-    if (answer) {
-      status = answer->status();
-      const auto field = answer->field(kForwardHeader);
-      const auto read = field ? toldFrom(*field) : std::nullopt;
-      if (read) told = *read;
-      if (!read) result = neverRead(status) ? ForwardResult::notSent : ForwardResult::broken;
-    }
-    act(sidecar_.forwarded(loop_.now(), call, sent, result, told, status, std::move(answer)));
-  }
-
-  static ForwardResult resultOf(RequestOutcome how) {
-    switch (how) {
-      case RequestOutcome::answered:
-        return ForwardResult::told;
-      case RequestOutcome::notSent:
-      case RequestOutcome::notWhole:  // the other process takes whole requests only
-        return ForwardResult::notSent;
-      case RequestOutcome::silent:
-        return ForwardResult::silent;
-      case RequestOutcome::broken:
-      case RequestOutcome::spoilt:
-        break;
-    }
-    return ForwardResult::broken;
-  }
-
-  // Without word of the sidecar there, these are of what reads its connections: the request was not taken.
-  static bool neverRead(std::uint32_t status) {
-    return status == 400 || status == 408 || status == 413 || status == 431;
-  }
-
-  void act(AdmissionAction& act) {
-    const auto found = asks_.find(act.ask);
-    if (found == asks_.end()) return;
-    if (act.kind == AdmissionAction::Kind::run) return serve(found->second, act);
-    if (act.kind == AdmissionAction::Kind::cancel) return cancelRun(act.ask);
-    const Inside inside = std::move(found->second);
-    asks_.erase(found);
-    const std::string told =
-        std::string(kForwardHeader) + ": " + textOf(act.told) + "\r\nConnection: rackroute-forward\r\n";
-    if (!act.bytes) return inside.connection->answer(503, told, "");
-    std::string fields;
-    if (const auto attempt = inside.request->field(kAttempt))
-      fields = "Rackroute-Attempt-Id: " + std::string(*attempt) + "\r\n";
-    inside.connection->pass(std::static_pointer_cast<const http::Message>(act.bytes), fields + told,
-                            kAttempt);
-  }
-
-  void cancelRun(AskNo ask) {
-    const auto run = runs_.find(ask);
-    if (run == runs_.end()) return;
-    run->second.cancel();
-    runs_.erase(run);
-  }
-
-  void serve(const Inside& inside, const AdmissionAction& act) {
-    std::string head;
-    beginRequest(head, *inside.request, kForwardHeader);
-    head += "Rackroute-Deadline-Ms: " + std::to_string(act.left / 1ms) +
-            "\r\nRackroute-Expect-Instance: " + act.instance.value + "\r\n";
-    if (!act.caller.value.empty()) head += std::string(kCaller) + ": " + act.caller.value + "\r\n";
-    const std::string attempt(inside.request->field(kAttempt).value_or(""));
-    runs_[act.ask] = servers_.send(
-        act.server, endRequest(std::move(head), inside.request), attempt, inside.request->word(0) == "HEAD",
-        loop_.now() + act.left + kSpare,
-        [this, ask = act.ask](RequestOutcome how, const std::shared_ptr<const http::Message>& answer) {
-          runs_.erase(ask);
-          ServerAnswer told;
-          AtServer end = AtServer::broken;
-          switch (how) {
-            case RequestOutcome::answered:
-              end = AtServer::answered;
-              told.status = answer->status();
-              told.notRun = answer->field(kNotRun).has_value() || answer->status() == 421;
-              told.bytes = answer;
-              told.size = answer->body().size() + 512;
-              break;
-            case RequestOutcome::notSent:
-              end = AtServer::notSent;
-              break;
-            case RequestOutcome::silent:
-              end = AtServer::timedOut;
-              break;
-            case RequestOutcome::spoilt:
-              end = AtServer::spoilt;
-              break;
-            case RequestOutcome::notWhole:  // a server may begin before it has the whole body
-            case RequestOutcome::broken:
-              break;
-          }
-          this->act(sidecar_.ran(loop_.now(), ask, end, told));
-        },
-        loop_.now() + act.left - kUnsent);
-  }
-
-  void act(const ControlClientAction& act) {
-    const auto found = sessionConnections_.find(act.at);
-    switch (act.kind) {
-      case ControlClientAction::Kind::say:
-        if (found != sessionConnections_.end()) found->second->say(act.text);
-        break;
-      case ControlClientAction::Kind::hangUp:
-        if (found != sessionConnections_.end()) {
-          const auto session = found->second;
-          sessionConnections_.erase(found);
-          log(LogLevel::info, "session", act.at.value, "silent");
-          session->end(sidecar::Reason::silent);
-        }
-        break;
-      case ControlClientAction::Kind::refused:
-        log(LogLevel::warning, act.error.step, act.error.peer, act.error.what);
-        if (found != sessionConnections_.end()) {
-          const auto session = found->second;
-          sessionConnections_.erase(found);
-          session->end(sidecar::Reason::badMessage);
-        }
-        break;
-      case ControlClientAction::Kind::dial: {
-        if (found != sessionConnections_.end()) return;
-        const auto session =
-            std::make_shared<SessionConnection>(loop_, compressor_, Poco::Net::StreamSocket(), act.at.value);
-        sessionConnections_[act.at] = session;
-        session->connect(
-            act.at, kDialControl,
-            {[this, at = act.at] { this->act(sidecar_.reached(loop_.now(), at)); },
-             [this, at = act.at](const json& word) { this->act(sidecar_.heard(loop_.now(), at, word)); },
-             [this, at = act.at] { sidecar_.alive(loop_.now(), at); },
-             [this, at = act.at, session = session.get()] {
-               const auto held = sessionConnections_.find(at);
-               if (held == sessionConnections_.end() || held->second.get() != session) return;
-               sessionConnections_.erase(held);
-               this->act(sidecar_.ended(loop_.now(), at));
-             }});
-        break;
-      }
-      default:
-        break;
-    }
-  }
-
-  void wakeInTime() {
-    const Span next = sidecar_.nextTick(loop_.now());
-    if (wakes_ && next >= wakeAt_) return;
-    loop_.cancel(wake_);
-    wakes_ = true;
-    wakeAt_ = next;
-    wake_ = loop_.at(next, [this] {
-      wakes_ = false;
-      deadline_.ranLate(loop_.now(), loop_.now() - wakeAt_);
-      tick();
-    });
-  }
-
-  void tick() {
-    if (clients_) {
-      const Limits& limits = sidecar_.router().routes().limits();
-      clients_->header = limits.header;
-      clients_->idle = limits.idle;
-    }
-    act(sidecar_.tick(loop_.now()));
-    if (const bool ready = sidecar_.ready(loop_.now()); ready != told_) {
-      told_ = ready;
-      log(LogLevel::info, "ready", "", ready ? "requests are taken" : "clients are to go elsewhere");
-    }
-  }
-
-  void tellAnew() {
-    auto settings = readSettingsFile(settingsFile_);
-    if (!settings)
-      return log(LogLevel::error, settings.error().step, settings.error().peer, settings.error().what);
-    std::vector<Address> seeds;
-    for (const Address& seed : settings.value().seeds)
-      seeds.push_back(meshAddress(seed, settings_.firstPort));
-    act(sidecar_.seeds(loop_.now(), std::move(seeds)));
-  }
-
-  void stop() {
-    if (deadline_.stopping()) return;
-    stoppedAt_ = loop_.now();
-    deadline_.stop(stoppedAt_);
-    log(LogLevel::info, "stop", "", "leaving");
-    clients_->closing = forwardListener_->closing = true;
-    act(sidecar_.leave(loop_.now()));
-    look();
-  }
-
-  void look() {
-    const Span now = loop_.now();
-    const bool quiet = calls_.empty() && asks_.empty() && lastAsked_ + kQuiet <= now;
-    if ((quiet && stoppedAt_ + kStillComing <= now) || deadline_.endAt() <= now) end();
-    loop_.at(now + kLook, [this, due = now + kLook] {
-      deadline_.ranLate(loop_.now(), loop_.now() - due);
-      look();
-    });
-  }
-
-  // Guards against a slow machine that goes through all ready connections once more, or takes hundreds of
-  // them apart one by one, past the grace. All answers are written; the kernel sees them off.
-  [[noreturn]] static void end() {
-    log(LogLevel::info, "stop", "", "stopped");
-    std::quick_exit(0);
-  }
-
-  EventLoop loop_;
-  Compressor compressor_;
-  Settings settings_;
-  std::string settingsFile_;
-  sidecar::Signals signals_;
-  Sidecar sidecar_;
-  HttpClient forwardClient_;
-  HttpClient servers_;
-  Shared clients_, forwardListener_, looks_, beats_;
-  std::vector<std::unique_ptr<Listener>> listeners_;
-  std::map<CallNo, Inside> calls_;
-  std::map<AskNo, Inside> asks_;
-  std::map<TryNo, HttpClient::InFlight> forwards_;  // to other processes, without an answer yet
-  std::map<AskNo, HttpClient::InFlight> runs_;      // at the server here, without an answer yet
-  std::map<Address, std::shared_ptr<SessionConnection>> sessionConnections_;
-  sidecar::Loop::TimerId wake_;
-  Span wakeAt_{};
-  bool wakes_ = false;
-  bool told_ = false;  // whether the log's last word is that it is ready
-  Span lastAsked_{};
-  ShutdownDeadline deadline_;
-  Span stoppedAt_{};
-  std::uint64_t lastCall_ = 0;
-  std::uint64_t lastAsk_ = 0;
-};
-
 int run(int count, char** words) {
   CLI::App app("The data plane of a rackroute mesh: carries the requests of one machine.",
                "rackroute-mesh-sidecar");
@@ -556,30 +68,7 @@
       throw std::runtime_error("settings (" + path + "): listen_addrs." + name + " is missing");
   }
   limitDescriptors(settings);
-  const auto wall = std::chrono::system_clock::now().time_since_epoch();
-  const LifeNo life{static_cast<std::uint64_t>(std::chrono::duration_cast<Span>(wall).count())};
-  Sidecar::Built built;
-  built.router.node = settings.node;
-  built.router.zone = settings.zone;
-  built.router.service = settings.target;
-  built.router.allowance = {settings.retryRatio, settings.retrySlack, settings.retryWindow};
-  built.router.seed = life.value ^ std::hash<std::string>{}(settings.node.value);
-  built.admission.node = settings.node;
-  built.admission.at = settings.inbound;
-  built.admission.zone = settings.zone;
-  built.admission.life = life;
-  built.admission.service = settings.target;
-  built.admission.server = settings.server;
-  built.admission.drain = settings.drain;
-  built.admission.keyWindow = settings.keyWindow;
-  built.admission.mostKept = (std::max<std::size_t>(settings.memoryMb, 64) << 20) / kKeptPart;
-  built.controlClient.node = settings.node;
-  built.controlClient.at = settings.inbound;
-  built.controlClient.zone = settings.zone;
-  built.controlClient.life = life;
-  for (const Address& seed : settings.seeds)
-    built.controlClient.seeds.push_back(meshAddress(seed, settings.firstPort));
-  return SidecarProgram(settings, std::move(built), path).run();
+  return runSidecar(settings, builtFrom(settings), path);
 }
 
 }  // namespace
