Take late in the grace only what surely ends in time

Cause: a leaving process took what its route usually has time for until its end; a request taken 3.04 s after SIGTERM ran longer and was cut at 5.25 s of 6 s. Change: ShutdownDeadline::takes: from 400 ms before half of the grace the client's deadline and the route's timeout must fit before the end; the rest is told at once when the next life takes requests.

--- a/src/mesh/sidecar/shutdown_deadline.hpp
+++ b/src/mesh/sidecar/shutdown_deadline.hpp
@@ -36,12 +36,24 @@
     const Span kept = std::max({kLeastKept, grace_ / kKeptPart, kLatenessKept * lateness()});
     return std::max(readAt_ + grace_ / 2, calledAt_ + grace_ - kept);
   }
+  /// Whether a request may be taken that usually lasts so long, and at the most so long. In the first half of
+  /// the grace what is usual counts, not how long its client would wait: that would turn away a machine's
+  /// long look-ups for as long as it was sent any; what takes longer has been at work for half of the grace
+  /// by then. Later only what surely ends in time may be taken.
+  [[nodiscard]] bool takes(Span now, Span usual, Span longest) const {
+    if (!stopping()) return true;
+    const bool firstHalf = now < calledAt_ + grace_ / 2 - kHalfMargin;
+    return now + (firstHalf ? usual : longest) + kLastAnswer <= endAt();
+  }
   /// The most that a timer was late in the last one to two windows.
   [[nodiscard]] Span lateness() const { return std::max(latest_, before_); }
 
  private:
   static constexpr Span kWindow = std::chrono::seconds(2);
   static constexpr Span kLeastKept = std::chrono::milliseconds(400);  // of the grace, to end by itself
+  static constexpr Span kLastAnswer =
+      std::chrono::milliseconds(150);  // for an answer to leave, before the end
+  static constexpr Span kHalfMargin = std::chrono::milliseconds(400);  // a client's way to here, at its worst
   static constexpr int kKeptPart = 8;  // one part in so many, where that is more: a pass over many sockets
   static constexpr int kLatenessKept = 3;  // times the lateness: for a pass under way, the last, and the exit
 
--- a/src/mesh/sidecar/sidecar_program.cpp
+++ b/src/mesh/sidecar/sidecar_program.cpp
@@ -40,13 +40,12 @@
 constexpr std::size_t kMostIdle = 64;          // connections for one address
 constexpr std::size_t kMostAnswer = 64 << 20;  // bytes of a body
 constexpr Span kStillComing =
-    2600ms;                        // after the call to stop: two missed looks at the readiness, and a margin
-constexpr Span kQuiet = 300ms;     // without work before it ends
-constexpr Span kNextLife = 900ms;  // from the end of a process until the next one takes requests
-constexpr Span kLastAnswer = 150ms;  // for an answer to leave, before the end
-constexpr Span kUnsent = 20ms;       // before its client's time is over, a request is not sent any more
-constexpr Span kLook = 50ms;         // between looks while it ends
-constexpr Span kForwardIdle = 60s;   // a connection from another process; that one ends it first
+    2600ms;                         // after the call to stop: two missed looks at the readiness, and a margin
+constexpr Span kQuiet = 300ms;      // without work before it ends
+constexpr Span kNextLife = 900ms;   // from the end of a process until the next one takes requests
+constexpr Span kUnsent = 20ms;      // before its client's time is over, a request is not sent any more
+constexpr Span kLook = 50ms;        // between looks while it ends
+constexpr Span kForwardIdle = 60s;  // a connection from another process; that one ends it first
 
 class SidecarProgram {
  public:
@@ -111,19 +110,24 @@
         }));
   }
 
+  // Guards against a request that this process can't see to its end before it is killed. Its client is told
+  // when the next life takes requests, not to use up its tries on this one.
+  bool seesToEnd(const http::Message& request) {
+    const Span now = loop_.now();
+    if (now >= deadline_.endAt()) end();
+    const auto route = sidecar_.router().routes().find(request.field("Host").value_or(""), request.word(1));
+    if (!route) return true;
+    const Span longest = std::min(patienceOf(request).value_or(route->timeout), route->timeout);
+    return deadline_.takes(now, route->aim, longest);
+  }
+
   // A request of a client here.
   void asked(const std::shared_ptr<HttpServerConnection>& connection,
              std::shared_ptr<const http::Message> request) {
     lastAsked_ = loop_.now();
     if (!sidecar_.serving(loop_.now())) return connection->answer(503, "Retry-After: 0.3\r\n", "");
-    // Guards against a request that this process could not see to its end before it is killed. What is usual
-    // for its route counts, not how long its client would wait: that turned away a machine's long look-ups
-    // for as long as it was sent any. What takes longer has been at work for half of the grace.
-    // Its client is told when the next life takes requests, not to use up its tries on this one.
-    const Span now = loop_.now();
-    if (deadline_.stopping() && now >= deadline_.endAt()) end();
-    if (deadline_.stopping() && now + usualFor(*request) + kLastAnswer > deadline_.endAt()) {
-      const Span back = std::max(Span{0}, deadline_.endAt() - now) + kNextLife;
+    if (deadline_.stopping() && !seesToEnd(*request)) {
+      const Span back = std::max(Span{0}, deadline_.endAt() - loop_.now()) + kNextLife;
       return connection->answer(503, "Retry-After: " + writeSeconds(back) + "\r\n", "");
     }
     const CallNo no{++lastCall_};
@@ -135,11 +139,6 @@
     act(sidecar_.asked(loop_.now(), no, asked));
   }
 
-  [[nodiscard]] Span usualFor(const http::Message& request) const {
-    const auto route = sidecar_.router().routes().find(request.field("Host").value_or(""), request.word(1));
-    return route ? route->aim : Span{0};
-  }
-
   void clientLeft(const HttpServerConnection& connection) {
     for (auto& [no, inside] : calls_) {
       if (inside.connection.get() != &connection) continue;
--- a/tests/forwarding_test.cpp
+++ b/tests/forwarding_test.cpp
@@ -148,6 +148,19 @@
   }
 }
 
+TEST_CASE("a process that was told to stop takes late only what surely ends in time") {
+  ShutdownDeadline deadline(6s);
+  CHECK(deadline.takes(10s, 60s, 60s));
+  deadline.stop(10s);
+  // In the first half what is usual for the route counts.
+  CHECK(deadline.takes(12s, 2s, 5s));
+  CHECK_FALSE(deadline.takes(12s, 4s, 5s));
+  // Later a request that its client may wait for beyond the end is cut in the middle, and no half of the
+  // grace excuses it.
+  CHECK_FALSE(deadline.takes(13036ms, 2s, 5s));
+  CHECK(deadline.takes(13036ms, 600ms, 1500ms));
+}
+
 // --- drawn load
 
 namespace {
