Keep a control process's store readable and whole through any loss of power

Cause: LevelDB makes, renames and removes files without a sync of their folder. After a restart a loss of power could keep the removal of the old manifest and log and lose the rename of CURRENT: the store did not open any more (the process tried again for good and never listened), or opened without synced writes.

Database holds what Store did on the disk, without the thread. A store that is damaged all the same is set aside and the process joins anew as another voter; one that a disk merely refuses is tried again.

--- a/src/mesh/control/main.cpp
+++ b/src/mesh/control/main.cpp
@@ -81,16 +81,29 @@
       if (!read) log(LogLevel::error, read.error().step, read.error().peer, read.error().what);
     };
     for (bool told = false;; told = true) {
-      bool foreign = false;
       node_.emplace(built_);  // without what an earlier try may have restored in part
-      const Result<void> opened = store_.open(foreign, entry);
-      if (opened) return;
-      if (foreign) throw std::runtime_error(opened.error().line());
-      if (!told) log(LogLevel::error, opened.error().step, opened.error().peer, opened.error().what);
+      const OpenOutcome outcome = store_.open(entry);
+      if (outcome.state == OpenState::opened) return;
+      if (outcome.state == OpenState::foreign) throw std::runtime_error(outcome.error.line());
+      if (!told) log(LogLevel::error, outcome.error.step, outcome.error.peer, outcome.error.what);
+      if (outcome.state == OpenState::unreadable && setStoreAside()) continue;
       std::this_thread::sleep_for(kOpenPause);
     }
   }
 
+  // Guards against a process that never serves again as its store is damaged: what it promised is lost, so it
+  // joins anew, as another voter.
+  bool setStoreAside() {
+    const Result<void> moved = store_.setAside();
+    if (!moved) {
+      log(LogLevel::error, moved.error().step, moved.error().peer, moved.error().what);
+      return false;
+    }
+    built_.firstBoot = false;
+    log(LogLevel::error, "store", "", "it was unreadable and is set aside; this process joins anew");
+    return true;
+  }
+
   void listenToOperators(const Address& at) {
     shared_ = std::make_shared<HttpServerConnection::Shared>();
     for (const CallRow& row : kCalls) {
--- a/src/mesh/storage/store.cpp
+++ b/src/mesh/storage/store.cpp
@@ -1,8 +1,5 @@
 #include "mesh/storage/store.hpp"
 
-#include <leveldb/db.h>
-#include <leveldb/write_batch.h>
-
 #include <chrono>
 #include <utility>
 
@@ -11,16 +8,11 @@
 
 using namespace std::chrono_literals;
 
-constexpr std::size_t kWriteBuffer = 1 << 20;  // bytes held twice at the worst; what is live is far less
-constexpr int kOpenFiles = 64;                 // LevelDB's floor; the descriptors are for connections
-constexpr auto kReopenPause = 250ms;           // after a failed write; a full disk stays full for a while
-constexpr const char* kMark = "version";       // of what the folder holds
-constexpr const char* kVersion = "1";
-constexpr const char* kFolder = "/held";  // within the data folder, so that other files there do no harm
+constexpr auto kReopenPause = 250ms;  // after a failed write; a full disk stays full for a while
 
 }  // namespace
 
-Store::Store(std::string folder) : folder_(std::move(folder)) {}
+Store::Store(std::string dataFolder, FileSystem files) : database_(std::move(dataFolder), std::move(files)) {}
 
 Store::~Store() {
   {
@@ -31,49 +23,6 @@
   if (thread_.joinable()) thread_.join();
 }
 
-Result<void> Store::openDatabase() {
-  leveldb::Options options;
-  options.create_if_missing = true;
-  options.write_buffer_size = kWriteBuffer;
-  options.max_open_files = kOpenFiles;
-  options.compression = leveldb::kNoCompression;
-  leveldb::DB* database = nullptr;
-  const leveldb::Status status = leveldb::DB::Open(options, folder_ + kFolder, &database);
-  if (!status.ok()) return failure("store", status.ToString(), folder_);
-  database_.reset(database);
-  return boost::outcome_v2::success();
-}
-
-// An empty folder is ours; one that holds anything must say that it is.
-Result<void> Store::checkVersion(bool& foreign) {
-  std::string version;
-  const leveldb::Status status = database_->Get(leveldb::ReadOptions(), kMark, &version);
-  if (status.ok() && version == kVersion) return boost::outcome_v2::success();
-  if (!status.ok() && !status.IsNotFound()) return failure("store", status.ToString(), folder_);
-  const std::unique_ptr<leveldb::Iterator> any(database_->NewIterator(leveldb::ReadOptions()));
-  any->SeekToFirst();
-  if (!any->Valid() && any->status().ok()) return boost::outcome_v2::success();
-  if (!any->status().ok()) return failure("store", any->status().ToString(), folder_);
-  foreign = true;
-  return failure("store", "it holds something else, or was written by a newer version", folder_);
-}
-
-Result<void> Store::open(bool& foreign, const Entry& entry) {
-  foreign = false;
-  // Guards against a lock on the folder that this process itself still holds after a read that failed.
-  database_.reset();
-  if (auto opened = openDatabase(); !opened) return std::move(opened).error();
-  if (auto checked = checkVersion(foreign); !checked) return std::move(checked).error();
-  leveldb::ReadOptions once;
-  once.fill_cache = false;
-  const std::unique_ptr<leveldb::Iterator> at(database_->NewIterator(once));
-  for (at->SeekToFirst(); at->Valid(); at->Next()) {
-    if (at->key() != kMark) entry(at->key().ToString(), at->value().ToString());
-  }
-  if (!at->status().ok()) return failure("store", at->status().ToString(), folder_);
-  return boost::outcome_v2::success();
-}
-
 void Store::start(Told told) {
   told_ = std::move(told);
   thread_ = std::thread([this] { run(); });
@@ -87,35 +36,20 @@
   more_.notify_one();
 }
 
+std::vector<Store::Batch> Store::nextBatches() {
+  std::unique_lock lock(mutex_);
+  more_.wait(lock, [this] { return over_ || !waiting_.empty(); });
+  return std::exchange(waiting_, {});
+}
+
 void Store::run() {
   for (;;) {
-    std::vector<Batch> batches;
-    {
-      std::unique_lock lock(mutex_);
-      more_.wait(lock, [this] { return over_ || !waiting_.empty(); });
-      if (over_ && waiting_.empty()) return;
-      batches.swap(waiting_);
-    }
-    bool done = false;
-    if (database_ || openDatabase()) {
-      leveldb::WriteBatch all;
-      all.Put(kMark, kVersion);
-      for (const Batch& batch : batches) {
-        for (const auto& [key, value] : batch.entries) {
-          if (value) {
-            all.Put(key, *value);
-          } else {
-            all.Delete(key);
-          }
-        }
-      }
-      leveldb::WriteOptions synced;
-      synced.sync = true;
-      done = database_->Write(synced, &all).ok();
-      // Guards against a log that a refused write left half written: what came after it would be lost with
-      // it.
-      if (!done) database_.reset();
-    }
+    const std::vector<Batch> batches = nextBatches();
+    if (batches.empty()) return;
+    std::vector<const Entries*> all;
+    all.reserve(batches.size());
+    for (const Batch& batch : batches) all.push_back(&batch.entries);
+    const bool done = database_.write(all);
     for (const Batch& batch : batches) told_(batch.no, done);
     if (!done) std::this_thread::sleep_for(kReopenPause);
   }
--- a/tests/mesh_test.cpp
+++ b/tests/mesh_test.cpp
@@ -447,12 +447,11 @@
       std::filesystem::temp_directory_path() / ("rackroute-store-" + std::to_string(::getpid()));
   std::filesystem::remove_all(folder);
   std::filesystem::create_directories(folder);
-  bool foreign = false;
   std::map<std::string, std::string> all;
   const auto entry = [&](std::string key, std::string value) { all[std::move(key)] = std::move(value); };
   {
     Store store(folder.string());
-    REQUIRE(store.open(foreign, entry));
+    REQUIRE(store.open(entry).state == OpenState::opened);
     CHECK(all.empty());
     std::mutex mutex;
     std::condition_variable told;
@@ -469,19 +468,18 @@
   }
   {
     Store again(folder.string());
-    REQUIRE(again.open(foreign, entry));
+    REQUIRE(again.open(entry).state == OpenState::opened);
     CHECK(all == std::map<std::string, std::string>{{"b", "2"}});
   }
   {
     Store newer(folder.string());
-    REQUIRE(newer.open(foreign, entry));
+    REQUIRE(newer.open(entry).state == OpenState::opened);
     newer.start([](std::uint64_t, bool) {});
     newer.write(1, {{"version", "2"}});
   }
   all.clear();
   Store late(folder.string());
-  CHECK_FALSE(late.open(foreign, entry));
-  CHECK(foreign);
+  CHECK(late.open(entry).state == OpenState::foreign);
   CHECK(all.empty());
   std::filesystem::remove_all(folder);
 }
--- a/tests/promise_journal_test.cpp
+++ b/tests/promise_journal_test.cpp
@@ -254,8 +254,7 @@
     std::filesystem::remove_all(folder);
     std::filesystem::create_directories(folder);
     Store store(folder.string());
-    bool foreign = false;
-    REQUIRE(store.open(foreign, [](const std::string&, const std::string&) {}));
+    REQUIRE(store.open([](const std::string&, const std::string&) {}).state == OpenState::opened);
     store.start([](std::uint64_t, bool) {});
     std::uint64_t batch = 0;
     for (const auto& [key, value] : disk) store.write(++batch, {{key, value}});
@@ -273,7 +272,6 @@
     std::cout << count << " promises, " << format << ": folder " << folderSize() / static_cast<double>(count)
               << " bytes each, opened and read in " << time * 1000 << " ms\n";
   };
-  bool foreign = false;
   for (const std::uint64_t count : {10'000U, 40'000U, 160'000U}) {
     Disk disk;
     for (std::uint64_t no = 0; no < count; ++no)
@@ -282,7 +280,9 @@
     print(count, "JSON", [&] {
       Store store(folder.string());
       Disk all;
-      REQUIRE(store.open(foreign, [&](std::string key, std::string value) { all[key] = std::move(value); }));
+      const auto outcome =
+          store.open([&](std::string key, std::string value) { all[key] = std::move(value); });
+      REQUIRE(outcome.state == OpenState::opened);
       Promises promises(kKeep);
       for (const auto& [key, value] : all) {
         const json promise = json::parse(value);
@@ -297,9 +297,10 @@
         Store store(folder.string());
         Promises promises(kKeep);
         PromiseJournal journal;
-        REQUIRE(store.open(foreign, [&](const std::string& key, const std::string& value) {
+        const auto outcome = store.open([&](const std::string& key, const std::string& value) {
           REQUIRE(journal.restore(key, value, promises).value());
-        }));
+        });
+        REQUIRE(outcome.state == OpenState::opened);
         journal.resume(promises);
         REQUIRE(promises.all().size() == count);
       });
