--- a/src/lab/mesh/emulated.hpp
+++ b/src/lab/mesh/emulated.hpp
@@ -16,11 +16,13 @@
 #include <utility>
 
 #include "lab/draws.hpp"
+#include "lab/mesh/emulated_files.hpp"
 #include "lab/mesh/orders.hpp"
 #include "lab/mesh/workload.hpp"
 #include "lab/mesh/world.hpp"
 #include "mesh/control/control_node.hpp"
 #include "mesh/sidecar/sidecar.hpp"
+#include "mesh/storage/database.hpp"
 
 namespace rackroute::lab::mesh::emulated {
 
@@ -28,19 +30,20 @@
 using namespace rackroute::mesh;
 using nlohmann::json;
 
-inline constexpr Span kContact = 3s;      // without trouble before rules with a time bound hold
-inline constexpr Span kDead = 300ms;      // until a killed process starts again
-inline constexpr Span kUnread = 1500ms;   // after which a way that is cut or dark breaks
-inline constexpr Span kDialHung = 900ms;  // after which a dial into the dark fails
-inline constexpr Span kSpare = 250ms;     // beyond a deadline, as the program waits
-inline constexpr Span kSettle = 20s;      // after the last request, until the configuration is read back
-inline constexpr Span kCallHeard = 1s;    // an operator waits for an answer
-inline constexpr Span kLead = 4s;         // before the first request
-inline constexpr Span kListLag = 3s;      // until a replaced control machine's address is known to all
-inline constexpr Span kPlannedStop = 1s;  // from a planned successor's start to the old process's end
-inline constexpr Span kLease = 1500ms;    // for which contact with a majority may be believed without proof
-inline constexpr Span kProbe = 700ms;     // between reads of an operator
-inline constexpr Span kSweep = 500ms;     // between looks at what every sidecar has in force
+inline constexpr Span kContact = 3s;       // without trouble before rules with a time bound hold
+inline constexpr Span kOpenPause = 300ms;  // between tries to open a store on a disk that refuses
+inline constexpr Span kDead = 300ms;       // until a killed process starts again
+inline constexpr Span kUnread = 1500ms;    // after which a way that is cut or dark breaks
+inline constexpr Span kDialHung = 900ms;   // after which a dial into the dark fails
+inline constexpr Span kSpare = 250ms;      // beyond a deadline, as the program waits
+inline constexpr Span kSettle = 20s;       // after the last request, until the configuration is read back
+inline constexpr Span kCallHeard = 1s;     // an operator waits for an answer
+inline constexpr Span kLead = 4s;          // before the first request
+inline constexpr Span kListLag = 3s;       // until a replaced control machine's address is known to all
+inline constexpr Span kPlannedStop = 1s;   // from a planned successor's start to the old process's end
+inline constexpr Span kLease = 1500ms;     // for which contact with a majority may be believed without proof
+inline constexpr Span kProbe = 700ms;      // between reads of an operator
+inline constexpr Span kSweep = 500ms;      // between looks at what every sidecar has in force
 inline constexpr Span kStarved = 10s;  // for which a fit server may get no request while its service has many
 inline constexpr int kTries = 60;      // of an operator, for one order
 inline constexpr Span kWallBase = std::chrono::hours(24 * 365 * 50);  // the time of day at the world's start
@@ -91,13 +94,13 @@
     std::string firstSeed;  // a sidecar: to dial first; empty: as listed
   };
   struct Disk {
-    std::map<std::string, std::string> synced;
-    std::deque<std::pair<std::uint64_t, std::vector<std::pair<std::string, std::optional<std::string>>>>>
-        waiting;
+    std::unique_ptr<EmulatedFiles> files = std::make_unique<EmulatedFiles>("/data");
+    std::unique_ptr<Database> database;  // of the process that runs
+    std::deque<std::pair<std::uint64_t, Entries>> waiting;
     std::size_t syncing = 0;
     double slow = 1;
-    bool full = false;
     Span stalledUntil{};
+    bool full = false;
     bool used = false;
   };
   struct Server {
@@ -204,7 +207,13 @@
   // --- disks
   void sync(std::size_t machine);
   void synced(std::size_t machine);
-  void loseDiskTail(std::size_t machine);
+  void synced(std::size_t machine, bool done);
+  static bool writeInFlight(Disk& disk);
+  /// Opens the machine's store, and begins its process with what it holds. False: the disk refuses.
+  bool openDisk(std::size_t machine, const ControlNode::Built& built);
+  /// The machine's process ends, or its power does.
+  void endDisk(std::size_t machine, bool power);
+  void wipeDisk(std::size_t machine);
 
   // --- requests
   void arrive();
@@ -275,7 +284,10 @@
   void stop(std::size_t sidecar, std::function<void()> then);
   void stopped(std::size_t sidecar, std::uint64_t life, Span since, const std::function<void()>& then);
   void roll(std::size_t sidecar, std::uint32_t left);
+  /// The closing fault, in the moment in which a last change is acknowledged.
   void closeDay();
+  void strikeClosing();
+  void fillDisk(Disk& disk, Span lasts);
   /// The core is shaken from now on, and once more when that is over.
   void disturbCore(Span lasts);
   void disturbSidecar(std::size_t sidecar, Span lasts);
--- a/src/lab/mesh/emulated_files.cpp
+++ b/src/lab/mesh/emulated_files.cpp
@@ -159,7 +159,7 @@
 Status EmulatedFiles::sync(const FilePtr& file) {
   Status may = change();
   if (!may.ok()) return may;
-  file->durable = file->contents;
+  file->durable.append(file->contents, file->durable.size(), std::string::npos);  // files only grow
   file->unsynced.clear();
   return Status::OK();
 }
