Agree on the next set of voters, and end reads, whatever set some voters have accepted before

Cause: a set of voters names a replaced process by its incarnation. If that process loses its disk again before all voters have accepted the set, those who have not refuse it for good, as another process stands at its address; those who have hold it as accepted. No other set for that epoch passes them, the set itself is never completed, and every read of the configuration waits until all accepted orders are decided: "no config in time", for good, with no more than one machine's disk lost.

Change: an accepted order is ruled out when too few voters are left that may hold it for a majority (before: when a majority was known not to hold it, which a set of four can't show without the lost one). A proposer that can't rule it out says so in its Accept (field `decided`; earlier processes leave it out), and voters then take any set that is one step away. Nobody waits for replies of a voter whose disk is known to be lost. Reads of the configuration don't wait for sets of voters, and a voter that is asked by a reader waits only for orders that it held when it was asked, so that changes that keep coming don't hold up reads.

--- a/src/lab/mesh/agreement_histories.cpp
+++ b/src/lab/mesh/agreement_histories.cpp
@@ -132,7 +132,7 @@
   running.now = {};
   running.items = {};
   running.agreement = std::make_unique<Agreement>(Agreement::Built{
-      node.self, node.self.incarnation.value, &running.items, [](const VoterSet&) { return true; }});
+      node.self, node.self.incarnation.value, &running.items, [](const VoterSet&, bool) { return true; }});
   for (const auto& [key, value] : node.disk) {
     if (key.starts_with(kItemPrefix)) {
       running.items.merge(itemFrom(nlohmann::json::parse(value)));
--- a/src/mesh/control/agreement.cpp
+++ b/src/mesh/control/agreement.cpp
@@ -42,7 +42,7 @@
 Agreement::Agreement(Built built)
     : built_(std::move(built)),
       acceptor_(history_),
-      proposer_({built_.self, built_.seed, &set_, &history_, built_.inForce}) {}
+      proposer_({built_.self, built_.seed, &set_, &history_, built_.inForce, built_.isGone}) {}
 
 // --- state
 
@@ -100,7 +100,7 @@
 
 void Agreement::heard(Span now, const Address& from, const Accept& message, Effects& effects) {
   if (message.order == nullptr || !mayVoteOn(message.ballot, message.epoch)) return;
-  if (!acceptable(*message.order)) return;
+  if (!acceptable(message)) return;
   auto verdict = acceptor_.accept(now, message.ballot, message.order, effects);
   if (!verdict) return;
   AcceptReply answer{message.ballot, set_.epoch, built_.self, verdict->granted, verdict->promised, {}, {}};
@@ -109,11 +109,12 @@
   reply(from, std::move(answer), effects);
 }
 
-bool Agreement::acceptable(const Order& order) const {
-  for (const Item& item : order.items) {
+bool Agreement::acceptable(const Accept& message) const {
+  for (const Item& item : message.order->items) {
     if (item.key.kind != ItemKind::voters) continue;
     try {
-      if (!built_.acceptable || !built_.acceptable(voterSetFrom(item.value))) return false;
+      if (!built_.acceptable) return false;
+      if (!built_.acceptable(voterSetFrom(item.value), message.mayBeDecided)) return false;
     } catch (const nlohmann::json::exception&) {
       return false;  // guards against a peer that sends what no process of the mesh does
     }
@@ -245,6 +246,23 @@
   return orders;
 }
 
+std::set<std::uint64_t> Agreement::acceptedChanges() const {
+  std::set<std::uint64_t> changes;
+  for (const auto& [id, held] : acceptor_.held()) {
+    if (!isVoterSet(*held.accepted.order)) changes.insert(id);
+  }
+  return changes;
+}
+
+std::vector<AcceptedOrder> Agreement::stillAccepted(const std::set<std::uint64_t>& orders) const {
+  std::vector<AcceptedOrder> still;
+  for (const std::uint64_t order : orders) {
+    const auto held = acceptor_.held().find(order);
+    if (held != acceptor_.held().end()) still.push_back(held->second.accepted);
+  }
+  return still;
+}
+
 std::vector<DecidedRegister> Agreement::decidedRegisters() const { return history_.all(); }
 
 void Agreement::learn(Span now, const std::vector<AcceptedOrder>& accepted,
--- a/src/mesh/control/agreement.hpp
+++ b/src/mesh/control/agreement.hpp
@@ -7,7 +7,7 @@
 // Safety. Whoever proposes for a register first has a majority promise its ballot, and learns from them which
 // orders they accepted for it. An order found that way is completed before any other value is proposed; it is
 // passed over only if another value is known to be decided for one of its registers, as it then was never
-// accepted by a majority, or if a majority has promised not to accept it any more and never did. Ballots,
+// accepted by a majority, or if too few voters are left that may have accepted it for a majority. Ballots,
 // promises and acceptances count within one epoch of the voters only; ballots of a later epoch are above all
 // of an earlier one. register_acceptor.hpp has the voter's half, order_proposer.hpp the proposer's.
 //
@@ -21,6 +21,7 @@
 #include <functional>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -43,7 +44,10 @@
     /// The items in force here; the caller's, who merges into them. Must outlive this.
     const Items* inForce = nullptr;
     /// Whether this process may accept that set of voters as the next one. If not, it does not reply.
-    std::function<bool(const VoterSet&)> acceptable;
+    /// mayBeDecided: a majority may have accepted it before, so that it can't be held up.
+    std::function<bool(const VoterSet&, bool mayBeDecided)> acceptable = {};
+    /// Whether that voter never votes again, as its disk is known to be lost. Without it none is.
+    std::function<bool(const VoterId&)> isGone = {};
   };
   explicit Agreement(Built built);
   Agreement(const Agreement&) = delete;
@@ -94,8 +98,10 @@
 
   /// Orders that this process accepted and does not know to be decided.
   [[nodiscard]] std::vector<AcceptedOrder> accepted() const;
-  /// Whether there are any.
-  [[nodiscard]] bool holdsAccepted() const { return !acceptor_.held().empty(); }
+  /// The numbers of those with items of the configuration.
+  [[nodiscard]] std::set<std::uint64_t> acceptedChanges() const;
+  /// Which of them it still does not know to be decided.
+  [[nodiscard]] std::vector<AcceptedOrder> stillAccepted(const std::set<std::uint64_t>& orders) const;
   /// Registers decided here, with their values' prints, as far as they are remembered.
   [[nodiscard]] std::vector<DecidedRegister> decidedRegisters() const;
   /// State of another voter, read while this one joins. Only of a fenced voter.
@@ -119,7 +125,7 @@
   void completeSilentOrders(Span now, Effects& effects);
   [[nodiscard]] Span silenceAllowed(const Order& order) const;
   [[nodiscard]] bool mayVoteOn(const Ballot& ballot, Epoch epoch) const;
-  [[nodiscard]] bool acceptable(const Order& order) const;
+  [[nodiscard]] bool acceptable(const Accept& message) const;
   [[nodiscard]] bool undecided(const Order& order) const;
   [[nodiscard]] std::vector<Item> standingAt(const std::vector<DecidedRegister>& decided) const;
 
--- a/src/mesh/control/control_node.cpp
+++ b/src/mesh/control/control_node.cpp
@@ -27,7 +27,10 @@
       keys_(built_.keyWindow + kPromiseSpare),
       membership_({self_, false, built_.founders}),
       agreement_({self_, built_.random, &items_,
-                  [this](const VoterSet& set) { return membership_.acceptable(now_, set); }}),
+                  [this](const VoterSet& set, bool mayBeDecided) {
+                    return membership_.acceptable(now_, set, mayBeDecided);
+                  },
+                  [this](const VoterId& voter) { return membership_.isGone(voter); }}),
       reads_(items_, agreement_),
       recovery_(self_),
       operators_(items_, agreement_, reads_),
--- a/src/mesh/control/control_node.hpp
+++ b/src/mesh/control/control_node.hpp
@@ -87,9 +87,10 @@
     std::optional<std::uint64_t> digest;  // of the items that are on disk then
     std::optional<Epoch> recovered;       // the state that was read for that set is on disk then
   };
-  struct WaitingRead {  // of a reader that is answered once nothing is accepted and undecided here
+  struct WaitingRead {  // of a reader that is answered once what was accepted here when it asked is decided
     Address from;
     ReadRequest request;
+    std::set<std::uint64_t> changes;  // orders with items, accepted and undecided then
     Span until{};
   };
   struct ConfirmedRequest {  // of a sidecar that starts
--- a/src/mesh/control/control_node_messages.cpp
+++ b/src/mesh/control/control_node_messages.cpp
@@ -206,15 +206,18 @@
   waitingReads_.erase(std::remove_if(waitingReads_.begin(), waitingReads_.end(),
                                      [&](const WaitingRead& older) { return older.from == reader; }),
                       waitingReads_.end());
-  waitingReads_.push_back({reader, request, now + kOrdersInFlight});
+  waitingReads_.push_back({reader, request, agreement_.acceptedChanges(), now + kOrdersInFlight});
   answerReads(now, actions);
 }
 
 // Guards against readers that are told of an order in flight, with all its items, and complete it beside its
-// proposer: most are decided a moment later.
+// proposer: most are decided a moment later. Orders that are accepted after the reader asked were not decided
+// when its read began, and must not hold it up while changes keep coming; nor must sets of voters, which hold
+// nothing of the configuration.
 void ControlNode::answerReads(Span now, ControlActions& actions) {
   for (auto at = waitingReads_.begin(); at != waitingReads_.end();) {
-    if (agreement_.holdsAccepted() && now < at->until) {
+    std::vector<AcceptedOrder> undecided = agreement_.stillAccepted(at->changes);
+    if (!undecided.empty() && now < at->until) {
       ++at;
       continue;
     }
@@ -223,7 +226,7 @@
     reply.epoch = at->request.epoch;
     reply.voter = self_;
     reply.digest = items_.digest();
-    reply.accepted = agreement_.accepted();
+    reply.accepted = std::move(undecided);
     const bool stillVotes = mayVote() && at->request.epoch == membership_.set().epoch;
     if (stillVotes) send(Envelope{at->from, std::move(reply)}, actions);
     at = waitingReads_.erase(at);
--- a/src/mesh/control/majority_read.cpp
+++ b/src/mesh/control/majority_read.cpp
@@ -51,6 +51,8 @@
   if (reply.read != running_ || running_ == 0 || reply.epoch != set_.epoch) return;
   if (!set_.contains(reply.voter)) return;
   for (const AcceptedOrder& told : reply.accepted) {
+    // Guards against a set of voters that nobody completes: reads of the configuration need not wait for it.
+    if (isVoterSet(*told.order)) continue;
     const bool known = std::any_of(accepted_.begin(), accepted_.end(), [&](const AcceptedOrder& other) {
       return other.order->id == told.order->id;
     });
--- a/src/mesh/control/membership.cpp
+++ b/src/mesh/control/membership.cpp
@@ -242,8 +242,8 @@
 /// back.
 std::optional<VoterSet> Membership::replacementOfWiped(Span now) const {
   for (const VoterId& voter : set_.voters) {
+    if (!isGone(voter)) continue;
     const auto peer = peers_.find(voter.at);
-    if (peer == peers_.end() || !peer->second.up || peer->second.id == voter) continue;
     if (peer->second.putOut) continue;
     if (!readersDone(now, &voter) || !enoughAble(&voter)) continue;
     return withReplacement(set_, voter, peer->second.id);
@@ -283,18 +283,27 @@
 
 // --- what is accepted
 
-bool Membership::acceptable(Span, const VoterSet& proposed) const {
+bool Membership::isNext(const VoterSet& proposed) const {
+  if (set_.epoch.value > 0) return isSingleStep(set_, proposed);
+  const std::size_t size = proposed.voters.size();
+  return size >= set_.quorum() && size <= set_.foundingSize && proposed == foundedWith(proposed.voters);
+}
+
+bool Membership::isGone(const VoterId& voter) const {
+  const auto peer = peers_.find(voter.at);
+  return peer != peers_.end() && peer->second.up && peer->second.id != voter;
+}
+
+bool Membership::acceptable(Span, const VoterSet& proposed, bool mayBeDecided) const {
+  if (!isNext(proposed)) return false;
+  // Guards against a set that some have accepted for a process which is another by now, as its disk was lost
+  // again: refused for good by the others, it would keep every later set from being agreed on.
+  if (mayBeDecided) return true;
   // Guards against a proposer that reaches the earlier life of a process only.
   for (const VoterId& voter : proposed.voters) {
-    const auto peer = peers_.find(voter.at);
-    const bool otherIsUp = peer != peers_.end() && peer->second.up && peer->second.id != voter;
-    if (otherIsUp && !set_.contains(voter)) return false;
-  }
-  if (set_.epoch.value == 0) {
-    const std::size_t size = proposed.voters.size();
-    return size >= set_.quorum() && size <= set_.foundingSize && proposed == foundedWith(proposed.voters);
+    if (isGone(voter) && !set_.contains(voter)) return false;
   }
-  if (!isSingleStep(set_, proposed)) return false;
+  if (set_.epoch.value == 0) return true;
   for (const VoterId& voter : set_.voters) {
     const bool stays = proposed.contains(voter);
     // Guards against a proposer that alone does not hear a voter.
--- a/src/mesh/control/membership.hpp
+++ b/src/mesh/control/membership.hpp
@@ -54,7 +54,11 @@
   /// The set to be proposed now, if this process is the one to propose; each call may start one more ballot.
   std::optional<VoterSet> proposal(Span now);
   /// Whether a proposed set may be accepted here: one step away, and nobody who is heard here is put out.
-  [[nodiscard]] bool acceptable(Span now, const VoterSet& proposed) const;
+  /// mayBeDecided: a majority may have accepted it before. Then one step away is enough, as it can neither be
+  /// passed over nor be completed without this voter.
+  [[nodiscard]] bool acceptable(Span now, const VoterSet& proposed, bool mayBeDecided) const;
+  /// Whether another process stands at that voter's address: its disk is lost, and it never votes again.
+  [[nodiscard]] bool isGone(const VoterId& voter) const;
   /// Control processes that stand with this one, by their present identity.
   [[nodiscard]] std::vector<VoterId> peers() const;
 
@@ -68,6 +72,8 @@
     Span since{};         // that it is up, or down
   };
 
+  /// A set that may follow the one in force.
+  [[nodiscard]] bool isNext(const VoterSet& proposed) const;
   [[nodiscard]] bool isUp(const VoterId& voter) const;
   [[nodiscard]] bool knownToHoldState(const VoterId& voter) const;
   /// Voters that are up and hold state, this process among them, by address.
--- a/src/mesh/control/messages.cpp
+++ b/src/mesh/control/messages.cpp
@@ -46,12 +46,19 @@
 struct Field {
   const char* name;
   Member Owner::*member;
+  bool required = true;
 };
 template <class Owner, class Member>
 constexpr Field<Owner, Member> field(const char* name, Member Owner::*member) {
   return {name, member};
 }
 
+/// A field that earlier processes leave out: it keeps its default then.
+template <class Owner, class Member>
+constexpr Field<Owner, Member> laterField(const char* name, Member Owner::*member) {
+  return {name, member, false};
+}
+
 /// Objects: `fields`, and for messages `kind`. Arrays: `positions`, the members in their order.
 template <class T>
 struct Layout;
@@ -145,8 +152,9 @@
 template <>
 struct Layout<Accept> {
   static constexpr const char* kind = "accept";
-  static constexpr auto fields = std::make_tuple(
-      field("ballot", &Accept::ballot), field("epoch", &Accept::epoch), field("order", &Accept::order));
+  static constexpr auto fields =
+      std::make_tuple(field("ballot", &Accept::ballot), field("epoch", &Accept::epoch),
+                      field("order", &Accept::order), laterField("decided", &Accept::mayBeDecided));
 };
 template <>
 struct Layout<AcceptReply> {
@@ -492,13 +500,15 @@
   template <LaidAsObject T>
   static void get(const json& from, T& to) {
     require(from.is_object(), "is no object");
-    std::apply([&](auto... each) { (getField(from, each.name, to.*each.member), ...); }, Layout<T>::fields);
+    std::apply([&](auto... each) { (getField(from, each.name, each.required, to.*each.member), ...); },
+               Layout<T>::fields);
     check(to);
   }
 
  private:
   template <class T>
-  static void getField(const json& from, const char* name, T& to) try {
+  static void getField(const json& from, const char* name, bool required, T& to) try {
+    if (!required && !from.contains(name)) return;
     get(memberOf(from, name), to);
   } catch (const Refusal& refusal) {
     throw Refusal(std::string(name) + ' ' + refusal.what());
--- a/src/mesh/control/messages.hpp
+++ b/src/mesh/control/messages.hpp
@@ -53,6 +53,8 @@
 using OrderPtr = std::shared_ptr<const Order>;
 /// Computes the prints of the items, where they lack one, and the id.
 OrderPtr makeOrder(std::vector<Item> items);
+/// Whether it is about the set of voters, and so holds nothing of the configuration.
+bool isVoterSet(const Order& order);
 /// More time for a step of an order's agreement than a small one needs: a slow process reads, writes and
 /// sends that many items in about that time. Guards against ballots that are begun anew, with all items sent
 /// again, while the one before is still at work.
@@ -88,6 +90,9 @@
   Ballot ballot;
   Epoch epoch;
   OrderPtr order;
+  /// Voters have accepted it before, and it may be decided: no voter may hold it up for what it would rather
+  /// have. Processes that came before this field leave it out.
+  bool mayBeDecided = false;
 };
 struct AcceptReply {
   Ballot ballot;
--- a/src/mesh/control/order.cpp
+++ b/src/mesh/control/order.cpp
@@ -17,6 +17,10 @@
 
 RegisterId registerOf(const Item& item) { return {item.key, item.generation}; }
 
+bool isVoterSet(const Order& order) {
+  return !order.items.empty() && order.items.front().key.kind == ItemKind::voters;
+}
+
 OrderPtr makeOrder(std::vector<Item> items) {
   std::vector<std::uint64_t> prints;
   for (Item& item : items) {
--- a/src/mesh/control/order_proposer.cpp
+++ b/src/mesh/control/order_proposer.cpp
@@ -169,15 +169,16 @@
 void OrderProposer::evaluate(Span now, Proposal& proposal, bool lastChance, Effects& effects) {
   if (!proposal.granted.majority()) return;
   const Seen* first = blocking(proposal);
+  // A set of voters may be wanted by none but those who accepted it. Whether it may be decided all the same,
+  // the other replies tell; any other order is completed at once.
+  const Seen* accepted = first != nullptr ? first : ownAccepted(proposal);
+  if (!lastChance && accepted != nullptr && isVoterSet(*accepted->accepted.order) &&
+      repliesMatter(proposal, *accepted))
+    return;
   if (first == nullptr) {
     sendAccept(now, proposal, effects);
     return;
   }
-  // A set of voters may be refused by all but one for good. Whether this is such a one, the other replies
-  // tell; any other order is completed at once.
-  const bool voters = first->accepted.order->items.front().key.kind == ItemKind::voters;
-  const bool repliesToCome = proposal.granted.count() + proposal.refused.count() < voterCount();
-  if (voters && repliesToCome && !lastChance) return;
   const OrderPtr other = first->accepted.order;
   proposal.phase = Phase::pausing;
   proposal.until = now + kWaitForOther;
@@ -185,8 +186,28 @@
   complete(now, other, effects);
 }
 
+const OrderProposer::Seen* OrderProposer::ownAccepted(const Proposal& proposal) const {
+  const auto own = proposal.seen.find(proposal.order->id);
+  const bool possible = own != proposal.seen.end() && !ruledOut(proposal, own->second);
+  return possible ? &own->second : nullptr;
+}
+
+// Guards against proposers that each wait for a voter that is gone for good, and in the meantime begin higher
+// ballots than the others', for ever.
+bool OrderProposer::repliesMatter(const Proposal& proposal, const Seen& accepted) const {
+  if (accepted.holders >= built_.voters->quorum()) return false;
+  const std::vector<VoterId>& voters = built_.voters->voters;
+  const bool allKnown = built_.voters->epoch.value > 0;
+  return !allKnown || std::any_of(voters.begin(), voters.end(), [&](const VoterId& voter) {
+    const bool replied = proposal.granted.has(voter) || proposal.refused.has(voter);
+    return !replied && !(built_.isGone && built_.isGone(voter));
+  });
+}
+
 bool OrderProposer::ruledOut(const Proposal& proposal, const Seen& seen) const {
-  if (proposal.granted.count() - seen.holders >= built_.voters->quorum()) return true;
+  // Whoever granted this ballot and does not hold it never accepts it in an earlier one any more.
+  const std::size_t mayHold = seen.holders + voterCount() - proposal.granted.count();
+  if (mayHold < built_.voters->quorum()) return true;
   const Order& order = *seen.accepted.order;
   for (const Item& item : order.items) {
     if (built_.decided->stateOf(item) == RegisterState::other) return true;
@@ -217,13 +238,15 @@
 // --- phase 2
 
 void OrderProposer::sendAccept(Span now, Proposal& proposal, Effects& effects) {
+  const bool mayBeDecided = ownAccepted(proposal) != nullptr;
   proposal.phase = Phase::accepting;
   proposal.value = openPart(proposal);
   proposal.acceptSent = true;
   proposal.granted = VoteCount(*built_.voters);
   proposal.refused = VoteCount(*built_.voters);
   proposal.until = now + ballotLasts(proposal);
-  effects.messages.push_back({std::nullopt, Accept{proposal.ballot, built_.voters->epoch, proposal.value}});
+  effects.messages.push_back(
+      {std::nullopt, Accept{proposal.ballot, built_.voters->epoch, proposal.value, mayBeDecided}});
 }
 
 OrderPtr OrderProposer::heard(Span now, const AcceptReply& message, Effects& effects) {
--- a/src/mesh/control/order_proposer.hpp
+++ b/src/mesh/control/order_proposer.hpp
@@ -13,6 +13,7 @@
 // items of its order that are not decided yet.
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <optional>
 #include <random>
@@ -30,10 +31,11 @@
  public:
   struct Built {
     VoterId self;
-    std::uint64_t seed = 0;         // of the pauses between ballots
-    const VoterSet* voters;         // in force; must outlive this
-    const DecidedHistory* decided;  // must outlive this
-    const Items* inForce;           // must outlive this
+    std::uint64_t seed = 0;                      // of the pauses between ballots
+    const VoterSet* voters;                      // in force; must outlive this
+    const DecidedHistory* decided;               // must outlive this
+    const Items* inForce;                        // must outlive this
+    std::function<bool(const VoterId&)> isGone = {};  // see Agreement::Built
   };
   explicit OrderProposer(const Built& built) : built_(built), chance_(built.seed) {}
 
@@ -102,6 +104,10 @@
   [[nodiscard]] OrderPtr openPart(const Proposal& proposal) const;
   [[nodiscard]] bool majorityOutOfReach(const Proposal& proposal) const;
   [[nodiscard]] std::size_t voterCount() const;
+  /// What it proposes, if voters have accepted it and a majority may have; else null.
+  [[nodiscard]] const Seen* ownAccepted(const Proposal& proposal) const;
+  /// Whether replies that may still come can tell that no majority has accepted that order.
+  [[nodiscard]] bool repliesMatter(const Proposal& proposal, const Seen& accepted) const;
   void sendAccept(Span now, Proposal& proposal, Effects& effects);
   void conflict(const Proposal& proposal, const std::vector<RegisterId>& conflicting,
                 const std::vector<Item>& standing, Effects& effects) const;
--- /dev/null
+++ b/tests/control_requests.hpp
@@ -0,0 +1,93 @@
+#pragma once
+
+// What operators and sidecars ask of the nodes of a ControlCluster, for directed tests.
+
+#include <catch2/catch.hpp>
+#include <string>
+#include <vector>
+
+#include "control_cluster.hpp"
+
+namespace rackroute::mesh::test {
+
+using nlohmann::json;
+
+inline json routeValue(const std::string& name, std::uint64_t version, const std::string& timeout) {
+  return {{"name", name},
+          {"path_prefix", "/" + name + "/"},
+          {"route_kind", "pure"},
+          {"timeout", timeout},
+          {"target_time", "200ms"},
+          {"priority", 1},
+          {"target", "desk"},
+          {"max_attempts", 2},
+          {"generation", "r" + std::to_string(version)}};
+}
+
+inline std::string changeOf(const std::vector<json>& routes) {
+  return json{{"upsert", {{"host_map", {{{"hostname", "a.example"}, {"path_routes", routes}}}}}}}.dump();
+}
+
+inline std::string change(const std::string& name, std::uint64_t version,
+                          const std::string& timeout = "900ms") {
+  return changeOf({routeValue(name, version, timeout)});
+}
+
+inline const std::string kFirst =
+    json{{"upsert",
+          {{"service_list", {{{"name", "desk"}, {"generation", "r1"}}}},
+           {"host_map", {{{"hostname", "a.example"}, {"path_routes", {routeValue("look", 1, "900ms")}}}}}}}}
+        .dump();
+
+inline std::string name(std::size_t number) { return ControlCluster::name(number); }
+
+/// The answer after that long at most.
+inline std::uint32_t statusOf(ControlCluster& cluster, std::uint64_t call, Span within = 900ms) {
+  const Span until = cluster.now() + within;
+  while (cluster.now() < until && !cluster.answer(call)) cluster.run(10ms);
+  const auto answer = cluster.answer(call);
+  return answer ? answer->status : 0;
+}
+
+inline std::uint32_t send(ControlCluster& cluster, const std::string& at, const std::string& body) {
+  return statusOf(cluster, cluster.change(at, body));
+}
+
+/// As an operator does it: to the next process after any failure.
+inline std::uint32_t sendUntilClear(ControlCluster& cluster, const std::vector<std::string>& to,
+                                    const std::string& body, Span within = 6s) {
+  const Span until = cluster.now() + within;
+  for (std::size_t i = 0; cluster.now() < until; ++i) {
+    const std::string& at = to[i % to.size()];
+    const std::uint32_t status = cluster.up(at) ? send(cluster, at, body) : 0;
+    if (status != 0 && status < 500) return status;
+    cluster.run(100ms);
+  }
+  return 0;
+}
+
+inline std::vector<std::string> names(std::size_t count) {
+  std::vector<std::string> all;
+  for (std::size_t i = 0; i < count; ++i) all.push_back(name(i));
+  return all;
+}
+
+/// A cluster that is founded and has its first configuration.
+inline ControlCluster founded(std::size_t size) {
+  ControlCluster cluster(size);
+  cluster.run(3s);
+  REQUIRE(sendUntilClear(cluster, names(size), kFirst) == 200);
+  cluster.run(500ms);
+  return cluster;
+}
+
+inline const Item* routeAt(ControlCluster& cluster, const std::string& at, const std::string& route) {
+  return cluster.node(at).items().find({ItemKind::route, route});
+}
+
+inline ClaimRequest claimOf(ControlCluster& cluster, const std::string& voter, std::uint64_t claim,
+                            const std::string& key) {
+  return {cluster.node(voter).membership().set().epoch, {"s:1"}, {{ClaimNo{claim}, printOfKey(key)}}};
+}
+
+}  // namespace rackroute::mesh::test
