Take a record of the agreement that can't be read for a lost disk, not for the end of the process

Cause: promises, accepted orders and decided versions that could not be read threw out of the start, so that the process ended at each start. Other records had the process join anew as another voter. Change: these do too. Test: four kinds of record; it ended with an exception before.

--- a/src/mesh/control/control_node.cpp
+++ b/src/mesh/control/control_node.cpp
@@ -69,7 +69,13 @@
     }
     return boost::outcome_v2::success();
   }
-  if (agreement_.restore(key, value)) return boost::outcome_v2::success();
+  // Guards against a process that ends at each start at a record which can't be read.
+  try {
+    if (agreement_.restore(key, value)) return boost::outcome_v2::success();
+  } catch (const std::exception& error) {
+    stateLost_ = true;
+    return failure("store", "record " + key + " can't be read: " + error.what());
+  }
   const Result<bool> read = keys_.restore(key, value);
   if (!read) {
     stateLost_ = true;
--- a/tests/control_recovery_test.cpp
+++ b/tests/control_recovery_test.cpp
@@ -134,3 +134,18 @@
     requireRecovered(cluster);
   }
 }
+
+TEST_CASE("a record of the agreement that can't be read makes its voter another one, and ends no process") {
+  for (const std::string record : {"o/0000000000000001", "b/floor", "b/rounds", "d/route/look"}) {
+    ControlCluster cluster = founded(4);
+    REQUIRE(send(cluster, name(0), change("look", 5)) == 200);
+    const Incarnation before = cluster.node(name(3)).membership().self().incarnation;
+    cluster.kill(name(3));
+    cluster.disk(name(3))[record] = "{";
+    cluster.start(name(3));
+    CHECK(cluster.refused().size() == 1);
+    CHECK(cluster.node(name(3)).membership().self().incarnation != before);
+    cluster.run(kRecover);
+    requireRecovered(cluster);
+  }
+}
