--- a/src/mesh/control/order_proposer.hpp
+++ b/src/mesh/control/order_proposer.hpp
@@ -31,10 +31,10 @@
  public:
   struct Built {
     VoterId self;
-    std::uint64_t seed = 0;                      // of the pauses between ballots
-    const VoterSet* voters;                      // in force; must outlive this
-    const DecidedHistory* decided;               // must outlive this
-    const Items* inForce;                        // must outlive this
+    std::uint64_t seed = 0;                           // of the pauses between ballots
+    const VoterSet* voters;                           // in force; must outlive this
+    const DecidedHistory* decided;                    // must outlive this
+    const Items* inForce;                             // must outlive this
     std::function<bool(const VoterId&)> isGone = {};  // see Agreement::Built
   };
   explicit OrderProposer(const Built& built) : built_(built), chance_(built.seed) {}
--- a/src/mesh/storage/database.cpp
+++ b/src/mesh/storage/database.cpp
@@ -23,7 +23,7 @@
 
 }  // namespace
 
-Database::Database(std::string dataFolder, FileSystem files)
+Database::Database(const std::string& dataFolder, FileSystem files)
     : folder_(dataFolder + kFolder),
       asideFolder_(dataFolder + kAsideFolder),
       files_(files),
--- a/src/mesh/storage/database.hpp
+++ b/src/mesh/storage/database.hpp
@@ -37,7 +37,7 @@
 class Database {
  public:
   /// The data folder must be there; the database takes a folder in it.
-  explicit Database(std::string dataFolder, FileSystem files = posixFileSystem());
+  explicit Database(const std::string& dataFolder, FileSystem files = posixFileSystem());
   Database(const Database&) = delete;
   Database& operator=(const Database&) = delete;
   ~Database();
--- a/src/mesh/storage/store.cpp
+++ b/src/mesh/storage/store.cpp
@@ -12,7 +12,7 @@
 
 }  // namespace
 
-Store::Store(std::string dataFolder, FileSystem files) : database_(std::move(dataFolder), std::move(files)) {}
+Store::Store(const std::string& dataFolder, FileSystem files) : database_(dataFolder, std::move(files)) {}
 
 Store::~Store() {
   {
--- a/src/mesh/storage/store.hpp
+++ b/src/mesh/storage/store.hpp
@@ -21,7 +21,7 @@
   /// told: called from the store's thread for each batch, in their order.
   using Told = std::function<void(std::uint64_t batch, bool done)>;
 
-  explicit Store(std::string dataFolder, FileSystem files = posixFileSystem());
+  explicit Store(const std::string& dataFolder, FileSystem files = posixFileSystem());
   Store(const Store&) = delete;
   Store& operator=(const Store&) = delete;
   ~Store();
