Bring no old version into force where a later, acknowledged one has not been heard of

Cause: an order of a lower version, sent after a later one was acknowledged, was decided as any other (it has no effect where the later one is in force) and told to all. A control process that had not heard of the later one yet (the way to its proposer cut or slow, its proposer ended right after the answer) took the old one into force and pushed it to its sidecars, for up to 1.3 s: a change came back older, and an old version that counts as invalid was in force.

Change: voters tell a proposer of later versions that are decided, or that they hold as accepted. A proposer waits, within the call's time, until the later one is decided and in force here, and tells with Decided what has overtaken its items; who lacks one of these takes nothing of the order and asks the sender for its items. Earlier processes leave the new field out. The emulator has a trouble for it (old_change), and its ledger a check (old in force).

Failed tries: leaving overtaken items undecided would acknowledge two values under one version; recording only that the later one is decided brought orders into force in part (found by a drawn test of the agreement).

--- a/src/lab/mesh/day.cpp
+++ b/src/lab/mesh/day.cpp
@@ -10,7 +10,7 @@
 namespace rackroute::lab::mesh {
 namespace {
 
-constexpr std::array<std::pair<std::string_view, TroubleKind>, 39> kTroubleKinds{{
+constexpr std::array<std::pair<std::string_view, TroubleKind>, 40> kTroubleKinds{{
     {"kill_sidecar", TroubleKind::killSidecar},
     {"kill_control", TroubleKind::killControl},
     {"power_control", TroubleKind::powerControl},
@@ -48,6 +48,7 @@
     {"storm", TroubleKind::storm},
     {"change_many", TroubleKind::changeMany},
     {"race_many", TroubleKind::raceMany},
+    {"old_change", TroubleKind::oldChange},
     {"new_service", TroubleKind::newService},
     {"reset_forwards", TroubleKind::resetForwards},
 }};
--- a/src/lab/mesh/day.hpp
+++ b/src/lab/mesh/day.hpp
@@ -49,6 +49,7 @@
   storm,              // `part` changes by eight operators at once
   changeMany,         // one change of several routes
   raceMany,           // two such changes that share one route's version
+  oldChange,          // a change, and after its acknowledgement one of a lower version, at another control
   newService,         // a service, and after its acknowledgement a route to it, at another control
   resetForwards,      // part of the connections between sidecars, to one of them; processes only
 };
--- a/src/lab/mesh/day_draw.cpp
+++ b/src/lab/mesh/day_draw.cpp
@@ -188,6 +188,7 @@
           {TroubleKind::restartBeside, cut.at + between(2, cut.lasts), kRestart, number(1000), 0});
     day_.troubles.push_back({TroubleKind::newService, cut.at + between(0, cut.lasts / 2), 0, cut.who, 0});
     day_.troubles.push_back({TroubleKind::change, cut.at + between(0, cut.lasts), 0, cut.who, 0});
+    day_.troubles.push_back({TroubleKind::oldChange, cut.at + between(0, cut.lasts), 0, number(1000), 0});
     addRace(cut.at + between(0, cut.lasts));
   }
 
--- a/src/lab/mesh/emulated.hpp
+++ b/src/lab/mesh/emulated.hpp
@@ -246,6 +246,7 @@
       std::uint32_t control, OrderNo no, std::function<void(Status)> done = [](Status) {});
   void change(std::uint32_t who, bool race, bool valid);
   void changeMany(std::uint32_t who, bool race);
+  void oldChange(std::uint32_t who);
   void newService(std::uint32_t who);
   void storm(const Trouble& trouble);
   void stormOrder(Span pace, const std::shared_ptr<std::uint32_t>& left);
--- a/src/lab/mesh/orders.cpp
+++ b/src/lab/mesh/orders.cpp
@@ -75,6 +75,15 @@
   return add(std::move(order), json::array(), std::move(routes));
 }
 
+OrderNo OrderLedger::oldChange(Span now, const std::map<std::uint32_t, std::uint64_t>& versions) {
+  const OrderNo no = change(versions, true);
+  Order& order = orders_.at(no);
+  for (const auto& [at, value] : order.values) {
+    if (newestAt(at.key, now) > at.version) order.overtaken.insert(at);
+  }
+  return no;
+}
+
 OrderNo OrderLedger::newService(const std::string& name) {
   return add({}, json::array({serviceValue(name, nextVersion(0))}), json::array());
 }
@@ -102,22 +111,26 @@
   return static_cast<std::size_t>(later) < kRememberedVersions;
 }
 
+const Order* OrderLedger::orderOf(const Register& at, const std::string& value) const {
+  const auto values = sent_.find(at);
+  if (values == sent_.end()) return nullptr;
+  const auto sent = values->second.find(value);
+  return sent == values->second.end() ? nullptr : &orders_.at(sent->second);
+}
+
 // Whatever is acknowledged, in force or read back has been decided, and a version is decided once.
 void OrderLedger::stands(Span now, const Register& at, const std::string& value, const std::string& where) {
-  const auto sent = sent_.find(at);
-  const auto from = sent == sent_.end() ? decltype(sent->second.end()){} : sent->second.find(value);
-  if (sent == sent_.end() || from == sent->second.end())
-    return failed(now, "unsent", textOf(at), " is " + where + " as it was never sent");
-  const Order& order = orders_.at(from->second);
-  if (!order.valid) failed(now, "refused in force", textOf(at), ", invalid, is " + where);
-  if (order.refused)
+  const Order* const order = orderOf(at, value);
+  if (order == nullptr) return failed(now, "unsent", textOf(at), " is " + where + " as it was never sent");
+  if (!order->valid) failed(now, "refused in force", textOf(at), ", invalid, is " + where);
+  if (order->refused)
     failed(now, "refused in force", textOf(at),
-           " of refused order " + std::to_string(order.no) + " is " + where);
+           " of refused order " + std::to_string(order->no) + " is " + where);
   const auto [standing, first] = standing_.try_emplace(at, value);
   if (first || standing->second == value) return;
   failed(now, "two values", textOf(at),
-         ": orders " + std::to_string(order.no) + " (" + where + ") and " +
-             std::to_string(sent->second.at(standing->second)));
+         ": orders " + std::to_string(order->no) + " (" + where + ") and " +
+             std::to_string(sent_.at(at).at(standing->second)));
 }
 
 void OrderLedger::told(Span now, OrderNo no) {
@@ -168,6 +181,10 @@
   }
   held_[place] = {life, at};
   heldValue_[place] = value;
+  const Order* const order = orderOf(at, value);
+  if (order != nullptr && order->overtaken.contains(at))
+    failed(now, "old in force", textOf(at),
+           " came into force at sidecar " + std::to_string(sidecar) + " after a later one was acknowledged");
   stands(now, at, value, "in force at sidecar " + std::to_string(sidecar));
 }
 
--- a/src/lab/mesh/orders.hpp
+++ b/src/lab/mesh/orders.hpp
@@ -36,6 +36,7 @@
   std::string body;                        // of the PATCH
   std::map<Register, std::string> values;  // as JSON
   bool valid = true;
+  std::set<Register> overtaken;  // a later version was acknowledged before it was sent: without effect
   bool acknowledged = false;
   bool refused = false;
 };
@@ -52,6 +53,8 @@
   /// New values of these routes, by their number, under these versions. Invalid: one that no process may
   /// take.
   OrderNo change(const std::map<std::uint32_t, std::uint64_t>& versions, bool valid);
+  /// A valid change that is sent now; versions below acknowledged ones must never be in force.
+  OrderNo oldChange(Span now, const std::map<std::uint32_t, std::uint64_t>& versions);
   OrderNo newService(const std::string& name);
   OrderNo routeTo(const std::string& service);
   /// A version above all that were given, by one to three.
@@ -80,6 +83,8 @@
 
  private:
   OrderNo add(Order order, nlohmann::json services, nlohmann::json routes);
+  /// The order that gave the item that value under that version; null: none did.
+  [[nodiscard]] const Order* orderOf(const Register& at, const std::string& value) const;
   void stands(Span now, const Register& at, const std::string& value, const std::string& where);
   [[nodiscard]] bool remembered(const Register& at) const;
   void failed(Span now, const char* check, const std::string& subject, const std::string& what);
--- a/src/lab/mesh/processes.cpp
+++ b/src/lab/mesh/processes.cpp
@@ -62,6 +62,7 @@
     case TroubleKind::storm:
     case TroubleKind::changeMany:
     case TroubleKind::raceMany:
+    case TroubleKind::oldChange:
     case TroubleKind::newService:
       return true;
     default:
--- a/src/lab/mesh/world_operators.cpp
+++ b/src/lab/mesh/world_operators.cpp
@@ -86,6 +86,16 @@
   order(who + 1, ledger_.change(others, true));
 }
 
+// The lower version goes where the higher one may not be known yet.
+void World::oldChange(std::uint32_t who) {
+  const std::uint32_t route = who % static_cast<std::uint32_t>(kRoutes.size());
+  const std::uint64_t lower = ledger_.nextVersion(who);
+  const std::uint64_t higher = ledger_.nextVersion(who);
+  order(who, ledger_.change({{route, higher}}, true), [this, who, route, lower](Status status) {
+    if (status == 200) order(who + 1, ledger_.oldChange(now_, {{route, lower}}));
+  });
+}
+
 // The route is ordered where the service may not be known yet.
 void World::newService(std::uint32_t who) {
   const std::string name = "extra-" + std::to_string(ledger_.sent());
--- a/src/lab/mesh/world_troubles.cpp
+++ b/src/lab/mesh/world_troubles.cpp
@@ -37,6 +37,7 @@
     case TroubleKind::badChange:
     case TroubleKind::changeMany:
     case TroubleKind::raceMany:
+    case TroubleKind::oldChange:
     case TroubleKind::newService:
     case TroubleKind::storm:
     case TroubleKind::answersLost:
@@ -60,6 +61,8 @@
       return changeMany(trouble.who, false);
     case TroubleKind::raceMany:
       return changeMany(trouble.who, true);
+    case TroubleKind::oldChange:
+      return oldChange(trouble.who);
     case TroubleKind::newService:
       return newService(trouble.who);
     case TroubleKind::storm:
--- a/src/mesh/control/agreement.cpp
+++ b/src/mesh/control/agreement.cpp
@@ -92,7 +92,7 @@
   if (!verdict) return;
   PrepareReply answer{message.ballot,    set_.epoch, built_.self, verdict->granted,
                       verdict->promised, {},         {},          {}};
-  if (verdict->granted) answer.accepted = acceptor_.holding(message.registers);
+  if (verdict->granted) answer.accepted = acceptor_.holdingOrOvertaking(message.registers);
   answer.standing = standingAt(verdict->decided);
   answer.decided = std::move(verdict->decided);
   reply(from, std::move(answer), effects);
--- a/src/mesh/control/control_node_messages.cpp
+++ b/src/mesh/control/control_node_messages.cpp
@@ -196,7 +196,15 @@
   apply(now, std::move(effects), actions);
 }
 
-void ControlNode::take(Span now, SessionNo, const Decided& decided, ControlActions& actions) {
+void ControlNode::take(Span now, SessionNo from, const Decided& decided, ControlActions& actions) {
+  // Guards against an old version that is decided late and comes into force where the later one, acknowledged
+  // before, has not been heard of: the sender has both. The order is not taken in part either.
+  const bool lacksLater =
+      std::any_of(decided.later.begin(), decided.later.end(), [this](const DecidedRegister& later) {
+        const Item* const held = items_.find(later.id.item);
+        return held == nullptr || held->generation < later.id.version;
+      });
+  if (lacksLater) return requestItems(from, actions);
   takeItems(now, decided.order->items, actions);
 }
 
--- a/src/mesh/control/decided_history.cpp
+++ b/src/mesh/control/decided_history.cpp
@@ -67,6 +67,22 @@
   return decided->print == print ? RegisterState::same : RegisterState::other;
 }
 
+std::optional<DecidedRegister> DecidedHistory::laterThan(const RegisterId& id) const {
+  const auto name = names_.find(id.item);
+  if (name == names_.end() || id.item.kind == ItemKind::voters) return std::nullopt;
+  const auto& latest = name->second.back();
+  if (latest.version <= id.version) return std::nullopt;
+  return DecidedRegister{{id.item, latest.version}, latest.print};
+}
+
+std::vector<DecidedRegister> DecidedHistory::laterThan(const std::vector<Item>& items) const {
+  std::vector<DecidedRegister> later;
+  for (const Item& item : items) {
+    if (auto latest = laterThan(registerOf(item))) later.push_back(std::move(*latest));
+  }
+  return later;
+}
+
 std::vector<DecidedRegister> DecidedHistory::all() const {
   std::vector<DecidedRegister> registers;
   for (const auto& [name, versions] : names_) {
--- a/src/mesh/control/decided_history.hpp
+++ b/src/mesh/control/decided_history.hpp
@@ -40,6 +40,11 @@
   }
   /// Nothing, if the register is open.
   [[nodiscard]] std::optional<DecidedRegister> find(const RegisterId& id) const;
+  /// The latest version of an item that is decided, if it is later than that of the register. Sets of voters
+  /// have none: their epochs tell.
+  [[nodiscard]] std::optional<DecidedRegister> laterThan(const RegisterId& id) const;
+  /// The same, for all registers of the items.
+  [[nodiscard]] std::vector<DecidedRegister> laterThan(const std::vector<Item>& items) const;
   [[nodiscard]] std::vector<DecidedRegister> all() const;
 
  private:
--- a/src/mesh/control/messages.cpp
+++ b/src/mesh/control/messages.cpp
@@ -168,7 +168,8 @@
 template <>
 struct Layout<Decided> {
   static constexpr const char* kind = "decided";
-  static constexpr auto fields = std::make_tuple(field("order", &Decided::order));
+  static constexpr auto fields =
+      std::make_tuple(field("order", &Decided::order), laterField("later", &Decided::later));
 };
 template <>
 struct Layout<ItemsRequest> {
--- a/src/mesh/control/messages.hpp
+++ b/src/mesh/control/messages.hpp
@@ -82,8 +82,8 @@
   VoterId voter;
   bool granted = false;
   Ballot promised;                       // refused: the highest that was promised
-  std::vector<AcceptedOrder> accepted;   // undecided orders that hold any of the registers
-  std::vector<DecidedRegister> decided;  // of the registers
+  std::vector<AcceptedOrder> accepted;   // undecided orders that hold any of the registers, or a later one
+  std::vector<DecidedRegister> decided;  // of the registers, and the latest version of each that is overtaken
   std::vector<Item> standing;            // items in force at the names of decided registers
 };
 struct Accept {
@@ -106,6 +106,9 @@
 /// A majority has accepted the order: it is in force.
 struct Decided {
   OrderPtr order;
+  /// Later versions of its items that are decided: these items have no effect, and whoever lacks a later one
+  /// must not bring them into force. Earlier processes leave it out.
+  std::vector<DecidedRegister> later = {};
 };
 
 // --- sessions
--- a/src/mesh/control/order_proposer.cpp
+++ b/src/mesh/control/order_proposer.cpp
@@ -16,6 +16,8 @@
 constexpr Span kPauseFirst = 20ms;        // drawn up to this, doubled with each failure
 constexpr Span kPauseLongest = 640ms;
 constexpr Span kWaitForOther = 500ms;        // for an order that is completed first
+constexpr Span kWaitForLater = 60ms;         // for a later version's decision or items; a ballot takes less
+constexpr unsigned kLaterPauses = 8;         // within the time of an operator's call
 constexpr std::size_t kUnderWay = 64;        // proposals that calls may add to; bounds memory and contention
 constexpr std::size_t kUnderWayInAll = 128;  // with those that complete orders of others
 constexpr std::uint64_t kRoundsReserved = 1024;           // with one write
@@ -49,8 +51,14 @@
 }
 
 void OrderProposer::complete(Span now, const OrderPtr& order, Effects& effects) {
-  if (proposals_.contains(order->id) || proposals_.size() >= kUnderWayInAll) return;
-  begin(now, start(order), effects);
+  if (const auto underWay = proposals_.find(order->id); underWay != proposals_.end()) {
+    underWay->second.acceptedBefore = true;
+    return;
+  }
+  if (proposals_.size() >= kUnderWayInAll) return;
+  Proposal& proposal = start(order);
+  proposal.acceptedBefore = true;
+  begin(now, proposal, effects);
 }
 
 OrderProposer::Proposal& OrderProposer::start(const OrderPtr& order) {
@@ -175,6 +183,10 @@
   if (!lastChance && accepted != nullptr && isVoterSet(*accepted->accepted.order) &&
       repliesMatter(proposal, *accepted))
     return;
+  if (first == nullptr && accepted == nullptr && waitsForLater(proposal)) {
+    pauseForLater(now, proposal, effects);
+    return;
+  }
   if (first == nullptr) {
     sendAccept(now, proposal, effects);
     return;
@@ -186,6 +198,48 @@
   complete(now, other, effects);
 }
 
+// Guards against an old version that is sent after a later one was acknowledged, and comes into force at
+// processes that have not heard of that one yet.
+bool OrderProposer::waitsForLater(const Proposal& proposal) const {
+  if (proposal.laterPauses >= kLaterPauses) return false;
+  return lacksLater(proposal) || mayBeOvertaken(proposal);
+}
+
+bool OrderProposer::lacksLater(const Proposal& proposal) const {
+  return std::any_of(proposal.open.begin(), proposal.open.end(), [&](const auto& open) {
+    const auto later = built_.decided->laterThan(open.first);
+    if (!later) return false;
+    const Item* const held = built_.inForce->find(later->id.item);
+    return held == nullptr || held->generation < later->id.version;
+  });
+}
+
+// Whether the later one is decided is waited for, as its proposer or a voter completes it. Two orders never
+// wait for each other: one of them has been accepted.
+bool OrderProposer::mayBeOvertaken(const Proposal& proposal) const {
+  if (proposal.acceptSent || proposal.acceptedBefore) return false;
+  return std::any_of(proposal.seen.begin(), proposal.seen.end(), [&](const auto& entry) {
+    const Seen& seen = entry.second;
+    const std::vector<Item>& items = seen.accepted.order->items;
+    const bool overtakes = std::any_of(items.begin(), items.end(), [&](const Item& later) {
+      const auto open = proposal.open.lower_bound(RegisterId{later.key, {}});
+      return open != proposal.open.end() && open->first.item == later.key &&
+             open->first.version < later.generation;
+    });
+    return overtakes && !ruledOut(proposal, seen);
+  });
+}
+
+// What it lacks mostly comes by itself in the first pause; after it the voters are asked.
+void OrderProposer::pauseForLater(Span now, Proposal& proposal, Effects& effects) {
+  proposal.phase = Phase::pausing;
+  proposal.until = now + kWaitForLater;
+  if (++proposal.laterPauses < 2 || !lacksLater(proposal)) return;
+  ItemsRequest request;
+  request.versions = built_.inForce->versions();
+  effects.messages.push_back({std::nullopt, std::move(request)});
+}
+
 const OrderProposer::Seen* OrderProposer::ownAccepted(const Proposal& proposal) const {
   const auto own = proposal.seen.find(proposal.order->id);
   const bool possible = own != proposal.seen.end() && !ruledOut(proposal, own->second);
@@ -267,7 +321,7 @@
   }
   OrderPtr whole =
       items.size() == proposal->order->items.size() ? proposal->order : makeOrder(std::move(items));
-  effects.messages.push_back({std::nullopt, Decided{whole}});
+  effects.messages.push_back({std::nullopt, Decided{whole, built_.decided->laterThan(whole->items)}});
   return whole;
 }
 
--- a/src/mesh/control/order_proposer.hpp
+++ b/src/mesh/control/order_proposer.hpp
@@ -82,11 +82,13 @@
     VoteCount granted;
     VoteCount refused;
     std::map<std::uint64_t, Seen> seen;
-    OrderPtr value;              // what Accept was sent for
-    bool acceptSent = false;     // in any ballot
-    unsigned failures = 0;       // ballots in a row without a majority
-    Span until{};                // end of the ballot, or of the pause
-    std::uint64_t waitsFor = 0;  // pausing: the order that is completed first
+    OrderPtr value;               // what Accept was sent for
+    bool acceptSent = false;      // in any ballot
+    bool acceptedBefore = false;  // by some voter, as far as is known before the first ballot
+    unsigned laterPauses = 0;     // for later versions of its items
+    unsigned failures = 0;        // ballots in a row without a majority
+    Span until{};                 // end of the ballot, or of the pause
+    std::uint64_t waitsFor = 0;   // pausing: the order that is completed first
   };
   using Proposals = std::map<std::uint64_t, Proposal>;  // by the order's id
 
@@ -104,6 +106,13 @@
   [[nodiscard]] OrderPtr openPart(const Proposal& proposal) const;
   [[nodiscard]] bool majorityOutOfReach(const Proposal& proposal) const;
   [[nodiscard]] std::size_t voterCount() const;
+  /// A later version of one of its items is, or may be, decided and has not come into force here yet.
+  [[nodiscard]] bool waitsForLater(const Proposal& proposal) const;
+  [[nodiscard]] bool lacksLater(const Proposal& proposal) const;
+  /// An order with a later version of one of its items is accepted and may be decided; its own is accepted
+  /// nowhere.
+  [[nodiscard]] bool mayBeOvertaken(const Proposal& proposal) const;
+  void pauseForLater(Span now, Proposal& proposal, Effects& effects);
   /// What it proposes, if voters have accepted it and a majority may have; else null.
   [[nodiscard]] const Seen* ownAccepted(const Proposal& proposal) const;
   /// Whether replies that may still come can tell that no majority has accepted that order.
--- a/src/mesh/control/register_acceptor.cpp
+++ b/src/mesh/control/register_acceptor.cpp
@@ -98,6 +98,7 @@
   Verdict verdict;
   for (const RegisterId& id : registers) {
     if (auto decided = history_->find(id)) verdict.decided.push_back(std::move(*decided));
+    if (auto later = history_->laterThan(id)) verdict.decided.push_back(std::move(*later));
     verdict.promised = std::max(verdict.promised, highest(id));
   }
   verdict.granted = verdict.promised <= ballot;
@@ -275,6 +276,23 @@
     const auto holders = holders_.find(id);
     if (holders != holders_.end()) ids.insert(holders->second.begin(), holders->second.end());
   }
+  return acceptedOf(ids);
+}
+
+std::vector<AcceptedOrder> RegisterAcceptor::holdingOrOvertaking(
+    const std::vector<RegisterId>& registers) const {
+  std::set<std::uint64_t> ids;
+  for (const RegisterId& id : registers) {
+    // Registers are sorted by item, then by version.
+    for (auto holders = holders_.lower_bound(id); holders != holders_.end(); ++holders) {
+      if (holders->first.item != id.item) break;
+      ids.insert(holders->second.begin(), holders->second.end());
+    }
+  }
+  return acceptedOf(ids);
+}
+
+std::vector<AcceptedOrder> RegisterAcceptor::acceptedOf(const std::set<std::uint64_t>& ids) const {
   std::vector<AcceptedOrder> orders;
   for (const std::uint64_t id : ids) orders.push_back(held_.at(id).accepted);
   return orders;
--- a/src/mesh/control/register_acceptor.hpp
+++ b/src/mesh/control/register_acceptor.hpp
@@ -12,6 +12,7 @@
 #include <deque>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -29,7 +30,7 @@
   struct Verdict {
     bool granted = false;
     Ballot promised;                       // refused: the highest that stands in the way
-    std::vector<DecidedRegister> decided;  // of the registers asked for
+    std::vector<DecidedRegister> decided;  // of the registers asked for, and what has overtaken them
   };
   struct Held {
     AcceptedOrder accepted;
@@ -58,6 +59,9 @@
 
   /// Held orders that have any of the registers.
   [[nodiscard]] std::vector<AcceptedOrder> holding(const std::vector<RegisterId>& registers) const;
+  /// These, and held orders that have a later version of the same item.
+  [[nodiscard]] std::vector<AcceptedOrder> holdingOrOvertaking(
+      const std::vector<RegisterId>& registers) const;
   [[nodiscard]] const std::map<std::uint64_t, Held>& held() const { return held_; }
   /// Proposals for it begin; whoever completes silent orders waits again.
   void touch(Span now, std::uint64_t order);
@@ -79,6 +83,7 @@
   void indexPromise(const Ballot& ballot, Promise promise, Effects& effects);
   void drop(std::uint64_t order, Effects& effects);
   void index(const AcceptedOrder& accepted, Span since);
+  [[nodiscard]] std::vector<AcceptedOrder> acceptedOf(const std::set<std::uint64_t>& ids) const;
 
   const DecidedHistory* history_;
   std::map<Ballot, Promise> promises_;
--- a/tests/control_messages_test.cpp
+++ b/tests/control_messages_test.cpp
@@ -156,7 +156,7 @@
       case 8:
         return AcceptReply{ballot(), epoch(), voter(), flag(), ballot(), list(decided), items()};
       case 9:
-        return Decided{order()};
+        return Decided{order(), list(decided)};
       case 10:
         return ItemsRequest{versions(), number(), flag()};
       case 11:
--- a/tests/control_node_test.cpp
+++ b/tests/control_node_test.cpp
@@ -96,6 +96,56 @@
   }
 }
 
+namespace {
+
+/// Whether any process has that version of the route in force at some moment of the time.
+bool everInForce(ControlCluster& cluster, std::size_t size, std::uint64_t version, Span time) {
+  bool found = false;
+  for (const Span until = cluster.now() + time; cluster.now() < until; cluster.run(1ms)) {
+    for (const std::string& at : names(size)) {
+      const Item* const route = cluster.up(at) ? routeAt(cluster, at, "look") : nullptr;
+      found = found || (route != nullptr && route->generation == Generation{version});
+    }
+  }
+  return found;
+}
+
+}  // namespace
+
+TEST_CASE("an old version that comes after a later one was acknowledged is never in force anywhere") {
+  const std::string old = change("look", 6, "100ms");
+  SECTION("where one process has not heard of the later one, as the way to its proposer is cut") {
+    ControlCluster cluster = founded(4);
+    cluster.cut(name(0), name(3));
+    REQUIRE(send(cluster, name(0), change("look", 9)) == 200);
+    const std::uint64_t call = cluster.change(name(1), old);
+    CHECK_FALSE(everInForce(cluster, 4, 6, 3s));
+    CHECK(cluster.answer(call)->status == 200);
+    CHECK(routeAt(cluster, name(3), "look")->generation == Generation{9});
+  }
+  SECTION("where nobody knows that the later one is decided, as its proposer ended right after the answer") {
+    ControlCluster cluster = founded(5);
+    const std::uint64_t later = cluster.change(name(0), change("look", 9));
+    while (!cluster.answer(later)) cluster.run(100us);
+    REQUIRE(cluster.answer(later)->status == 200);
+    cluster.kill(name(0));
+    const std::uint64_t call = cluster.change(name(1), old);
+    CHECK_FALSE(everInForce(cluster, 5, 6, 3s));
+    CHECK(cluster.answer(call)->status == 200);
+    CHECK(routeAt(cluster, name(1), "look")->generation == Generation{9});
+  }
+  SECTION("together with an item that nothing has overtaken") {
+    ControlCluster cluster = founded(4);
+    cluster.cut(name(0), name(3));
+    REQUIRE(send(cluster, name(0), change("look", 9)) == 200);
+    const std::string both = changeOf({routeValue("more", 2, "900ms"), routeValue("look", 6, "100ms")});
+    const std::uint64_t call = cluster.change(name(1), both);
+    CHECK_FALSE(everInForce(cluster, 4, 6, 3s));
+    CHECK(cluster.answer(call)->status == 200);
+    for (const std::string& at : names(4)) CHECK(routeAt(cluster, at, "more")->generation == Generation{2});
+  }
+}
+
 TEST_CASE("of an order with many items nothing is in force if one of them is refused") {
   ControlCluster cluster = founded(3);
   REQUIRE(send(cluster, name(0), change("look", 5, "800ms")) == 200);
