Acknowledge an order that was taken again also after its service is gone

Cause: a change is checked against the services in force before anything else. An order that routes to a service, was acknowledged, and came again after that service had been dropped (its answer lost, or an older change arriving again) was refused with 400, though what was taken may not be refused. Change: an order all of whose items are decided as it gives them needs no check of its services. Measured: the new test fails before at all three processes (400) and passes; the tests of the control side pass. What is so old that its decision is forgotten (32 versions of a name) is still checked. Not mended: an order that routes to a service beside one that drops it, sent at the same moment; both are decided.

--- a/src/mesh/control/agreement.cpp
+++ b/src/mesh/control/agreement.cpp
@@ -273,6 +273,11 @@
   }
 }
 
+bool Agreement::isDecided(const Order& order) const {
+  return std::all_of(order.items.begin(), order.items.end(),
+                     [this](const Item& item) { return history_.stateOf(item) == RegisterState::same; });
+}
+
 bool Agreement::undecided(const Order& order) const {
   bool open = false;
   for (const Item& item : order.items) {
--- a/src/mesh/control/agreement.hpp
+++ b/src/mesh/control/agreement.hpp
@@ -94,6 +94,9 @@
   /// When tick() has something to do next; it may be called at any time.
   [[nodiscard]] std::optional<Span> nextTick() const;
 
+  /// All of its items are decided as it gives them: it was taken before. False also where that is forgotten.
+  [[nodiscard]] bool isDecided(const Order& order) const;
+
   // --- for readers
 
   /// Orders that this process accepted and does not know to be decided.
--- a/src/mesh/control/operator_calls.cpp
+++ b/src/mesh/control/operator_calls.cpp
@@ -35,10 +35,10 @@
   if (!settled)
     return answer(call, 503, errorBody("change: not in touch with a majority"), actions, kComeBack);
   Call& held = calls_[call];
-  held.items = std::move(read).value();
-  held.until = now + kCallTime + kItemTime * held.items.size();
+  held.order = makeOrder(std::move(read).value());
+  held.until = now + kCallTime + kItemTime * held.order->items.size();
   // It may be only this copy that does not know the service yet.
-  if (items_.unknownService(held.items)) {
+  if (unknownService(*held.order)) {
     held.read = reads_.join(now, set, effects);
     return;
   }
@@ -56,7 +56,12 @@
 
 void OperatorCalls::propose(Span now, OperatorCallNo call, Call& held, Effects& effects) {
   held.read = 0;
-  agreement_.propose(now, call.value, makeOrder(std::move(held.items)), effects);
+  agreement_.propose(now, call.value, held.order, effects);
+}
+
+std::optional<std::string> OperatorCalls::unknownService(const Order& order) const {
+  if (agreement_.isDecided(order)) return std::nullopt;
+  return items_.unknownService(order.items);
 }
 
 void OperatorCalls::ended(const OrderOutcome& outcome, ControlActions& actions) {
@@ -90,7 +95,7 @@
       at = calls_.erase(at);
       continue;
     }
-    if (const auto unknown = items_.unknownService(held.items)) {
+    if (const auto unknown = unknownService(*held.order)) {
       answer(call, 400, errorBody("change: a route names the unknown service " + *unknown), actions);
       at = calls_.erase(at);
       continue;
--- a/src/mesh/control/operator_calls.hpp
+++ b/src/mesh/control/operator_calls.hpp
@@ -14,6 +14,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -45,11 +46,14 @@
  private:
   struct Call {
     bool readsBack = false;
-    std::vector<Item> items;
+    OrderPtr order;          // of a change
     std::uint64_t read = 0;  // waits for it; 0: for the decision
     Span until{};
   };
   void propose(Span now, OperatorCallNo call, Call& held, Effects& effects);
+  /// The service that the change's routes name and nobody has, as far as this process knows. An order that
+  /// was taken is acknowledged again, whatever has become of the service since.
+  [[nodiscard]] std::optional<std::string> unknownService(const Order& order) const;
   static void answer(OperatorCallNo call, std::uint32_t status, std::string body, ControlActions& actions,
                      Span retryAfter = Span{});
 
--- a/tests/control_node_test.cpp
+++ b/tests/control_node_test.cpp
@@ -146,6 +146,28 @@
   }
 }
 
+TEST_CASE("an order that was taken is acknowledged again after its service is gone, a new one is refused") {
+  ControlCluster cluster = founded(3);
+  const auto serviceOf = [](const char* version) { return json{{"name", "extra"}, {"generation", version}}; };
+  const auto routed = [](const char* name, std::uint64_t version) {
+    json route = routeValue(name, version, "900ms");
+    route["target"] = "extra";
+    return changeOf({route});
+  };
+  REQUIRE(send(cluster, name(0), json{{"upsert", {{"service_list", {serviceOf("r2")}}}}}.dump()) == 200);
+  REQUIRE(send(cluster, name(1), routed("more", 3)) == 200);
+  const json gone{{"route_list", {{{"name", "more"}, {"generation", "r4"}}}},
+                  {"service_list", {serviceOf("r4")}}};
+  REQUIRE(send(cluster, name(2), json{{"remove", gone}}.dump()) == 200);
+  cluster.run(200ms);
+  for (const std::string& at : names(3)) {
+    CHECK(send(cluster, at, routed("more", 3)) == 200);
+    CHECK(routeAt(cluster, at, "more")->dropped);
+    CHECK(send(cluster, at, routed("more", 5)) == 400);
+    CHECK(send(cluster, at, routed("other", 5)) == 400);
+  }
+}
+
 TEST_CASE("of an order with many items nothing is in force if one of them is refused") {
   ControlCluster cluster = founded(3);
   REQUIRE(send(cluster, name(0), change("look", 5, "800ms")) == 200);
