Start beside an old process that hangs or has just gone on, also with a fleet

Cause: the test 'a new version's two processes are one member of the fleet …' failed once in a sanitized run ('ready()' false). A process that starts in the moment in which a newer one has died finds the dead one's name in the folder: it takes over from nobody. An old process that hangs kept every new one away in the same way, where a fleet is told. Change: where the name leads nowhere and the clients' address is served all the same, the new process asks again for up to 0.5 s; a process with a door waits for the fleet's address instead of ending. A test that waits in vain for readiness prints the process's log.

--- a/src/sidecar/fleet_side.cpp
+++ b/src/sidecar/fleet_side.cpp
@@ -181,7 +181,7 @@
   } catch (const std::exception& error) {
     Line(Level::warning) << "no_handover what=\"the fleet's view: " << error.what() << '"';
   }
-  openAgain();
+  startWhenFree();
 }
 
 std::string FleetSide::state() const {
@@ -197,13 +197,13 @@
 }
 
 // Guards against an old process that hangs and still has the address.
-void FleetSide::openAgain() {
+void FleetSide::startWhenFree() {
   try {
     open();
   } catch (const Poco::Exception& error) {
     Line(Level::warning) << "fleet_waits address=" << told_.listen << " what=\"" << error.displayText()
                          << '"';
-    again_ = loop_.in(kAgain, [this] { openAgain(); });
+    again_ = loop_.in(kAgain, [this] { startWhenFree(); });
     return;
   }
   membership_.begin(loop_.now());
@@ -213,7 +213,7 @@
 void FleetSide::yield(bool yes) {
   if (left_) return;
   if (yes) return close();
-  openAgain();
+  startWhenFree();
 }
 
 void FleetSide::leave() {
--- a/src/sidecar/fleet_side.hpp
+++ b/src/sidecar/fleet_side.hpp
@@ -41,6 +41,8 @@
 
   /// Takes part from here on; throws if its address can't be had.
   void start();
+  /// The same, but waits for the address where another process still has it.
+  void startWhenFree();
   /// In place of the process whose state this is, once that one has stepped back.
   void succeed(const std::string& state);
   [[nodiscard]] std::string state() const;
@@ -61,7 +63,6 @@
 
   void open();
   void close();
-  void openAgain();
   void readable(Poco::Net::ReadableNotification* event);
   void read();
   bool mayRead(std::uint32_t source);
--- a/src/sidecar/handover.cpp
+++ b/src/sidecar/handover.cpp
@@ -21,6 +21,7 @@
 #include <set>
 #include <sstream>
 #include <stdexcept>
+#include <thread>
 #include <utility>
 
 #include "handover/learned.hpp"
@@ -39,8 +40,10 @@
 using Poco::JSON::Object;
 
 constexpr std::string_view kHello = "rackroute-handover 1";  // the version of all that follows on the channel
-constexpr auto kPatience = 1500ms;  // for an old process; a new one has 6 s until it must be ready
-constexpr Span kAgreed = 600ms;     // for the other process to keep a word; the operator is owed it in 1 s
+constexpr auto kPatience = 1500ms;     // for an old process; a new one has 6 s until it must be ready
+constexpr auto kGoesOnWithin = 500ms;  // an old process, after the newer one died that had taken over from it
+constexpr auto kAskAgain = 5ms;
+constexpr Span kAgreed = 600ms;  // for the other process to keep a word; the operator is owed it in 1 s
 constexpr std::size_t kLongestState = 8 << 20;  // bytes; some ten thousand servers
 constexpr auto kBackTold = 60s;  // a server put back is a fresh one; above any time that lists are late
 constexpr int kBacklog = 4;
@@ -84,6 +87,17 @@
   std::array<char, CMSG_SPACE(sizeof(int))> room;
 };
 
+/// Whether some process listens there.
+bool isServed(const Poco::Net::SocketAddress& address) {
+  const int probe = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  if (probe < 0) return false;
+  const int yes = 1;  // what is left of ended connections is no listener
+  ::setsockopt(probe, SOL_SOCKET, SO_REUSEADDR, &yes, sizeof yes);
+  const bool taken = ::bind(probe, address.addr(), address.length()) != 0 && errno == EADDRINUSE;
+  ::close(probe);
+  return taken;
+}
+
 bool sendDescriptor(int channel, int descriptor) {
   char byte = 'L';
   iovec piece{&byte, 1};
@@ -206,7 +220,8 @@
   Handover& handover_;
 };
 
-Handover::Handover(Loop& loop, std::string folder, const std::string& listen) : loop_(loop) {
+Handover::Handover(Loop& loop, std::string folder, const std::string& listen)
+    : loop_(loop), clientsAddress_(numericAddress(listen)) {
   sockaddr_un address{};
   if (folder.empty()) return;
   path_ = std::move(folder) + "/rackroute-" + listen;
@@ -217,14 +232,30 @@
 
 Handover::~Handover() = default;
 
-std::optional<Inherited> Handover::ask() {
+std::optional<Poco::Net::StreamSocket> Handover::dial() const {
   sockaddr_un address{};
   if (path_.empty() || !place(path_, address)) return std::nullopt;
-  const int channel = ::socket(AF_UNIX, SOCK_STREAM | SOCK_CLOEXEC, 0);
-  if (channel < 0) return std::nullopt;
-  Poco::Net::StreamSocket socket = stream(channel);
-  socket.setBlocking(false);  // a full queue at an old process that hangs must not hold this one
-  if (::connect(channel, generic(address), sizeof address) != 0 || !ownUser(channel)) return std::nullopt;
+  const auto until = std::chrono::steady_clock::now() + kGoesOnWithin;
+  for (;;) {
+    const int channel = ::socket(AF_UNIX, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    if (channel < 0) return std::nullopt;
+    Poco::Net::StreamSocket socket = stream(channel);
+    socket.setBlocking(false);  // a full queue at an old process that hangs must not hold this one
+    if (::connect(channel, generic(address), sizeof address) == 0)
+      return ownUser(channel) ? std::optional(socket) : std::nullopt;
+    // Guards against a start in the moment in which a newer process has died: the name is the dead one's
+    // until the old process, which still serves, has noticed.
+    const bool old = errno == ECONNREFUSED && isServed(clientsAddress_);
+    if (!old || std::chrono::steady_clock::now() >= until) return std::nullopt;
+    std::this_thread::sleep_for(kAskAgain);
+  }
+}
+
+std::optional<Inherited> Handover::ask() {
+  std::optional<Poco::Net::StreamSocket> dialled = dial();
+  if (!dialled) return std::nullopt;
+  Poco::Net::StreamSocket& socket = *dialled;
+  const int channel = socket.impl()->sockfd();
   socket.setBlocking(true);
   // Guards against an old process that hangs or speaks another version: this one then starts from what its
   // configuration says.
--- a/src/sidecar/handover.hpp
+++ b/src/sidecar/handover.hpp
@@ -65,6 +65,7 @@
  private:
   friend class HandoverPeer;
 
+  [[nodiscard]] std::optional<Poco::Net::StreamSocket> dial() const;
   void listen();
   void accept(Poco::Net::ReadableNotification* event);
   bool remember();
@@ -82,6 +83,7 @@
   };
 
   Loop& loop_;
+  Poco::Net::SocketAddress clientsAddress_;
   std::string path_;  // of the socket; the file is beside it
   Exchange* exchange_ = nullptr;
   ClientSide* clients_ = nullptr;
--- a/src/sidecar/main.cpp
+++ b/src/sidecar/main.cpp
@@ -252,7 +252,9 @@
     if (const auto learned = handover::readLearned(inherited->state->optValue<std::string>("learned", "")))
       exchange.learn(*learned);
   }
-  if (fleet && !inherited) fleet->start();
+  // Guards against an old process that hangs, or has just gone on, and has the fleet's address: it must not
+  // keep this one from starting.
+  if (fleet && !inherited) assignment.admin ? fleet->startWhenFree() : fleet->start();
   change.start(
       exchange, clients, discovery,
       [&] {
--- a/tests/handover_test.cpp
+++ b/tests/handover_test.cpp
@@ -22,7 +22,10 @@
     process_.also = {{"LB_ADMIN", door.toString()}, {"TMPDIR", folder}};
     process_.launch(R"({"name":")" + name + sidecar.form().substr(11));
     for (int tries = 0; tries < 1000 && !ready(); ++tries) std::this_thread::sleep_for(10ms);
-    REQUIRE(ready());
+    if (ready()) return;
+    process_.signal(SIGKILL);
+    process_.ended();
+    FAIL("it is not ready:\n" << process_.log());
   }
   bool ready() { return has(call("GET /ops/readiness"), " 200 "); }
   std::string call(const std::string& line) {
@@ -109,6 +112,46 @@
   CHECK(before.end(SIGTERM) == 0);
 }
 
+TEST_CASE("a new process that starts in the moment in which another has died takes over from the old one") {
+  Folder folder;
+  Sidecar sidecar;
+  sidecar.more = R"(,"fleet":{"name":"f","period_ms":100,"listen":")" + unusedAddress().toString() + "\"}";
+  Version before(sidecar, folder.path());
+  const auto startOf = [](Version& version) {
+    const std::string told = version.call("GET /ops/fleet");
+    return told.substr(told.find("\"start\":"), 21);
+  };
+  const std::string start = startOf(before);
+  Peer client = sidecar.connect();
+  CHECK_FALSE(has(serve(sidecar, client), "Connection: close"));
+  Version dies(sidecar, folder.path());
+  before.stop(SIGSTOP);  // it does not notice at once
+  dies.end(SIGKILL);
+  std::jthread goesOn([&] {
+    std::this_thread::sleep_for(80ms);
+    before.stop(SIGCONT);
+  });
+  Version after(sidecar, folder.path());
+  CHECK(startOf(after) == start);
+  CHECK(has(serve(sidecar, client), "Connection: close"));
+  CHECK(before.end(SIGTERM) == 0);
+}
+
+TEST_CASE(
+    "a member of a fleet starts beside an old process that hangs, and takes its place once it is gone") {
+  Folder folder;
+  Sidecar sidecar;
+  sidecar.more = R"(,"fleet":{"name":"f","period_ms":100,"listen":")" + unusedAddress().toString() + "\"}";
+  Version before(sidecar, folder.path());
+  before.stop(SIGSTOP);
+  Version after(sidecar, folder.path());
+  before.end(SIGKILL);
+  const auto isMember = [&] { return has(after.call("GET /ops/stats"), "edge_lb_fleet_size 1\n"); };
+  for (int tries = 0; tries < 500 && !isMember(); ++tries) std::this_thread::sleep_for(20ms);
+  CHECK(isMember());
+  CHECK(after.end(SIGTERM) == 0);
+}
+
 TEST_CASE(
     "a new version's two processes are one member of the fleet, and one that dies gives its place back") {
   Folder folder;
