Open no store whose folder's own name may not last

Cause: found by reading. At a process's first start the folder of its store is made and the folder above it synced. A disk that refused that sync was not noticed: the store opened, entries were acknowledged in it, and a loss of power could take the folder back with all of them. Change: DurableEnv::CreateDir succeeds only once the name lasts, and Database does not open before; the process asks again. Measured: the new test (a sync of the data folder that is refused) fails before, as the store opens, and passes; the other tests of the database pass.

--- a/src/mesh/storage/database.cpp
+++ b/src/mesh/storage/database.cpp
@@ -35,7 +35,8 @@
 Status Database::openDatabase() {
   // Guards against a lock on the folder that this process itself still holds after a try that failed.
   database_.reset();
-  env_.CreateDir(folder_);
+  // Guards against a folder that a loss of power takes back, with all that was acknowledged in it.
+  if (Status made = env_.CreateDir(folder_); !made.ok()) return made;
   // Guards against names that an earlier process left unsynced, before anything is removed for their sake.
   if (Status synced = files_.syncFolder(folder_); !synced.ok()) return synced;
   leveldb::Options options;
--- a/src/mesh/storage/durable_env.cpp
+++ b/src/mesh/storage/durable_env.cpp
@@ -142,8 +142,7 @@
 Status DurableEnv::CreateDir(const std::string& folder) {
   const Status made = target()->CreateDir(folder);
   if (!made.ok() && !target()->FileExists(folder)) return made;
-  if (Status synced = files_.syncFolder(folderOf(folder)); !synced.ok()) return synced;
-  return made;
+  return files_.syncFolder(folderOf(folder));
 }
 
 }  // namespace rackroute::mesh
--- a/src/mesh/storage/durable_env.hpp
+++ b/src/mesh/storage/durable_env.hpp
@@ -36,7 +36,7 @@
   leveldb::Status RenameFile(const std::string& from, const std::string& to) override;
   /// Refuses to remove a manifest that the database's CURRENT may name.
   leveldb::Status RemoveFile(const std::string& name) override;
-  /// The folder's name is on disk when it returns, whether it was there before or not.
+  /// The folder is there and its name on disk when it succeeds, whether it was there before or not.
   leveldb::Status CreateDir(const std::string& folder) override;
 
  private:
--- a/tests/database_test.cpp
+++ b/tests/database_test.cpp
@@ -190,6 +190,22 @@
   CHECK(machine.lost() == 0);
 }
 
+TEST_CASE("a database whose folder's own name can't be synced is not opened, until it can", "[database]") {
+  EmulatedFiles files(kData);
+  FileSystem fileSystem = files.fileSystem();
+  bool refuses = true;
+  fileSystem.syncFolder = [&refuses, sync = fileSystem.syncFolder](const std::string& folder) {
+    const bool refused = refuses && folder == kData;
+    return refused ? leveldb::Status::IOError(folder, "refused") : sync(folder);
+  };
+  const auto nothing = [](const std::string&, const std::string&) {};
+  Database database(kData, fileSystem);
+  CHECK(database.open(nothing).state == OpenState::refused);
+  refuses = false;
+  CHECK(database.open(nothing).state == OpenState::opened);
+  files.runScheduled();
+}
+
 TEST_CASE("a torn end of a manifest is left out, and damage before its end is not", "[database]") {
   EmulatedFiles files(kData);
   Database database(kData, files.fileSystem());
