--- a/tests/control_node_test.cpp
+++ b/tests/control_node_test.cpp
@@ -98,6 +98,14 @@
 
 namespace {
 
+/// A later version is acknowledged at one of four processes, and another one hears nothing of it.
+ControlCluster withLaterVersionUnheard() {
+  ControlCluster cluster = founded(4);
+  cluster.cut(name(0), name(3));
+  REQUIRE(send(cluster, name(0), change("look", 9)) == 200);
+  return cluster;
+}
+
 /// Whether any process has that version of the route in force at some moment of the time.
 bool everInForce(ControlCluster& cluster, std::size_t size, std::uint64_t version, Span time) {
   bool found = false;
@@ -115,9 +123,7 @@
 TEST_CASE("an old version that comes after a later one was acknowledged is never in force anywhere") {
   const std::string old = change("look", 6, "100ms");
   SECTION("where one process has not heard of the later one, as the way to its proposer is cut") {
-    ControlCluster cluster = founded(4);
-    cluster.cut(name(0), name(3));
-    REQUIRE(send(cluster, name(0), change("look", 9)) == 200);
+    ControlCluster cluster = withLaterVersionUnheard();
     const std::uint64_t call = cluster.change(name(1), old);
     CHECK_FALSE(everInForce(cluster, 4, 6, 3s));
     CHECK(cluster.answer(call)->status == 200);
@@ -135,9 +141,7 @@
     CHECK(routeAt(cluster, name(1), "look")->generation == Generation{9});
   }
   SECTION("together with an item that nothing has overtaken") {
-    ControlCluster cluster = founded(4);
-    cluster.cut(name(0), name(3));
-    REQUIRE(send(cluster, name(0), change("look", 9)) == 200);
+    ControlCluster cluster = withLaterVersionUnheard();
     const std::string both = changeOf({routeValue("more", 2, "900ms"), routeValue("look", 6, "100ms")});
     const std::uint64_t call = cluster.change(name(1), both);
     CHECK_FALSE(everInForce(cluster, 4, 6, 3s));
--- a/tests/control_requests.hpp
+++ b/tests/control_requests.hpp
@@ -7,23 +7,12 @@
 #include <vector>
 
 #include "control_cluster.hpp"
+#include "route_value.hpp"
 
 namespace rackroute::mesh::test {
 
 using nlohmann::json;
 
-inline json routeValue(const std::string& name, std::uint64_t version, const std::string& timeout) {
-  return {{"name", name},
-          {"path_prefix", "/" + name + "/"},
-          {"route_kind", "pure"},
-          {"timeout", timeout},
-          {"target_time", "200ms"},
-          {"priority", 1},
-          {"target", "desk"},
-          {"max_attempts", 2},
-          {"generation", "r" + std::to_string(version)}};
-}
-
 inline std::string changeOf(const std::vector<json>& routes) {
   return json{{"upsert", {{"host_map", {{{"hostname", "a.example"}, {"path_routes", routes}}}}}}}.dump();
 }
--- a/tests/mesh_fixtures.hpp
+++ b/tests/mesh_fixtures.hpp
@@ -8,6 +8,7 @@
 
 #include "mesh/admission/admission.hpp"
 #include "mesh/routing/request_router.hpp"
+#include "route_value.hpp"
 
 namespace rackroute::mesh {
 
@@ -18,15 +19,7 @@
   item.key = {ItemKind::route, name};
   item.generation = {generation};
   item.hostname = "a.example";
-  item.value = {{"name", name},
-                {"path_prefix", "/" + name + "/"},
-                {"route_kind", "pure"},
-                {"timeout", timeout},
-                {"target_time", "200ms"},
-                {"priority", 1},
-                {"target", "desk"},
-                {"max_attempts", 2},
-                {"generation", "r" + std::to_string(generation)}};
+  item.value = test::routeValue(name, generation, timeout);
   return item;
 }
 
