--- a/tests/control_cluster.hpp
+++ b/tests/control_cluster.hpp
@@ -82,6 +82,8 @@
     }
   }
   void refuseWrites(const std::string& at, bool refuses) { machines_.at(at).refuses = refuses; }
+  /// How long a sync of that disk takes, from the next one on.
+  void syncTime(const std::string& at, Span time) { machines_.at(at).syncTime = time; }
   std::map<std::string, std::string>& disk(const std::string& at) { return machines_.at(at).disk; }
   ControlNode& node(const std::string& at) { return *machines_.at(at).node; }
   [[nodiscard]] bool up(const std::string& at) const { return machines_.at(at).life != 0; }
@@ -150,6 +152,10 @@
   [[nodiscard]] std::size_t bytes() const { return bytes_; }
 
  private:
+  static constexpr Span kTrip = 1ms;
+  static constexpr Span kSync = 5ms;
+  static constexpr Span kUnread = 2500ms;  // until a cut way breaks
+
   struct Event {
     Span at;
     std::uint64_t no;
@@ -162,6 +168,7 @@
     std::map<std::string, std::string> disk;
     std::deque<std::pair<BatchNo, std::vector<StoreEntry>>> waiting;
     std::uint64_t syncing = 0;
+    Span syncTime = kSync;
     bool refuses = false;
   };
   struct Link {
@@ -178,10 +185,6 @@
     }
     return all;
   }
-  static constexpr Span kTrip = 1ms;
-  static constexpr Span kSync = 5ms;
-  static constexpr Span kUnread = 2500ms;  // until a cut way breaks
-
   void at(Span when, std::function<void()> task) { events_.push({when, ++eventNo_, std::move(task)}); }
   void atProcess(Span when, const std::string& machine, std::function<void()> task) {
     at(when, [this, machine, life = machines_.at(machine).life, task = std::move(task)] {
@@ -248,7 +251,7 @@
     Machine& machine = machines_.at(at);
     if (machine.syncing > 0 || machine.waiting.empty()) return;
     machine.syncing = machine.waiting.size();
-    atProcess(now_ + kSync, at, [this, at] {
+    atProcess(now_ + machine.syncTime, at, [this, at] {
       Machine& there = machines_.at(at);
       std::vector<BatchNo> done;
       const bool refused = there.refuses;
--- /dev/null
+++ b/tests/departures_test.cpp
@@ -0,0 +1,96 @@
+// What servers said of their leaving, and what their end means to others: it stands in every later life of the
+// process that took it, whoever tells of it, and in whatever order.
+
+#include <catch2/catch.hpp>
+
+#include "mesh/balancing/server_pool.hpp"
+#include "mesh/registry/registry.hpp"
+#include "mesh_fixtures.hpp"
+
+using namespace rackroute;
+using namespace rackroute::mesh;
+using namespace std::chrono_literals;
+
+namespace {
+
+Beat draining(const std::string& id, std::uint64_t seq) {
+  Beat told = beat(id, seq);
+  told.draining = true;
+  return told;
+}
+
+Beat signOff(const std::string& id) {
+  Beat told;
+  told.id = {id};
+  told.gone = true;
+  return told;
+}
+
+/// Whether a request for the server "i1" is let in.
+bool letsIn(Admission& here, Span now, std::uint64_t number) {
+  const AdmissionActions acts = here.asked(now, {number}, ask(RouteKind::pure), std::nullopt);
+  return countOf(acts, AdmissionAction::Kind::run) == 1;
+}
+
+Served servedHere(std::uint64_t life, std::uint64_t seq = 1) {
+  Served made = served("i1", seq);
+  made.node = {"n"};
+  made.life = {life};
+  return made;
+}
+
+}  // namespace
+
+TEST_CASE("a server that said that it leaves gets nothing new from a later life of the process beside it") {
+  Admission here = admissionWithVoters();
+  SECTION("its first beat here says that it drains: since when is not known") {
+    here.beat(0s, draining("i1", 9));
+    CHECK_FALSE(letsIn(here, 0s, 1));
+  }
+  SECTION("it signs off before its first beat here, and beats on or late") {
+    here.beat(0s, signOff("i1"));
+    here.beat(100ms, beat("i1", 8));
+    CHECK_FALSE(letsIn(here, 200ms, 1));
+  }
+  SECTION("it was taken over from old news, and other news tell that it drains") {
+    here.adopt(0s, servedHere(5));
+    REQUIRE(letsIn(here, 0s, 1));
+    Served drains = servedHere(6);
+    drains.draining = true;
+    here.adopt(10ms, drains);
+    CHECK_FALSE(letsIn(here, 20ms, 2));
+  }
+  SECTION("it beats, late, that it is ready after the news came that it has signed off") {
+    Served gone = servedHere(6);
+    gone.gone = true;
+    here.adopt(0s, gone);
+    here.beat(10ms, beat("i1", 8));
+    CHECK_FALSE(letsIn(here, 20ms, 1));
+  }
+  SECTION("what it says with a call that came late binds too") {
+    here.beat(0s, beat("i1", 9));
+    here.beat(100ms, draining("i1", 8));
+    CHECK_FALSE(letsIn(here, 5s, 1));
+  }
+}
+
+TEST_CASE("what a server said of its leaving stands in the registry and at callers, whoever tells of it") {
+  Served ready = servedHere(8);
+  Served left = servedHere(7);
+  SECTION("it drains") { left.draining = true; }
+  SECTION("it signed off") { left.gone = true; }
+  for (const bool leftFirst : {true, false}) {
+    INFO("the leaving is heard first: " << leftFirst);
+    Registry registry;
+    ServerPool pool("z", {"caller"}, 1);
+    for (const Served& told : leftFirst ? std::vector{left, ready} : std::vector{ready, left}) {
+      registry.told(told);
+      for (const News& news : registry.of({"desk"})) pool.told(0s, news.served, true);
+    }
+    const std::vector<News> known = registry.of({"desk"});
+    REQUIRE(known.size() == 1);
+    CHECK(known[0].served.draining == left.draining);
+    CHECK(known[0].served.gone == left.gone);
+    CHECK_FALSE(pool.pick(1s, {"desk"}, false, {}));
+  }
+}
