--- a/src/mesh/admission/admission.hpp
+++ b/src/mesh/admission/admission.hpp
@@ -102,6 +102,7 @@
   Claims& claims() { return claims_; }
   /// The process leaves: nothing new is let in.
   AdmissionActions leave(Span now);
+  [[nodiscard]] LifeNo life() const { return built_.life; }
   [[nodiscard]] std::size_t atWork() const { return jobs_.size(); }
   [[nodiscard]] std::vector<Served> servers() const;
   [[nodiscard]] std::size_t kept() const { return kept_; }
--- a/src/mesh/control/main.cpp
+++ b/src/mesh/control/main.cpp
@@ -32,9 +32,10 @@
 using namespace std::chrono_literals;
 using nlohmann::json;
 
-constexpr Span kDialTime = 400ms;   // for a session; a hung dial is given up before the next is due
-constexpr auto kOpenPause = 300ms;  // between tries to open a store on a disk that refuses
-constexpr Span kLastWords = 50ms;   // after the call to stop, for what was just acknowledged to leave
+constexpr Span kDialTime = 400ms;     // for a session; a hung dial is given up before the next is due
+constexpr auto kOpenPause = 300ms;    // between tries to open a store on a disk that refuses
+constexpr Span kUnsettledLines = 2s;  // between lines of the log while no majority is in touch
+constexpr Span kLastWords = 50ms;     // after the call to stop, for what was just acknowledged to leave
 
 class ControlProgram {
  public:
@@ -195,8 +196,31 @@
     }
   }
 
+  // What tells a majority that is missing from one that can't agree.
+  void logStanding() {
+    const Membership& membership = node_->membership();
+    const VoterSet& set = membership.set();
+    const json standing{{"epoch", set.epoch.value},
+                        {"voter", membership.isVoter()},
+                        {"holds_state", node_->holdsState()},
+                        {"settled", node_->settled()}};
+    const bool due = !node_->settled() && unsettledLoggedAt_ + kUnsettledLines <= loop_.now();
+    if (standing == loggedStanding_ && !due) return;
+    loggedStanding_ = standing;
+    unsettledLoggedAt_ = loop_.now();
+    json more = standing;
+    for (const VoterId& voter : set.voters) {
+      const std::string name = voter.at.value + '/' + std::to_string(voter.incarnation.value);
+      more["voters"].push_back(set.mustRead(voter) ? name + " reads" : name);
+    }
+    for (const VoterId& peer : membership.peers())
+      more["peers"].push_back(peer.at.value + '/' + std::to_string(peer.incarnation.value));
+    log(LogLevel::info, "voters", "", node_->settled() ? "in touch with a majority" : "not in touch", more);
+  }
+
   void tick() {
     act(node_->tick(loop_.now()));
+    logStanding();
     loop_.in(ControlNode::tickEvery(), [this] { tick(); });
   }
 
@@ -226,6 +250,8 @@
   std::shared_ptr<HttpServerConnection::Shared> shared_;
   std::map<SessionNo, std::shared_ptr<SessionConnection>> sessions_;
   std::map<OperatorCallNo, std::shared_ptr<HttpServerConnection>> calls_;
+  json loggedStanding_;  // as the log has it last
+  Span unsettledLoggedAt_{};
   std::uint64_t lastSession_ = 0;
   std::uint64_t lastCall_ = 0;
   Store store_;  // last, so that its thread ends before what it tells
--- a/src/mesh/forwarding/forwarding.cpp
+++ b/src/mesh/forwarding/forwarding.cpp
@@ -1,5 +1,6 @@
 #include "mesh/forwarding/forwarding.hpp"
 
+#include <array>
 #include <charconv>
 #include <string>
 #include <vector>
@@ -28,6 +29,13 @@
 
 }  // namespace
 
+const char* nameOf(Verdict verdict) {
+  static constexpr std::array<const char*, kVerdicts> kNames{
+      "ran",         "turned_away", "full",    "leaving",    "strange", "unreachable",
+      "no_majority", "held",        "at_work", "never_came", "unknown"};
+  return kNames[static_cast<std::size_t>(verdict)];
+}
+
 std::string textOf(const ForwardRequest& ask) {
   return ask.instance.value + ';' + ask.service.value + ';' + ask.caller.value + ';' +
          std::to_string(ask.left / std::chrono::milliseconds(1)) + ';' +
--- a/src/mesh/forwarding/forwarding.hpp
+++ b/src/mesh/forwarding/forwarding.hpp
@@ -3,6 +3,7 @@
 // What two data-plane processes say to each other beside a request and its answer: one header each way, of
 // this one connection alone. It decides nothing.
 
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -63,6 +64,9 @@
   neverCame,    // it had not come when it was asked after; should it come, it is turned away
   unknown,      // it may have run, and no answer came
 };
+inline constexpr std::size_t kVerdicts = static_cast<std::size_t>(Verdict::unknown) + 1;
+/// As the log has it.
+const char* nameOf(Verdict verdict);
 
 /// What the server's process tells with whatever it answers.
 struct ForwardReply {
--- a/src/mesh/sidecar/sidecar.cpp
+++ b/src/mesh/sidecar/sidecar.cpp
@@ -62,6 +62,7 @@
         // The own caller need not wait for the way round.
         router_.told(now, act.served, true);
         servers.servers.push_back({act.served, true});
+        out.told.push_back(std::move(act.served));
         break;
     }
   }
--- a/src/mesh/sidecar/sidecar.hpp
+++ b/src/mesh/sidecar/sidecar.hpp
@@ -22,6 +22,7 @@
   RoutingActions routing;
   AdmissionActions admission;    // run, answer and cancel only
   ControlClientActions control;  // say, dial, hangUp and refused only
+  std::vector<Served> told;      // for the log: what changed about servers here
 };
 
 class Sidecar {
--- a/src/mesh/sidecar/sidecar_program.cpp
+++ b/src/mesh/sidecar/sidecar_program.cpp
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "mesh/configuration/duration_text.hpp"
+#include "mesh/forwarding/forward_counts.hpp"
 #include "mesh/sidecar/control_sessions.hpp"
 #include "mesh/sidecar/request_messages.hpp"
 #include "mesh/sidecar/server_calls.hpp"
@@ -45,6 +46,7 @@
 constexpr Span kNextLife = 900ms;   // from the end of a process until the next one takes requests
 constexpr Span kUnsent = 20ms;      // before its client's time is over, a request is not sent any more
 constexpr Span kLook = 50ms;        // between looks while it ends
+constexpr Span kCountsEvery = 5s;   // between lines of the log on how forwards ended
 constexpr Span kForwardIdle = 60s;  // a connection from another process; that one ends it first
 
 class SidecarProgram {
@@ -86,7 +88,8 @@
     signals_.on(SIGHUP, [this] { tellAnew(); });
     tellAnew();  // what changed before the handler was there
     loop_.guarded([this] { tick(); });
-    log(LogLevel::info, "start", "", "listening");
+    log(LogLevel::info, "start", "", "listening", {{"life", sidecar_.admission().life().value}});
+    logCounts();
     loop_.run();
     return 0;
   }
@@ -203,9 +206,24 @@
     for (RoutingAction& act : acts.routing) this->act(act);
     for (AdmissionAction& act : acts.admission) this->act(act);
     for (const ControlClientAction& action : acts.control) sessions_.act(action);
+    for (const Served& server : acts.told) logServer(server);
     wakeInTime();
   }
 
+  static void logServer(const Served& server) {
+    const char* const state = server.gone ? "signed off" : server.draining ? "drains" : "ready";
+    log(LogLevel::info, "server", server.id.value, state,
+        {{"life", server.life.value}, {"seq", server.seq}, {"process_leaves", server.leaving}});
+  }
+
+  void logCounts() {
+    const nlohmann::json received = received_.take();
+    const nlohmann::json sent = sent_.take();
+    if (!received.is_null() || !sent.is_null())
+      log(LogLevel::info, "forwards", "", "counted", {{"received", received}, {"sent", sent}});
+    loop_.in(kCountsEvery, [this] { logCounts(); });
+  }
+
   void act(RoutingAction& act) {
     const auto found = calls_.find(act.call);
     if (found == calls_.end()) return;
@@ -244,6 +262,7 @@
   void forwarded(CallNo call, TryNo sent, RequestOutcome how, RequestRef answer) {
     forwards_.erase(sent);
     const ForwardEnd end = forwardEnd(how, answer.get());
+    sent_.count(end.told.verdict);
     act(sidecar_.forwarded(loop_.now(), call, sent, end.result, end.told, end.status, std::move(answer)));
   }
 
@@ -255,6 +274,7 @@
     const Inside inside = std::move(found->second);
     asks_.erase(found);
     const std::string told = replyFields(act.told);
+    received_.count(act.told.verdict);
     if (!act.bytes) return inside.connection->answer(503, told, "");
     std::string fields;
     if (const auto attempt = inside.request->field(kAttempt))
@@ -368,6 +388,8 @@
   Span lastAsked_{};
   ShutdownDeadline deadline_;
   Span stoppedAt_{};
+  ForwardCounts received_;  // from other processes
+  ForwardCounts sent_;      // to them
   std::uint64_t lastCall_ = 0;
   std::uint64_t lastAsk_ = 0;
 };
--- a/tests/departures_test.cpp
+++ b/tests/departures_test.cpp
@@ -1,5 +1,5 @@
-// What servers said of their leaving, and what their end means to others: it stands in every later life of the
-// process that took it, whoever tells of it, and in whatever order.
+// What servers said of their leaving, and what their end means to others: it stands in every later life of
+// the process that took it, whoever tells of it, and in whatever order.
 
 #include <catch2/catch.hpp>
 
