Name replaced servers beside the list, so that earlier processes can read it

Change: updates name replaced servers in a field of their own, which earlier processes pass over; the case of the process that came back uses another id for the server that drains, as one that said so is not taken over later, and checks that too.

--- a/src/mesh/control/message_layout.hpp
+++ b/src/mesh/control/message_layout.hpp
@@ -172,12 +172,14 @@
 struct Layout<RegistryUpdate> {
   static constexpr const char* kind = "roster";
   static constexpr auto fields =
-      std::make_tuple(field("nodes", &RegistryUpdate::nodes), field("list", &RegistryUpdate::servers));
+      std::make_tuple(field("nodes", &RegistryUpdate::nodes), field("list", &RegistryUpdate::servers),
+                      laterField("replaced", &RegistryUpdate::replaced));
 };
 template <>
 struct Layout<ServersUpdate> {
   static constexpr const char* kind = "servers";
-  static constexpr auto fields = std::make_tuple(field("list", &ServersUpdate::servers));
+  static constexpr auto fields = std::make_tuple(field("list", &ServersUpdate::servers),
+                                                 laterField("replaced", &ServersUpdate::replaced));
 };
 template <>
 struct Layout<Follow> {
--- a/src/mesh/control/messages.cpp
+++ b/src/mesh/control/messages.cpp
@@ -20,10 +20,37 @@
 /// Items of one ItemsReply: some milliseconds' work on a slow machine, so that none holds up who reads it.
 constexpr std::size_t kItemsAMessage = 150;
 
+/// Updates of servers, which name those that were replaced beside the list.
+template <class T>
+concept TellsOfServers = requires(T update) {
+  update.servers;
+  update.replaced;
+};
+
+template <TellsOfServers T>
+T withReplacedNamed(T update) {
+  for (const News& news : update.servers) {
+    if (news.served.replaced) update.replaced.push_back(news.served.id);
+  }
+  return update;
+}
+
+template <TellsOfServers T>
+void markReplaced(T& update) {
+  for (News& news : update.servers) {
+    const auto& named = update.replaced;
+    if (std::find(named.begin(), named.end(), news.served.id) == named.end()) continue;
+    news.served.replaced = true;
+    news.served.gone = false;
+  }
+  update.replaced.clear();
+}
+
 template <class T>
 Message read(const json& text) {
   T message;
   Reader::get(text, message);
+  if constexpr (TellsOfServers<T>) markReplaced(message);
   return message;
 }
 
@@ -43,7 +70,14 @@
 
 std::string encode(const Message& message) {
   Writer writer;
-  std::visit([&](const auto& each) { writer.put(each); }, message);
+  const auto put = [&]<class T>(const T& each) {
+    if constexpr (TellsOfServers<T>) {
+      writer.put(withReplacedNamed(each));
+    } else {
+      writer.put(each);
+    }
+  };
+  std::visit(put, message);
   return writer.take();
 }
 
--- a/src/mesh/control/messages.hpp
+++ b/src/mesh/control/messages.hpp
@@ -184,9 +184,11 @@
   std::vector<std::pair<NodeName, bool>>
       nodes;  // sessions of the sender with sidecars, and whether they stand
   std::vector<News> servers;
+  std::vector<InstanceId> replaced = {};  // the codec's: those of `servers` that are
 };
 struct ServersUpdate {  // between a control process and a sidecar, both ways
   std::vector<News> servers;
+  std::vector<InstanceId> replaced = {};  // the codec's: those of `servers` that are
 };
 struct Follow {
   std::vector<ServiceName> services;
--- a/src/mesh/registry/registry_messages.cpp
+++ b/src/mesh/registry/registry_messages.cpp
@@ -9,15 +9,15 @@
 constexpr unsigned kGone = 2;
 constexpr unsigned kHeard = 4;
 constexpr unsigned kLeaves = 8;
-constexpr unsigned kReplaced = 16;  // beside kGone, which is all that earlier processes know of it
 
 }  // namespace
 
 json toJson(const News& news) {
   const Served& served = news.served;
-  const unsigned ended = served.gone ? kGone : served.replaced ? kGone | kReplaced : 0;
-  const unsigned flags =
-      (served.draining ? kDrains : 0) | ended | (news.heard ? kHeard : 0) | (served.leaving ? kLeaves : 0);
+  // Earlier processes know no difference; updates name those that were replaced in a field of its own.
+  const bool ended = served.gone || served.replaced;
+  const unsigned flags = (served.draining ? kDrains : 0) | (ended ? kGone : 0) | (news.heard ? kHeard : 0) |
+                         (served.leaving ? kLeaves : 0);
   return json::array({served.id.value, served.service.value, served.at.value, served.node.value, served.zone,
                       served.life.value, served.seq, served.capacity, flags,
                       served.coldLeft / std::chrono::milliseconds(1)});
@@ -36,8 +36,7 @@
   served.capacity = from.at(7).get<std::uint32_t>();
   const auto flags = from.at(8).get<unsigned>();
   served.draining = (flags & kDrains) != 0;
-  served.replaced = (flags & kReplaced) != 0;
-  served.gone = (flags & kGone) != 0 && !served.replaced;
+  served.gone = (flags & kGone) != 0;
   served.leaving = (flags & kLeaves) != 0;
   news.heard = (flags & kHeard) != 0;
   served.coldLeft = std::chrono::milliseconds(from.at(9).get<std::int64_t>());
--- a/tests/mesh_test.cpp
+++ b/tests/mesh_test.cpp
@@ -576,7 +576,10 @@
   Admission there = admissionWithVoters();
   Served drains = known;
   drains.draining = true;
+  drains.id = {"i4"};
   CHECK(there.adopt(0s, drains).empty());
+  drains.draining = false;
+  CHECK(there.adopt(0s, drains).empty());  // other news of it that come late
   CHECK(there.adopt(0s, served("i1")).empty());
   there.adopt(0s, known);
   Served older = known;
--- a/tests/sidecar_control_client_test.cpp
+++ b/tests/sidecar_control_client_test.cpp
@@ -343,7 +343,8 @@
   const auto taken = [&](const ControlClientActions& acts, const Address& at) {
     std::size_t count = 0;
     for (const auto& [to, update] : sentIn<ServersUpdate>(acts)) {
-      for (const News& news : update.servers) count += to == at && !registry.told(news.served).empty() ? 1 : 0;
+      for (const News& news : update.servers)
+        count += to == at && !registry.told(news.served).empty() ? 1 : 0;
     }
     return count;
   };
