--- a/src/mesh/control/control_node_messages.cpp
+++ b/src/mesh/control/control_node_messages.cpp
@@ -106,12 +106,16 @@
   welcome.zone = built_.zone;
   welcome.controls = sessions_.known();
   welcome.voters = membership_.set();
+  welcome.life = built_.life;
   welcome.highestLife = hello.control ? LifeNo{} : news_.highestLife(hello.node);
   send(no, welcome, actions);
   Heartbeat heartbeat = status(now);
   send(no, heartbeat, actions);
   if (hello.control) {
     if (sessions_.learn(now, {hello.at})) sendControls(ControlAddresses{sessions_.known()}, actions);
+    // Guards against a session with an earlier life, which ended without a word: until its silence is
+    // noticed, that process can't be replaced, nor does what it holds count.
+    if (const auto stale = sessions_.dialledToOtherLife(hello.at, hello.life)) hangUp(now, *stale, actions);
     // It hears this process, so a dial back may go at once.
     sessions_.dialSoon(hello.at);
     dial(now, actions);
@@ -127,12 +131,16 @@
   if (session == nullptr || !session->dialled) return;
   session->greeted = true;
   session->peer = welcome.self;
+  session->life = welcome.life;
   if (sessions_.learn(now, welcome.controls)) sendControls(ControlAddresses{sessions_.known()}, actions);
   membership_.peerUp(now, welcome.self, welcome.founder, welcome.holdsState);
   foundersChanged(now, actions);
   if (welcome.voters.epoch > membership_.set().epoch) takeItems(now, {itemOf(welcome.voters)}, actions);
   send(no, news_.all(), actions);
   requestItems(no, actions);
+  Effects effects;
+  reads_.reached(now, effects);
+  apply(now, std::move(effects), actions);
 }
 
 void ControlNode::take(Span now, SessionNo no, const Heartbeat& heartbeat, ControlActions& actions) {
--- a/src/mesh/control/majority_read.cpp
+++ b/src/mesh/control/majority_read.cpp
@@ -47,6 +47,15 @@
   ask(now, effects);
 }
 
+// Guards against a process that waits out a long pause, which grew while nobody could answer, before it
+// serves again.
+void MajorityRead::reached(Span now, Effects& effects) {
+  if (running_ == 0) return;
+  askAgain_ = kAskAgain;
+  fetching_.clear();
+  ask(now, effects);
+}
+
 void MajorityRead::heard(Span now, const ReadReply& reply, Effects& effects) {
   if (reply.read != running_ || running_ == 0 || reply.epoch != set_.epoch) return;
   if (!set_.contains(reply.voter)) return;
--- a/src/mesh/control/majority_read.hpp
+++ b/src/mesh/control/majority_read.hpp
@@ -26,6 +26,9 @@
   std::uint64_t join(Span now, const VoterSet& set, Effects& effects);
   /// Another set: the read under way begins anew in it.
   void voters(Span now, const VoterSet& set, Effects& effects);
+  /// A voter is reached again: what was asked of it, or what it answered, may have been lost with its
+  /// session.
+  void reached(Span now, Effects& effects);
   void heard(Span now, const ReadReply& reply, Effects& effects);
   /// The last of the items that were asked of it have been merged.
   void fetched(const Address& from, std::uint64_t read);
--- a/src/mesh/control/message_layout.hpp
+++ b/src/mesh/control/message_layout.hpp
@@ -78,11 +78,11 @@
 template <>
 struct Layout<Welcome> {
   static constexpr const char* kind = "welcome";
-  static constexpr auto fields =
-      std::make_tuple(field("format", &Welcome::format), field("self", &Welcome::self),
-                      field("founder", &Welcome::founder), field("holds", &Welcome::holdsState),
-                      field("zone", &Welcome::zone), field("controls", &Welcome::controls),
-                      field("voters", &Welcome::voters), field("life", &Welcome::highestLife));
+  static constexpr auto fields = std::make_tuple(
+      field("format", &Welcome::format), field("self", &Welcome::self), field("founder", &Welcome::founder),
+      field("holds", &Welcome::holdsState), field("zone", &Welcome::zone),
+      field("controls", &Welcome::controls), field("voters", &Welcome::voters),
+      field("life", &Welcome::highestLife), laterField("own_life", &Welcome::life));
 };
 template <>
 struct Layout<Heartbeat> {
--- a/src/mesh/control/messages.hpp
+++ b/src/mesh/control/messages.hpp
@@ -132,6 +132,7 @@
   std::vector<Address> controls;  // all known control processes
   VoterSet voters;
   LifeNo highestLife;  // known of the node that said hello; a life below it is older by its clock only
+  LifeNo life = {};    // of who answers; earlier processes leave it out
 };
 struct Heartbeat {
   std::uint64_t sequence = 0;  // of this sender to this receiver's process
--- a/src/mesh/control/peer_sessions.cpp
+++ b/src/mesh/control/peer_sessions.cpp
@@ -105,6 +105,14 @@
   if (found != known_.end() && !found->second.dialling) found->second.nextDial = Span{0};
 }
 
+std::optional<SessionNo> PeerSessions::dialledToOtherLife(const Address& at, LifeNo life) const {
+  const auto dialled = dialled_.find(at);
+  if (dialled == dialled_.end()) return std::nullopt;
+  const PeerSession& session = sessions_.at(dialled->second);
+  const bool other = session.greeted && session.life.value != 0 && session.life != life;
+  return other ? std::optional(dialled->second) : std::nullopt;
+}
+
 PeerSession* PeerSessions::find(SessionNo no) {
   const auto found = sessions_.find(no);
   return found == sessions_.end() ? nullptr : &found->second;
--- a/src/mesh/control/peer_sessions.hpp
+++ b/src/mesh/control/peer_sessions.hpp
@@ -26,7 +26,7 @@
   Address at;            // of a control process
   VoterId peer;          // of a control process, once greeted
   NodeName node;         // once a Hello came
-  LifeNo life;
+  LifeNo life;           // once greeted; 0: an earlier process, which does not tell
   Span lastHeard{};
   std::uint64_t lastSequence = 0;  // of the peer's heartbeats
   std::uint64_t digest = 0;        // of its items, as last told
@@ -57,6 +57,8 @@
   [[nodiscard]] PeerSession* find(SessionNo no);
   [[nodiscard]] std::map<SessionNo, PeerSession>& all() { return sessions_; }
   [[nodiscard]] const std::map<SessionNo, PeerSession>& all() const { return sessions_; }
+  /// The session that was dialled to that address, if it is known to be with another life of its process.
+  [[nodiscard]] std::optional<SessionNo> dialledToOtherLife(const Address& at, LifeNo life) const;
   /// The session for messages to a control process: the one dialled here, else one that it dialled.
   [[nodiscard]] std::optional<SessionNo> to(const Address& control) const;
   /// Sessions with control processes that were dialled here and are greeted, one for each process.
--- a/src/mesh/control/voter_recovery.cpp
+++ b/src/mesh/control/voter_recovery.cpp
@@ -11,6 +11,7 @@
 using namespace std::chrono_literals;
 
 constexpr Span kAskAgain = 700ms;           // without a further part, a voter is asked anew
+constexpr Span kAskFirst = 150ms;           // without a first one: it may not have had the set on disk yet
 constexpr std::size_t kPartsATick = 4;      // each of at most 64 KB; about half of a slow machine's processor
 constexpr std::size_t kMostReceivers = 16;  // more than any set has voters that recover
 
@@ -40,8 +41,10 @@
   for (const VoterId& voter : set_.voters) {
     if (voter == self_ || done_.count(voter) > 0) continue;
     Progress& progress = progress_[voter];
-    if (progress.asked && now < progress.heardAt + kAskAgain) continue;
-    progress = {0, now, true};
+    const Span patience = progress.nextPart == 0 ? progress.firstAskAgain : kAskAgain;
+    if (progress.asked && now < progress.heardAt + patience) continue;
+    const Span longer = std::min(2 * progress.firstAskAgain, kAskAgain);
+    progress = {0, now, true, progress.asked ? longer : kAskFirst};
     effects.messages.push_back({voter.at, SnapshotRequest{set_.epoch}});
   }
 }
@@ -55,7 +58,7 @@
   if (!part.promises.empty()) {
     auto read = readSnapshot(part.promises, uptime, promises);
     if (!read) {
-      progress = {0, now, true};
+      progress = {0, now, true, kAskAgain};
       return failure("recovery", read.error().what, part.voter.at.value);
     }
   }
--- a/src/mesh/control/voter_recovery.hpp
+++ b/src/mesh/control/voter_recovery.hpp
@@ -39,6 +39,7 @@
     std::uint64_t nextPart = 0;
     Span heardAt{};
     bool asked = false;
+    Span firstAskAgain{};  // until it is asked again for the first part
   };
   VoterId self_;
   bool running_ = false;
--- a/tests/control_messages_test.cpp
+++ b/tests/control_messages_test.cpp
@@ -217,7 +217,7 @@
 constexpr bool hasFields(std::index_sequence<Place...>) {
   return requires { T{(static_cast<void>(Place), AnyField{})...}; };
 }
-template <class T, std::size_t Count = 8>
+template <class T, std::size_t Count = 9>
 constexpr std::size_t fieldsIn() {
   if constexpr (Count == 0 || hasFields<T>(std::make_index_sequence<Count>()))
     return Count;
@@ -232,6 +232,9 @@
     return std::tie(value.versions, value.read, value.confirmed);
   } else if constexpr (std::is_same_v<T, Item>) {
     return std::tie(value.key, value.generation, value.dropped, value.hostname, value.value, value.print);
+  } else if constexpr (fieldsIn<T>() == 9) {
+    const auto& [a, b, c, d, e, f, g, h, i] = value;
+    return std::tie(a, b, c, d, e, f, g, h, i);
   } else if constexpr (fieldsIn<T>() == 8) {
     const auto& [a, b, c, d, e, f, g, h] = value;
     return std::tie(a, b, c, d, e, f, g, h);
--- a/tests/control_recovery_test.cpp
+++ b/tests/control_recovery_test.cpp
@@ -149,3 +149,24 @@
     requireRecovered(cluster);
   }
 }
+
+TEST_CASE("a control process that was cut off while it read serves soon after it is reached again") {
+  for (Span readsFor = 0ms; readsFor <= 200ms; readsFor += 10ms) {
+    ControlCluster cluster = founded(4);
+    cluster.kill(name(3));
+    cluster.run(100ms);
+    cluster.start(name(3));
+    cluster.run(readsFor);
+    cluster.cutOff(name(3));
+    cluster.run(20ms);
+    cluster.cutOff(name(3), false);
+    cluster.run(2s);
+    cluster.cutOff(name(3));
+    cluster.run(600ms);
+    cluster.cutOff(name(3), false);
+    // Until the ways that broke are noticed and dialled anew.
+    cluster.run(2300ms);
+    INFO("reads for " << readsFor.count() << " us before it is cut off");
+    CHECK(cluster.node(name(3)).settled());
+  }
+}
--- a/tests/departures_test.cpp
+++ b/tests/departures_test.cpp
@@ -94,3 +94,45 @@
     CHECK_FALSE(pool.pick(1s, {"desk"}, false, {}));
   }
 }
+
+TEST_CASE(
+    "servers that ended with their machine are no candidates once their process is back with another one") {
+  constexpr std::size_t kMachines = 4;
+  Registry registry;
+  ServerPool pool("z", {"caller"}, 1);
+  const auto tellAll = [&](std::uint64_t life) {
+    for (std::size_t machine = 0; machine < kMachines; ++machine) {
+      Served told = served("i" + std::to_string(machine) + "-" + std::to_string(life));
+      told.node = {"n" + std::to_string(machine)};
+      told.life = {life};
+      registry.told(told);
+    }
+    for (const News& news : registry.of({"desk"})) pool.told(0s, news.served, true);
+  };
+  for (const std::uint64_t life : {1U, 2U, 3U}) tellAll(life);
+  CHECK(pool.standing({"desk"}) == kMachines);
+  for (int i = 0; i < 200; ++i) {
+    const auto picked = pool.pick(1s, {"desk"}, false, {});
+    REQUIRE(picked);
+    CHECK(picked->id.value.ends_with("-3"));
+    pool.ended(1s, picked->id, Ending::served, std::nullopt);
+  }
+}
+
+TEST_CASE("that a process does not know its server is no doubt of the detector, and is asked again later") {
+  ServerPool pool("z", {"caller"}, 1);
+  for (const char* id : {"a", "b", "c", "d"}) pool.told(0s, served(id), true);
+  const auto unknown = [&](Span now, const InstanceId& id) {
+    while (pool.pick(now, {"desk"}, false, {})->id != id) pool.ended(now, id, Ending::full, std::nullopt);
+    pool.ended(now, id, Ending::strange, std::nullopt);
+  };
+  for (const char* id : {"a", "b", "c"}) unknown(1s, {id});
+  for (int i = 0; i < 100; ++i) CHECK(pool.pick(2s, {"desk"}, false, {})->id == InstanceId{"d"});
+  // Other news of it, or a while later.
+  pool.told(2s, served("a", 2), true);
+  std::set<InstanceId> seen;
+  for (int i = 0; i < 200; ++i) seen.insert(pool.pick(2s, {"desk"}, false, {})->id);
+  CHECK(seen == std::set<InstanceId>{{"a"}, {"d"}});
+  for (int i = 0; i < 200; ++i) seen.insert(pool.pick(9s, {"desk"}, false, {})->id);
+  CHECK(seen.size() == 4);
+}
