Acknowledge a server's leaving once two control processes have it on their disks

Cause: a drain or sign-off was acknowledged at once, while it was known to this process only; its end in the next moment, and a control plane that had not heard, took it back. The acknowledgement binds also where the machine that gave it was not in touch. Change: the sidecar asks control processes to record what its server said (ServersUpdate::record), each writes it before it confirms, and the server is answered once two have done so (one, where only one is in reach); after 0.7 s it is told to call again (503). A control process reads these records at its start and keeps them 60 s, so that the end of all of them at once loses none. Earlier processes leave the fields out: beside control processes of before no leaving is acknowledged, and servers end some seconds later without. Emulator: servers' life is a file of its own; some sign off without draining first, half of those that leave serve on for up to 6 s, and one call in twenty comes up to 3 s late.

--- a/src/lab/mesh/emulated.hpp
+++ b/src/lab/mesh/emulated.hpp
@@ -108,7 +108,9 @@
     int service = 0;
     bool up = true;
     bool draining = false;
-    Span drainAcked{-1};
+    bool signsOffFirst = false;  // once it leaves: without draining first
+    Span leavesSince{-1};        // its first word of it
+    Span drainAcked{-1};         // of its drain or sign-off
     std::uint64_t seq = 0;
     std::uint32_t busy = 0;
     double slow = 1;
@@ -124,6 +126,9 @@
     Span wakes = Span::max();
     std::uint64_t nextCall = 0;
     std::uint64_t nextAsk = 0;
+    std::uint64_t nextServerCall = 0;
+    /// Without an answer yet: of which life of the server, and whether it says that it leaves.
+    std::map<ServerCallNo, std::pair<std::uint64_t, bool>> serverCalls;
     std::map<std::uint64_t, std::uint64_t> attemptOf;  // by call
     struct Inside {
       std::uint64_t attempt;
@@ -228,7 +233,13 @@
   void cancelForward(std::size_t machine, const RoutingAction& act);
   void cancelRun(std::size_t machine, const AdmissionAction& act);
   void freeSlot(std::size_t machine, std::uint64_t serverLife);
+  // --- servers
   void beat(std::size_t machine, std::uint64_t serverLife);
+  void call(std::size_t machine, std::uint64_t serverLife, const Beat& told);
+  void callLate(std::size_t machine, std::uint64_t serverLife, const Beat& told);
+  void answered(std::size_t machine, const ServerCallAnswer& answer);
+  void beginsToLeave(std::size_t machine, std::uint64_t serverLife);
+  void ends(std::size_t machine, std::uint64_t serverLife);
   void newServer(std::size_t machine);
 
   // --- operators
--- a/src/lab/mesh/hollow_sidecar.cpp
+++ b/src/lab/mesh/hollow_sidecar.cpp
@@ -109,7 +109,7 @@
   told.zone = identity_.zone;
   told.capacity = capacity_;
   told.seq = ++beatSequence_;
-  act(sidecar_.beat(loop_.now(), told));
+  act(sidecar_.beat(loop_.now(), {beatSequence_}, told));
 }
 
 void HollowSidecar::act(SidecarActions actions) {
--- a/src/lab/mesh/world_processes.cpp
+++ b/src/lab/mesh/world_processes.cpp
@@ -85,6 +85,7 @@
   here.sidecar = std::make_unique<Sidecar>(std::move(built));
   here.asks.clear();
   here.attemptOf.clear();
+  here.serverCalls.clear();
   here.wakes = Span::max();
   act(machine, here.sidecar->tick(now_));
 }
@@ -164,6 +165,7 @@
 }
 
 void World::act(std::size_t machine, const SidecarActions& acts) {
+  for (const ServerCallAnswer& answer : acts.answers) answered(machine, answer);
   Side& here = side(machine);
   for (const RoutingAction& act : acts.routing) {
     const auto found = here.attemptOf.find(act.call.value);
--- a/src/lab/mesh/world_requests.cpp
+++ b/src/lab/mesh/world_requests.cpp
@@ -226,49 +226,4 @@
   }
 }
 
-void World::beat(std::size_t machine, std::uint64_t serverLife) {
-  Side& here = side(machine);
-  Server& server = here.server;
-  if (server.lives != serverLife || !server.up) return;
-  in(kBeat, [this, machine, serverLife] { beat(machine, serverLife); });
-  const Machine& m = machines_[machine];
-  if (m.life == 0 || m.dark || m.frozenUntil > now_) return;
-  Beat told;
-  told.id = {server.id};
-  told.service = {serviceName(server.service)};
-  told.address = {m.name + ":app"};
-  told.zone = "z" + std::to_string(m.zone);
-  told.capacity = day_.slots;
-  told.draining = server.draining;
-  told.seq = ++server.seq;
-  told.coldLeft = std::max(Span{0}, server.coldUntil - now_);
-  act(machine, here.sidecar->beat(now_, told));
-  if (server.draining && server.drainAcked < Span{0}) {
-    server.drainAcked = now_;
-    in(kDrain + 500ms, [this, machine, serverLife] {
-      Side& then = side(machine);
-      if (then.server.lives != serverLife) return;
-      if (machines_[machine].life != 0 && machines_[machine].frozenUntil <= now_) {
-        Beat gone;
-        gone.id = {then.server.id};
-        gone.gone = true;
-        act(machine, then.sidecar->beat(now_, gone));
-      }
-      newServer(machine);
-    });
-  }
-}
-
-void World::newServer(std::size_t machine) {
-  Server& server = side(machine).server;
-  const int service = server.service;
-  const std::uint64_t lives = server.lives + 1;
-  server = Server{};
-  server.service = service;
-  server.lives = lives;
-  server.id = "i-" + machines_[machine].name + "-" + std::to_string(lives);
-  server.coldUntil = now_ + 2s;
-  in(span(0.3 * fraction(network_)), [this, machine, lives] { beat(machine, lives); });
-}
-
 }  // namespace rackroute::lab::mesh::emulated
--- a/src/mesh/control/control_node.cpp
+++ b/src/mesh/control/control_node.cpp
@@ -59,6 +59,15 @@
     oldMark_ = true;
     return boost::outcome_v2::success();
   }
+  if (key.starts_with(kDepartureKey)) {
+    const json news = json::parse(value, nullptr, false);
+    try {
+      news_.restore(newsFrom(news).served);
+    } catch (const json::exception& error) {
+      return failure("store", "record " + key + " can't be read: " + error.what());
+    }
+    return boost::outcome_v2::success();
+  }
   if (key.rfind(kItemKey, 0) == 0) {
     const json item = json::parse(value, nullptr, false);
     try {
@@ -332,8 +341,9 @@
   if (auto batch = writes_.retry(now)) submit(std::move(*batch), actions);
   if (sweepAt_ <= now) {
     sweepAt_ = now + kSweep;
-    news_.sweep(now);
     std::vector<StoreEntry> entries;
+    for (const InstanceId& id : news_.sweep(now))
+      entries.emplace_back(kDepartureKey + id.value, std::nullopt);
     keys_.expire(now, entries);
     if (!entries.empty()) write(std::move(entries), {}, actions);
   }
--- a/src/mesh/control/control_node.hpp
+++ b/src/mesh/control/control_node.hpp
@@ -37,6 +37,8 @@
 
 /// The store's key of items.
 inline constexpr const char* kItemKey = "i/";
+/// The store's key of what servers said of their leaving.
+inline constexpr const char* kDepartureKey = "left/";
 
 class ControlNode {
  public:
@@ -133,6 +135,9 @@
   void write(std::vector<StoreEntry> entries, Waiting waiting, ControlActions& actions);
   static void submit(WriteBatch batch, ControlActions& actions);
   void publish(ServerNews::Out out, ControlActions& actions);
+  /// Writes what these servers said of their leaving; `then` is sent to the session once it is on disk.
+  void recordDepartures(const std::vector<News>& servers, SessionNo session,
+                        std::shared_ptr<const std::string> then, ControlActions& actions);
   void push(const std::vector<Item>& items, ControlActions& actions);
 
   // --- the configuration
--- a/src/mesh/control/control_node_messages.cpp
+++ b/src/mesh/control/control_node_messages.cpp
@@ -276,12 +276,36 @@
   ServerNews::Out out;
   news_.told(now, session->at, update, out);
   publish(std::move(out), actions);
+  recordDepartures(update.servers, {}, nullptr, actions);
 }
 
-void ControlNode::take(Span, SessionNo, const ServersUpdate& update, ControlActions& actions) {
+void ControlNode::take(Span, SessionNo from, const ServersUpdate& update, ControlActions& actions) {
   ServerNews::Out out;
   news_.told(update, out);
   publish(std::move(out), actions);
+  std::shared_ptr<const std::string> recorded;
+  if (update.record != 0) {
+    ServersUpdate answer;
+    answer.recorded = update.record;
+    recorded = std::make_shared<const std::string>(encode(answer));
+  }
+  recordDepartures(update.servers, from, std::move(recorded), actions);
+}
+
+void ControlNode::recordDepartures(const std::vector<News>& servers, SessionNo session,
+                                   std::shared_ptr<const std::string> then, ControlActions& actions) {
+  std::vector<StoreEntry> entries;
+  for (const News& news : servers) {
+    if (!news.served.draining && !news.served.gone) continue;
+    entries.emplace_back(kDepartureKey + news.served.id.value, toJson(news).dump());
+  }
+  if (entries.empty()) {
+    if (then) sendText(session, std::move(then), actions);
+    return;
+  }
+  Waiting waiting;
+  if (then) waiting.texts.emplace_back(session, std::move(then));
+  write(std::move(entries), std::move(waiting), actions);
 }
 
 void ControlNode::take(Span, SessionNo from, const Follow& follow, ControlActions& actions) {
--- a/src/mesh/control/message_layout.hpp
+++ b/src/mesh/control/message_layout.hpp
@@ -178,8 +178,9 @@
 template <>
 struct Layout<ServersUpdate> {
   static constexpr const char* kind = "servers";
-  static constexpr auto fields = std::make_tuple(field("list", &ServersUpdate::servers),
-                                                 laterField("replaced", &ServersUpdate::replaced));
+  static constexpr auto fields = std::make_tuple(
+      field("list", &ServersUpdate::servers), laterField("replaced", &ServersUpdate::replaced),
+      laterField("record", &ServersUpdate::record), laterField("recorded", &ServersUpdate::recorded));
 };
 template <>
 struct Layout<Follow> {
--- a/src/mesh/control/messages.hpp
+++ b/src/mesh/control/messages.hpp
@@ -190,6 +190,10 @@
 struct ServersUpdate {  // between a control process and a sidecar, both ways
   std::vector<News> servers;
   std::vector<InstanceId> replaced = {};  // the codec's: those of `servers` that are
+  /// Of a sidecar, not 0: the same number is to come back as `recorded` once what these servers said of their
+  /// leaving is on disk. Earlier processes leave both out.
+  std::uint64_t record = 0;
+  std::uint64_t recorded = 0;
 };
 struct Follow {
   std::vector<ServiceName> services;
--- a/src/mesh/control/server_news.hpp
+++ b/src/mesh/control/server_news.hpp
@@ -32,7 +32,10 @@
   void tellerLost(Span now, const Address& teller, Out& out);
   /// All that is heard here, for a control process that has just come up.
   [[nodiscard]] RegistryUpdate all() const;
-  void sweep(Span now) { registry_.sweep(now); }
+  /// A server whose leaving the disk tells of.
+  void restore(const Served& served) { registry_.told(served); }
+  /// Forgets what is old. Returns servers whose leaving was known.
+  std::vector<InstanceId> sweep(Span now) { return registry_.sweep(now); }
   [[nodiscard]] std::size_t members(Span now) const { return registry_.members(now); }
   [[nodiscard]] LifeNo highestLife(const NodeName& node) const { return registry_.highestLife(node); }
   [[nodiscard]] bool follows(SessionNo session) const { return follows_.count(session) > 0; }
--- a/src/mesh/registry/registry.cpp
+++ b/src/mesh/registry/registry.cpp
@@ -110,7 +110,8 @@
   }));
 }
 
-void Registry::sweep(Span now) {
+std::vector<InstanceId> Registry::sweep(Span now) {
+  std::vector<InstanceId> departed;
   for (auto at = members_.begin(); at != members_.end();) {
     const bool over = !isHeard(at->second) && at->second.lastHeard + kKeptSilent < now;
     at = over ? members_.erase(at) : std::next(at);
@@ -121,9 +122,11 @@
     // Guards against a leaving that is forgotten with its sidecar, whose next life does not know of it.
     if (server.draining || server.gone || server.replaced)
       over = departedSince_.try_emplace(at->first, now).first->second + kKeptDeparted < now;
+    if (over && (server.draining || server.gone)) departed.push_back(at->first);
     if (over) departedSince_.erase(at->first);
     at = over ? servers_.erase(at) : std::next(at);
   }
+  return departed;
 }
 
 }  // namespace rackroute::mesh
--- a/src/mesh/registry/registry.hpp
+++ b/src/mesh/registry/registry.hpp
@@ -33,8 +33,9 @@
   [[nodiscard]] std::vector<News> on(const NodeName& node) const;
   /// Members that are heard, or were a short while ago.
   [[nodiscard]] std::size_t members(Span now) const;
-  /// Forgets servers that leave or have ended, after a while, and members long silent.
-  void sweep(Span now);
+  /// Forgets servers that leave or have ended, after a while, and members long silent. Returns those of them
+  /// that had said that they leave.
+  std::vector<InstanceId> sweep(Span now);
 
  private:
   struct Member {
--- a/src/mesh/sidecar/control_client.cpp
+++ b/src/mesh/sidecar/control_client.cpp
@@ -296,7 +296,12 @@
   learn(addresses.list);
 }
 
-void ControlClient::take(Entry&, const ServersUpdate& update, ControlClientActions& acts) {
+void ControlClient::take(Entry& control, const ServersUpdate& update, ControlClientActions& acts) {
+  if (update.recorded != 0) {
+    ControlClientAction recorded = actionAt(Kind::recorded, control.first);
+    recorded.record = update.recorded;
+    acts.push_back(std::move(recorded));
+  }
   for (const News& news : update.servers) {
     ControlClientAction server = action(Kind::server);
     server.news = news;
--- a/src/mesh/sidecar/control_client.hpp
+++ b/src/mesh/sidecar/control_client.hpp
@@ -31,6 +31,7 @@
     hangUp,      // end the session
     refused,     // end the session and log the error: the control process sent what can't be taken
     server,      // news of a server
+    recorded,    // a control process has what a server said of its leaving on its disk
     configured,  // items changed
     voters,      // a newer voter set is in force; open claims are to be asked anew of all voters reached
     voterReady,  // a voter of that set can be asked for votes from now on
@@ -40,10 +41,11 @@
     members      // the number of sidecars changed
   };
   Kind kind = Kind::say;
-  Address at{};                               // say, dial, hangUp, refused, welcomed: the control process
+  Address at{};  // say, dial, hangUp, refused, welcomed, recorded: the control process
   std::shared_ptr<const std::string> text{};  // say: one message; shared by all whom the same is sent to
   Error error{};                              // refused
   News news{};                                // server
+  std::uint64_t record = 0;                   // recorded: the number that was asked for
   VoterId voter{};                            // vote, voterReady
   Epoch epoch{};                              // vote: in which it was given
   ClaimNo claim{};                            // vote
--- a/src/mesh/sidecar/sidecar.cpp
+++ b/src/mesh/sidecar/sidecar.cpp
@@ -16,6 +16,9 @@
 constexpr Span kGather = 60ms;
 // Of the memory for answers that repeats may want, one part in so many is for those whose way back broke.
 constexpr std::size_t kOutcomePart = 4;
+// Control processes that have on disk what a server said of its leaving, before it is acknowledged: one disk
+// may be lost.
+constexpr std::size_t kRecordCopies = 2;
 
 ForwardOutcomes::Limits outcomeLimits(const Admission::Built& built) {
   ForwardOutcomes::Limits limits;
@@ -95,6 +98,12 @@
         router_.told(now, act.news.served, act.news.heard);
         take(now, admission_.adopt(now, act.news.served), out);
         break;
+      case ControlClientAction::Kind::recorded: {
+        const std::size_t needed = std::clamp<std::size_t>(controlClient_.sessions(), 1, kRecordCopies);
+        for (const ServerCallNo call : departures_.recorded(act.at, act.record, needed))
+          out.answers.push_back({call, true});
+        break;
+      }
       case ControlClientAction::Kind::configured:
         if (router_.routes().services().empty()) {
           configure(now, out);
@@ -207,12 +216,28 @@
   return out;
 }
 
-SidecarActions Sidecar::beat(Span now, const Beat& beat) {
+SidecarActions Sidecar::beat(Span now, ServerCallNo call, const Beat& beat) {
   SidecarActions out;
   take(now, admission_.beat(now, beat), out);
+  const bool leaves = beat.draining || beat.gone;
+  if (!leaves || departures_.isRecorded(beat.id, beat.gone)) {
+    out.answers.push_back({call, true});
+  } else {
+    askToRecord(departures_.wait(now, call, beat.id, beat.gone), beat.id, out);
+  }
   return out;
 }
 
+// Guards against an acknowledgement that is forgotten with this process.
+void Sidecar::askToRecord(std::uint64_t number, const InstanceId& id, SidecarActions& out) {
+  ServersUpdate update;
+  update.record = number;
+  for (const Served& served : admission_.servers()) {
+    if (served.id == id) update.servers.push_back({served, true});
+  }
+  append(controlClient_.sendAll(update), out);
+}
+
 SidecarActions Sidecar::reached(Span now, const Address& control) {
   SidecarActions out;
   take(now, controlClient_.reached(now, control), out);
@@ -245,6 +270,8 @@
   take(now, admission_.tick(now), out);
   outcomes_.tick(now);
   if (controlClientTick_ <= now) {
+    for (const ServerCallNo call : departures_.overdue(now)) out.answers.push_back({call, false});
+    for (const auto& [number, id] : departures_.repeats(now)) askToRecord(number, id, out);
     controlClientTick_ = now + ControlClient::tickEvery();
     take(now, controlClient_.tick(now), out);
   }
--- a/src/mesh/sidecar/sidecar.hpp
+++ b/src/mesh/sidecar/sidecar.hpp
@@ -14,15 +14,24 @@
 #include "mesh/forwarding/forward_outcomes.hpp"
 #include "mesh/routing/request_router.hpp"
 #include "mesh/sidecar/control_client.hpp"
+#include "mesh/sidecar/departure_records.hpp"
 
 namespace rackroute::mesh {
 
+/// The answer to a call of a server.
+struct ServerCallAnswer {
+  ServerCallNo call;
+  /// False: what it said of its leaving is not on any control process's disk yet. It is to call again.
+  bool acknowledged = true;
+};
+
 /// All that the process is to do after an input, in this order.
 struct SidecarActions {
   RoutingActions routing;
   AdmissionActions admission;    // run, answer and cancel only
   ControlClientActions control;  // say, dial, hangUp and refused only
-  std::vector<Served> told;      // for the log: what changed about servers here
+  std::vector<ServerCallAnswer> answers;
+  std::vector<Served> told;  // for the log: what changed about servers here
 };
 
 class Sidecar {
@@ -44,7 +53,8 @@
   SidecarActions abandoned(Span now, CallNo no);
   /// The connection that another process's request came on has ended before its answer.
   SidecarActions forwardAbandoned(Span now, AskNo no);
-  SidecarActions beat(Span now, const Beat& beat);
+  /// A call of the server here. It is answered at once, or later where it says that it leaves.
+  SidecarActions beat(Span now, ServerCallNo call, const Beat& beat);
   SidecarActions reached(Span now, const Address& control);
   SidecarActions ended(Span now, const Address& control);
   /// One message of a control process; see ControlClient::heard.
@@ -68,6 +78,7 @@
   void take(Span now, AdmissionActions acts, SidecarActions& out);
   void take(Span now, ControlClientActions acts, SidecarActions& out);
   void tellServers(const Address& control, SidecarActions& out);
+  void askToRecord(std::uint64_t number, const InstanceId& id, SidecarActions& out);
   void askForVotes(const VoterId& voter, SidecarActions& out);
   void configure(Span now, SidecarActions& out);
   void answer(Span now, AdmissionAction act, SidecarActions& out);
@@ -77,6 +88,7 @@
   Admission admission_;
   ForwardOutcomes outcomes_;
   ControlClient controlClient_;
+  DepartureRecords departures_;
   Span controlClientTick_{};
   std::optional<Span> readsAt_;          // when the items in force are to be read as routes
   std::optional<Span> admissionCloses_;  // when nothing more is admitted
--- a/src/mesh/sidecar/sidecar_program.cpp
+++ b/src/mesh/sidecar/sidecar_program.cpp
@@ -198,14 +198,26 @@
       }
       beat = std::move(read).value();
     }
-    act(sidecar_.beat(loop_.now(), beat));
-    connection->answer(200, "Content-Type: application/json\r\n", "{}");
+    const ServerCallNo no{++lastServerCall_};
+    serverCalls_[no] = connection;
+    act(sidecar_.beat(loop_.now(), no, beat));
+  }
+
+  void answer(const ServerCallAnswer& answer) {
+    const auto found = serverCalls_.find(answer.call);
+    if (found == serverCalls_.end()) return;
+    const auto connection = std::move(found->second);
+    serverCalls_.erase(found);
+    if (answer.acknowledged) return connection->answer(200, "Content-Type: application/json\r\n", "{}");
+    log(LogLevel::warning, "server", "", "its leaving is on no disk yet: it is to call again");
+    connection->answer(503, "Retry-After: 0.2\r\n", "");
   }
 
   void act(SidecarActions acts) {
     for (RoutingAction& act : acts.routing) this->act(act);
     for (AdmissionAction& act : acts.admission) this->act(act);
     for (const ControlClientAction& action : acts.control) sessions_.act(action);
+    for (const ServerCallAnswer& each : acts.answers) answer(each);
     for (const Served& server : acts.told) logServer(server);
     wakeInTime();
   }
@@ -379,6 +391,7 @@
   std::vector<std::unique_ptr<Listener>> listeners_;
   std::map<CallNo, Inside> calls_;
   std::map<AskNo, Inside> asks_;
+  std::map<ServerCallNo, std::shared_ptr<HttpServerConnection>> serverCalls_;  // without an answer yet
   std::map<TryNo, HttpClient::InFlight> forwards_;  // to other processes, without an answer yet
   std::map<AskNo, HttpClient::InFlight> runs_;      // at the server here, without an answer yet
   sidecar::Loop::TimerId wake_;
@@ -392,6 +405,7 @@
   ForwardCounts sent_;      // to them
   std::uint64_t lastCall_ = 0;
   std::uint64_t lastAsk_ = 0;
+  std::uint64_t lastServerCall_ = 0;
 };
 
 }  // namespace
--- a/tests/sidecar_control_client_test.cpp
+++ b/tests/sidecar_control_client_test.cpp
@@ -284,7 +284,7 @@
 
 TEST_CASE("claims are asked of the voters of the set in force, and anew of those of a newer one") {
   Sidecar sidecar = sidecarWith({100});
-  sidecar.beat(0s, beatOf("i1"));
+  sidecar.beat(0s, {1}, beatOf("i1"));
   for (const Address& at : kControls) {
     sidecar.reached(0s, at);
     tell(sidecar, 0s, at, welcomeOf(voterAt(at), votersOf(1, {{"v0"}, {"v1"}})));
@@ -350,14 +350,14 @@
   };
   Sidecar before = sidecarWith({500});
   before.reached(0s, {"v0"});
-  REQUIRE(taken(before.beat(0s, beatOf("i1")).control, {"v0"}) == 1);
+  REQUIRE(taken(before.beat(0s, {1}, beatOf("i1")).control, {"v0"}) == 1);
 
   Sidecar here = sidecarWith({100});
   here.reached(0s, {"v0"});
   Welcome welcome = welcomeOf(voterAt({"v0"}), votersOf(1));
   SECTION("the break: with nothing told of the earlier life, its news is refused") {
     tell(here, 0s, {"v0"}, welcome);
-    CHECK(taken(here.beat(0s, beatOf("i1")).control, {"v0"}) == 0);
+    CHECK(taken(here.beat(0s, {1}, beatOf("i1")).control, {"v0"}) == 0);
     welcome.highestLife = {500};
     CHECK(taken(tell(here, 1s, {"v0"}, welcome).control, {"v0"}) == 1);
   }
