--- a/src/fleet/membership.cpp
+++ b/src/fleet/membership.cpp
@@ -682,11 +682,11 @@
     heard = Hearing::alone;
   } else if (others > 0) {
     const double share = static_cast<double>(view_.count(State::alive)) / others;
-    // Guards against a member that has said `partial` once and can't say `whole` again for as long as the dead
-    // are kept, which may be more than a tenth of a small fleet: who is suspected tells a cut, not who died.
+    // Guards against a member that has said `partial` once and can't say `whole` again for as long as the
+    // dead are kept, which may be more than a tenth of a small fleet: who is suspected tells a cut, not who
+    // died.
     const bool clear = hearing_ == Hearing::whole || view_.count(State::suspect) == 0;
-    if (share < (clear ? kPartialBelow : kWholeFrom) || now < stalledUntil_)
-      heard = Hearing::partial;
+    if (share < (clear ? kPartialBelow : kWholeFrom) || now < stalledUntil_) heard = Hearing::partial;
   }
   if (heard <= hearing_) worseSince_ = Span::max();
   if (heard >= hearing_) betterSince_ = Span::max();
