--- a/src/mesh/control/messages.cpp
+++ b/src/mesh/control/messages.cpp
@@ -46,6 +46,15 @@
   update.replaced.clear();
 }
 
+template <class T>
+void put(const T& message, Writer& writer) {
+  if constexpr (TellsOfServers<T>) {
+    writer.put(withReplacedNamed(message));
+  } else {
+    writer.put(message);
+  }
+}
+
 template <class T>
 Message read(const json& text) {
   T message;
@@ -70,14 +79,7 @@
 
 std::string encode(const Message& message) {
   Writer writer;
-  const auto put = [&]<class T>(const T& each) {
-    if constexpr (TellsOfServers<T>) {
-      writer.put(withReplacedNamed(each));
-    } else {
-      writer.put(each);
-    }
-  };
-  std::visit(put, message);
+  std::visit([&](const auto& each) { put(each, writer); }, message);
   return writer.take();
 }
 
--- a/src/mesh/forwarding/forward_counts.hpp
+++ b/src/mesh/forwarding/forward_counts.hpp
@@ -6,6 +6,7 @@
 #include <array>
 #include <cstdint>
 #include <nlohmann/json.hpp>
+#include <string>
 
 #include "mesh/forwarding/forwarding.hpp"
 
@@ -18,7 +19,7 @@
   nlohmann::json take() {
     nlohmann::json taken;
     for (std::size_t i = 0; i < counts_.size(); ++i) {
-      if (counts_[i] > 0) taken[nameOf(static_cast<Verdict>(i))] = counts_[i];
+      if (counts_[i] > 0) taken[std::string(nameOf(static_cast<Verdict>(i)))] = counts_[i];
     }
     counts_ = {};
     return taken;
--- a/src/mesh/forwarding/forwarding.cpp
+++ b/src/mesh/forwarding/forwarding.cpp
@@ -29,8 +29,8 @@
 
 }  // namespace
 
-const char* nameOf(Verdict verdict) {
-  static constexpr std::array<const char*, kVerdicts> kNames{
+std::string_view nameOf(Verdict verdict) {
+  static constexpr std::array<std::string_view, kVerdicts> kNames{
       "ran",         "turned_away", "full",    "leaving",    "strange", "unreachable",
       "no_majority", "held",        "at_work", "never_came", "unknown"};
   return kNames[static_cast<std::size_t>(verdict)];
--- a/src/mesh/forwarding/forwarding.hpp
+++ b/src/mesh/forwarding/forwarding.hpp
@@ -66,7 +66,7 @@
 };
 inline constexpr std::size_t kVerdicts = static_cast<std::size_t>(Verdict::unknown) + 1;
 /// As the log has it.
-const char* nameOf(Verdict verdict);
+std::string_view nameOf(Verdict verdict);
 
 /// What the server's process tells with whatever it answers.
 struct ForwardReply {
