--- a/review/standins.py
+++ b/review/standins.py
@@ -392,7 +392,8 @@
         end = time.monotonic() + self.deadline_ms / 1000
         with socket.socket() as sock:
             if self.rate:
-                sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 65536)  # a small window
+                sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 16384)  # a small window
+                sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_MAXSEG, 1400)  # packets as on a network, not as on loopback
             self.sent_at = self.record.now()
             sock.settimeout(1)
             sock.connect((self.mesh.ips[self.sidecar], 8147))
@@ -409,7 +410,7 @@
             data, opened = b"", time.monotonic()
             while True:
                 sock.settimeout(max(0.001, end - time.monotonic()))
-                chunk = sock.recv(32768)
+                chunk = sock.recv(4096 if self.rate else 32768)
                 if not chunk:
                     self.outcome = "cut"
                     return
