Log why a stopping sidecar exits and what that cuts, and who persisted a departure

Change: the exit's line has the reason, the time since SIGTERM, the event loop's lateness and the counts of open requests and executions. A departure's acknowledgement is logged with the number of control processes that persisted it, and each change of a server with whether requests are admitted.

--- a/src/mesh/admission/admission.cpp
+++ b/src/mesh/admission/admission.cpp
@@ -207,6 +207,11 @@
   return server.drainingSince == Span::max() || now < server.drainingSince + config_.drain - kDrainMargin;
 }
 
+bool Admission::admits(Span now, const InstanceId& id) const {
+  const auto found = servers_.find(id);
+  return found != servers_.end() && isOpen(now, found->second);
+}
+
 std::uint32_t Admission::capacityOf(const Server& server) const { return server.announced.capacity; }
 
 Span Admission::estimatedWait(const Server& server) const {
--- a/src/mesh/admission/admission.hpp
+++ b/src/mesh/admission/admission.hpp
@@ -104,6 +104,8 @@
   AdmissionActions leave(Span now);
   [[nodiscard]] LifeNo life() const { return config_.life; }
   [[nodiscard]] std::size_t inFlight() const { return jobs_.size(); }
+  /// Whether new requests for the server are admitted.
+  [[nodiscard]] bool admits(Span now, const InstanceId& id) const;
   [[nodiscard]] std::vector<ServerRecord> servers() const;
   [[nodiscard]] std::size_t cachedBytes() const { return cachedBytes_; }
 
--- a/src/mesh/sidecar/sidecar.cpp
+++ b/src/mesh/sidecar/sidecar.cpp
@@ -102,7 +102,7 @@
       case ControlClientAction::Kind::recorded: {
         const std::size_t needed = std::clamp<std::size_t>(controlClient_.openSessions(), 1, kRecordReplicas);
         for (const ServerCallNo call : departures_.recorded(action.at, action.record, needed))
-          out.callResponses.push_back({call, true});
+          out.callResponses.push_back({call, true, needed});
         break;
       }
       case ControlClientAction::Kind::itemsChanged:
--- a/src/mesh/sidecar/sidecar.hpp
+++ b/src/mesh/sidecar/sidecar.hpp
@@ -22,6 +22,7 @@
   ServerCallNo call;
   /// False: the departure has not been persisted by the control plane yet; the server must retry.
   bool acknowledged = true;
+  std::size_t replicas = 0;  // control processes that have persisted the departure; 0: none was required
 };
 
 /// The actions to execute after an input, in this order.
--- a/src/mesh/sidecar/sidecar_program.cpp
+++ b/src/mesh/sidecar/sidecar_program.cpp
@@ -123,7 +123,7 @@
   // restarted process will accept requests, so that it does not waste retries on this one.
   bool canComplete(const http::Message& request) {
     const Span now = loop_.now();
-    if (now >= deadline_.exitAt()) exit();
+    if (now >= deadline_.exitAt()) exit("deadline");
     const auto route =
         sidecar_.router().routes().find(request.field("Host").value_or(""), request.startLinePart(1));
     if (!route) return true;
@@ -214,6 +214,8 @@
   void respond(const ServerCallResponse& response) {
     const auto found = serverCalls_.find(response.call);
     if (found == serverCalls_.end()) return;
+    if (response.acknowledged && response.replicas > 0)
+      log(LogLevel::info, "server", "", "departure persisted", {{"replicas", response.replicas}});
     const auto connection = std::move(found->second);
     serverCalls_.erase(found);
     if (response.acknowledged) return connection->respond(200, "Content-Type: application/json\r\n", "{}");
@@ -231,10 +233,13 @@
     scheduleTick();
   }
 
-  static void logServer(const ServerRecord& server) {
+  void logServer(const ServerRecord& server) const {
     const char* const state = server.gone ? "signed off" : server.draining ? "drains" : "ready";
     log(LogLevel::info, "server", server.id.value, state,
-        {{"life", server.life.value}, {"seq", server.seq}, {"process_leaves", server.leaving}});
+        {{"life", server.life.value},
+         {"seq", server.seq},
+         {"process_leaves", server.leaving},
+         {"admits", sidecar_.admission().admits(loop_.now(), server.id)}});
   }
 
   void logForwardCounts() {
@@ -375,7 +380,8 @@
   void checkShutdown() {
     const Span now = loop_.now();
     const bool idle = calls_.empty() && inbound_.empty() && lastRequestAt_ + kIdleBeforeExit <= now;
-    if ((idle && stopStartedAt_ + kMinDrain <= now) || deadline_.exitAt() <= now) exit();
+    if (idle && stopStartedAt_ + kMinDrain <= now) exit("idle");
+    if (deadline_.exitAt() <= now) exit("deadline");
     loop_.at(now + kShutdownCheckInterval, [this, due = now + kShutdownCheckInterval] {
       deadline_.recordLateness(loop_.now(), loop_.now() - due);
       checkShutdown();
@@ -384,8 +390,13 @@
 
   // Exits without another pass over the connections and without destroying them, which can exceed the grace
   // period on a slow machine. All responses have been written; the kernel delivers them.
-  [[noreturn]] static void exit() {
-    log(LogLevel::info, "stop", "", "stopped");
+  [[noreturn]] void exit(const char* reason) {
+    log(LogLevel::info, "stop", "", "stopped",
+        {{"reason", reason},
+         {"stopping_ms", (loop_.now() - stopStartedAt_) / 1ms},
+         {"lateness_ms", deadline_.lateness() / 1ms},
+         {"open_requests", calls_.size()},
+         {"open_executions", executions_.size()}});
     std::quick_exit(0);
   }
 
