--- a/tests/departures_test.cpp
+++ b/tests/departures_test.cpp
@@ -2,9 +2,14 @@
 // and updates that arrive late, out of order or from other reporters.
 
 #include <catch2/catch.hpp>
+#include <map>
+#include <string>
+#include <variant>
 
 #include "mesh/balancing/server_pool.hpp"
+#include "mesh/control/messages.hpp"
 #include "mesh/registry/registry.hpp"
+#include "mesh/sidecar/sidecar.hpp"
 #include "mesh_fixtures.hpp"
 
 using namespace rackroute;
@@ -40,8 +45,81 @@
   return made;
 }
 
+/// A sidecar that knows two control processes, and the server "i1" on its machine.
+class SidecarOfTwoControls {
+ public:
+  SidecarOfTwoControls() : sidecar_(config()) {
+    sidecar_.tick(0s);  // dials both
+    open(0s, "c1");
+  }
+
+  void open(Span now, const char* control) {
+    sidecar_.sessionOpened(now, {control});
+    Welcome welcome;
+    welcome.self = {{control}, {1}};
+    welcome.holdsState = true;
+    sidecar_.handleMessage(now, {control}, nlohmann::json::parse(encode(welcome)));
+  }
+  void failDial(Span now, const char* control) { sidecar_.sessionClosed(now, {control}); }
+  void drain(Span now) { read(sidecar_.serverCalled(now, {1}, draining("i1", 9))); }
+  void tick(Span now) { read(sidecar_.tick(now)); }
+  /// The control process confirms the record that it was asked for last, if there is one.
+  void confirm(Span now, const char* control) {
+    const auto record = records_.find(control);
+    if (record == records_.end()) return;
+    ServersUpdate confirmation;
+    confirmation.recorded = record->second;
+    read(sidecar_.handleMessage(now, {control}, nlohmann::json::parse(encode(confirmation))));
+  }
+  [[nodiscard]] bool acknowledged() const { return acknowledged_; }
+
+ private:
+  static Sidecar::Config config() {
+    Sidecar::Config config;
+    config.admission = {{"n"}, {"here:1"}, "z", {7}, {"desk"}, {"app"}, 2500ms, 60s, 1 << 20};
+    config.controlClient = {{"n"}, {"here:1"}, "z", {7}, {{"c1"}, {"c2"}}};
+    return config;
+  }
+  void read(const SidecarActions& actions) {
+    for (const ServerCallResponse& response : actions.callResponses)
+      acknowledged_ = acknowledged_ || response.acknowledged;
+    for (const ControlClientAction& action : actions.control) {
+      if (action.kind != ControlClientAction::Kind::send) continue;
+      const Result<Message> message = decode(nlohmann::json::parse(*action.text));
+      REQUIRE(message);
+      const auto* const update = std::get_if<ServersUpdate>(&message.value());
+      if (update != nullptr && update->record != 0) records_[action.at.value] = update->record;
+    }
+  }
+
+  Sidecar sidecar_;
+  std::map<std::string, std::uint64_t> records_;
+  bool acknowledged_ = false;
+};
+
 }  // namespace
 
+TEST_CASE("a departure just after a start is not acknowledged with one copy while another can be made") {
+  SidecarOfTwoControls here;
+  here.drain(5ms);
+  here.confirm(10ms, "c1");
+  CHECK_FALSE(here.acknowledged());
+  SECTION("the second session opens, and both have the record") {
+    here.open(20ms, "c2");
+    here.tick(300ms);
+    here.confirm(305ms, "c1");
+    CHECK_FALSE(here.acknowledged());
+    here.confirm(310ms, "c2");
+    CHECK(here.acknowledged());
+  }
+  SECTION("the second control process can't be reached") {
+    here.failDial(20ms, "c2");
+    here.tick(300ms);
+    here.confirm(305ms, "c1");
+    CHECK(here.acknowledged());
+  }
+}
+
 TEST_CASE("a server that announced its departure gets no new requests after its sidecar restarted") {
   Admission here = admissionWithVoters();
   SECTION("its first heartbeat to the new sidecar reports that it drains") {
@@ -75,6 +153,28 @@
   }
 }
 
+TEST_CASE("a restart of its sidecar does not extend the time for which a draining server gets requests") {
+  Admission here = admissionWithVoters();
+  SECTION("the new run restored the server from an old record") {
+    here.adopt(0s, servedOnNode(5));
+    REQUIRE(admits(here, 0s, 1));
+    here.heartbeat(1600ms, draining("i1", 9));
+    CHECK_FALSE(admits(here, 1600ms, 2));
+  }
+  SECTION("a heartbeat from before the departure reaches the new run first") {
+    here.heartbeat(0s, heartbeat("i1", 7));
+    here.heartbeat(1300ms, draining("i1", 9));
+    CHECK_FALSE(admits(here, 1300ms, 2));
+  }
+  SECTION("no call is missing, so this run is the first to receive the departure") {
+    here.heartbeat(0s, heartbeat("i1", 7));
+    here.heartbeat(1300ms, draining("i1", 8));
+    CHECK(admits(here, 2500ms, 2));
+    here.heartbeat(2600ms, draining("i1", 9));
+    CHECK_FALSE(admits(here, 2600ms, 3));
+  }
+}
+
 TEST_CASE(
     "an announced departure persists in the registry and in callers' pools, whatever the order of updates") {
   ServerRecord ready = servedOnNode(8);
--- a/tests/forwarding_test.cpp
+++ b/tests/forwarding_test.cpp
@@ -7,6 +7,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <random>
 #include <set>
 #include <string>
@@ -149,6 +150,31 @@
   }
 }
 
+TEST_CASE("a stall of the event loop that is over does not make a stopping process cut requests early") {
+  constexpr Span kGrace = 6s;
+  for (const Span stall : {200ms, 750ms, 1500ms, 4000ms}) {
+    for (const Span stallAt : {5000ms, 7000ms, 9000ms, 9900ms, 10000ms, 11000ms, 12500ms, 14000ms}) {
+      INFO("a stall of " << stall / 1ms << " ms at " << stallAt / 1ms << " ms, stopped at 10 s");
+      ShutdownDeadline deadline(kGrace);
+      Span now = 0s;
+      std::optional<Span> handled;
+      const auto runLoop = [&] {
+        const Span due = now + 50ms;
+        const bool stalls = now <= stallAt && stallAt < due;
+        now = stalls ? due + stall : due;
+        deadline.recordLateness(now, now - due);
+        if (handled || now < 10s) return;
+        deadline.start(now);
+        handled = now;
+      };
+      while (!handled || now < deadline.exitAt()) runLoop();
+      // Servers may still be at work in the last sixth of the grace period only.
+      const Span signalled = stallAt <= 10s && stallAt + stall >= 10s ? 10s : *handled;
+      CHECK(now >= signalled + kGrace * 5 / 6 - 50ms);
+    }
+  }
+}
+
 TEST_CASE("a stopping process accepts only requests that can complete in time") {
   ShutdownDeadline deadline(6s);
   CHECK(deadline.accepts(10s, 60s, 60s));
