--- a/tests/forwarding_test.cpp
+++ b/tests/forwarding_test.cpp
@@ -175,6 +175,21 @@
   }
 }
 
+TEST_CASE(
+    "a process whose event loop stalled while it was stopped accepts nothing that its end may cut off") {
+  ShutdownDeadline deadline(6s);
+  // The signal arrived at 10 s at the earliest and was handled 2 s later: the process may be killed at 16 s.
+  deadline.recordLateness(10s, 0s);
+  SECTION("the timers run before the signal is handled") { deadline.recordLateness(12s, 2s); }
+  SECTION("the signal is handled before the timers run") {}
+  deadline.start(12s);
+  CHECK(deadline.exitAt() >= 17s);
+  CHECK(deadline.accepts(12500ms, 2s, 5s));
+  CHECK_FALSE(deadline.accepts(13s, 2s, 5s));
+  CHECK(deadline.accepts(13s, 600ms, 2s));
+  CHECK_FALSE(deadline.accepts(15200ms, 10ms, 10ms));
+}
+
 TEST_CASE("a stopping process accepts only requests that can complete in time") {
   ShutdownDeadline deadline(6s);
   CHECK(deadline.accepts(10s, 60s, 60s));
