Count a server's drain time from its departure only if no call of it is missing

What callers could see: requests at a server for longer than its drain time after its departure was acknowledged (DRAIN), if the sidecar beside it restarts meanwhile. Cause: a restarted sidecar that knows the server as ready, from an old record or from a heartbeat that was sent before the departure, counted the drain time from the first draining heartbeat that it got: 1.3 s more for each restart. Only a server that was new to the run was taken to have drained already. Change: the time counts from now only if the heartbeat follows the last one received, by its sequence number. Otherwise an earlier run may have acknowledged the departure, and the drain time is over. The rule stands in one place now.

--- a/src/mesh/admission/admission.cpp
+++ b/src/mesh/admission/admission.cpp
@@ -55,6 +55,9 @@
   const ServerRecord before = server.announced;
   server.lastHeartbeat = now;
   const bool late = !heartbeat.gone && before.seq > 0 && heartbeat.seq <= server.seq;
+  // If a call is missing, an earlier run of this process may have received it, and acknowledged the
+  // departure.
+  const bool callMissing = server.seq == 0 || heartbeat.seq != server.seq + 1;
   if (!heartbeat.gone && !late && !server.announced.gone) {
     // Another server at the same address has ended: it crashed, or was adopted after it had stopped.
     for (auto& [id, other] : servers_) {
@@ -67,7 +70,7 @@
     server.announced.replaced = false;
     server.coldUntil = now + heartbeat.coldLeft;
   }
-  markDeparture(now, server, heartbeat.draining, heartbeat.gone);
+  markDeparture(callMissing ? now - config_.drain : now, server, heartbeat.draining, heartbeat.gone);
   ServerRecord plain = server.announced;
   plain.coldLeft = before.coldLeft;
   // Other processes count the warm-up time down themselves, so a change of it alone is not announced.
@@ -89,10 +92,7 @@
   const auto departure = departed_.find(heartbeat.id);
   const bool drained = departure != departed_.end() && departure->second.draining;
   const bool gone = departure != departed_.end() && departure->second.gone;
-  // An earlier run of this process may have seen the start of the drain. Assuming that the drain time is
-  // over keeps a restart from extending it.
-  if (drained || heartbeat.draining) added.drainingSince = now - config_.drain;
-  markDeparture(now, added, drained, gone);
+  markDeparture(now - config_.drain, added, drained, gone);
   return added;
 }
 
@@ -109,8 +109,8 @@
 }
 
 // Draining and sign-off are never undone.
-void Admission::markDeparture(Span now, Server& server, bool draining, bool gone) const {
-  if ((draining || gone) && server.drainingSince == Span::max()) server.drainingSince = now;
+void Admission::markDeparture(Span since, Server& server, bool draining, bool gone) {
+  if ((draining || gone) && server.drainingSince == Span::max()) server.drainingSince = since;
   server.announced.draining = server.announced.draining || draining;
   server.announced.gone = server.announced.gone || gone;
 }
@@ -131,8 +131,7 @@
   const bool isNew =
       (served.draining && !server.announced.draining) || (served.gone && !server.announced.gone);
   if (!isNew) return;
-  if (server.drainingSince == Span::max()) server.drainingSince = now - config_.drain;
-  markDeparture(now, server, served.draining, served.gone);
+  markDeparture(now - config_.drain, server, served.draining, served.gone);
   announce(server, actions);
   refuseWaiting(now, server, actions);
 }
--- a/src/mesh/admission/admission.hpp
+++ b/src/mesh/admission/admission.hpp
@@ -113,8 +113,8 @@
   struct Server {
     ServerRecord announced;
     Address address;
-    std::uint64_t seq = 0;             // of its last heartbeat
-    Span drainingSince = Span::max();  // a full drain time ago, if it drained when first seen here
+    std::uint64_t seq = 0;             // of its last heartbeat; 0: none was received in this run
+    Span drainingSince = Span::max();  // see markDeparture()
     Span coldUntil{};
     std::uint32_t busy = 0;
     std::deque<InboundRequestId> waiting;  // by value per second, then by arrival
@@ -149,7 +149,9 @@
   void announce(Server& server, AdmissionActions& actions);
   Server& findOrAddServer(Span now, const ServerHeartbeat& heartbeat);
   void evictIdleServer();
-  void markDeparture(Span now, Server& server, bool draining, bool gone) const;
+  /// since: when the departure was first received; a drain time ago if an earlier run may have received it,
+  /// so that a restart does not extend the drain.
+  static void markDeparture(Span since, Server& server, bool draining, bool gone);
   /// Applies a departure that other processes know of.
   void applyKnownDeparture(Span now, const ServerRecord& served, AdmissionActions& actions);
   void markReplaced(Span now, Server& server, AdmissionActions& actions);
