Require a second copy of a departure while another control process may be reached

What callers could see: requests at a server for longer than its drain time after its departure was acknowledged (DRAIN), if the sidecar beside it and the one control process that has the departure end or are cut off. Cause: a departure counted as recorded on as many control processes as had an open session. A sidecar of a few milliseconds has one session or none, so one copy was enough just after each start, while the other dials were still under way. Change: control processes whose first dial has not ended count, too. A dial ends within 0.4 s and the record is requested again each 0.2 s, within the 0.7 s that the server's call waits. openSessions(), which nothing used any more, is replaced by reachableControls(); its one check in a test now holds the wider count, which includes all open sessions.

--- a/src/mesh/sidecar/control_client.cpp
+++ b/src/mesh/sidecar/control_client.cpp
@@ -189,6 +189,7 @@
 void ControlClient::markDown(ControlProcess& control, Span redialAfter) {
   if (control.up) control.downSince = now_;
   control.up = false;
+  control.reachable = false;
   control.nextDial = now_ + redialAfter;
   control.followed.clear();
 }
@@ -533,9 +534,9 @@
   return actions;
 }
 
-std::size_t ControlClient::openSessions() const {
-  return static_cast<std::size_t>(
-      std::count_if(controls_.begin(), controls_.end(), [](const auto& entry) { return entry.second.up; }));
+std::size_t ControlClient::reachableControls() const {
+  return static_cast<std::size_t>(std::count_if(controls_.begin(), controls_.end(),
+                                                [](const auto& entry) { return entry.second.reachable; }));
 }
 
 }  // namespace rackroute::mesh
--- a/src/mesh/sidecar/control_client.hpp
+++ b/src/mesh/sidecar/control_client.hpp
@@ -96,7 +96,8 @@
   /// earliest). A control plane without a majority thus delays a start by at most 3 s plus the fetch. Once
   /// true, stays true.
   [[nodiscard]] bool ready(Span now) const;
-  [[nodiscard]] std::size_t openSessions() const;
+  /// Number of control processes with an open session, or whose first dial has not ended yet.
+  [[nodiscard]] std::size_t reachableControls() const;
   /// Number of known control process addresses, connected or not.
   [[nodiscard]] std::size_t knownControls() const { return controls_.size(); }
   [[nodiscard]] std::size_t memberCount() const { return memberCount_; }
@@ -106,8 +107,9 @@
  private:
   struct ControlProcess {
     bool up = false;
-    Span nextDial{};   // earliest time of the next dial
-    Span downSince{};  // if not up
+    bool reachable = true;  // no dial has failed, and no session was closed, since it was last up
+    Span nextDial{};        // earliest time of the next dial
+    Span downSince{};       // if not up
     Span receivedAt{};
     Span heartbeatSentAt{};
     std::uint64_t sequence = 0;              // of the last heartbeat sent
--- a/src/mesh/sidecar/sidecar.cpp
+++ b/src/mesh/sidecar/sidecar.cpp
@@ -100,7 +100,8 @@
         handle(now, admission_.adopt(now, action.serverStatus.served), out);
         break;
       case ControlClientAction::Kind::recorded: {
-        const std::size_t needed = std::clamp<std::size_t>(controlClient_.openSessions(), 1, kRecordReplicas);
+        const std::size_t needed =
+            std::clamp<std::size_t>(controlClient_.reachableControls(), 1, kRecordReplicas);
         for (const ServerCallNo call : departures_.recorded(action.at, action.record, needed))
           out.callResponses.push_back({call, true, needed});
         break;
--- a/tests/sidecar_control_client_test.cpp
+++ b/tests/sidecar_control_client_test.cpp
@@ -227,7 +227,7 @@
   CHECK_FALSE(actions.front().error.step.empty());
   CHECK(client.items().all().empty());
   CHECK(client.voters().epoch.value == 0);
-  CHECK(client.openSessions() == 0);
+  CHECK(client.reachableControls() == 0);
   // The dial is delayed, so that a peer that always sends invalid messages does not flood the log.
   CHECK(countActions(client.tick(1900ms), Kind::dial) == 0);
   CHECK(countActions(client.tick(2s), Kind::dial) == 1);
