Tell a sidecar that connects of its own servers' departures, from every control process

What callers could see: as before, requests at a server after its drain time (DRAIN), if a restarted sidecar takes its server over from a control process that was cut off when the departure was recorded. Cause: a sidecar learned of its own server only from the one control process that it follows for the server's service. Two others may have the departure on disk and are connected, but said nothing of it. Change: a control process answers a sidecar's greeting with the departures of that sidecar's servers, if there are any. Evidence: the new test fails without the change (no update at all before the sidecar follows a service) and passes with it for each of three control processes.

--- a/src/mesh/control/control_node_messages.cpp
+++ b/src/mesh/control/control_node_messages.cpp
@@ -127,6 +127,10 @@
   }
   RegistryPublisher::Updates updates;
   registry_.sidecarConnected(now, hello.node, updates);
+  // Sent by all control processes: the one that the sidecar follows may not know of a departure that an
+  // earlier run of the sidecar acknowledged.
+  const ServersUpdate departures = registry_.departuresOn(hello.node);
+  if (!departures.servers.empty()) send(no, departures, actions);
   publish(std::move(updates), actions);
 }
 
--- a/src/mesh/control/registry_publisher.cpp
+++ b/src/mesh/control/registry_publisher.cpp
@@ -70,6 +70,14 @@
   return update;
 }
 
+ServersUpdate RegistryPublisher::departuresOn(const NodeName& node) const {
+  ServersUpdate update;
+  for (ServerStatus& status : registry_.serversOn(node)) {
+    if (status.served.draining || status.served.gone) update.servers.push_back(std::move(status));
+  }
+  return update;
+}
+
 void RegistryPublisher::notifyFollowers(const std::vector<ServerStatus>& changed, Updates& updates) const {
   std::map<std::vector<std::size_t>, std::vector<SessionNo>> recipients;  // by followed indices of changed
   for (const auto& [session, services] : follows_) {
--- a/src/mesh/control/registry_publisher.hpp
+++ b/src/mesh/control/registry_publisher.hpp
@@ -33,6 +33,8 @@
   void reporterLost(Span now, const Address& reporter, Updates& updates);
   /// The sidecars connected to this process and their servers, for a control process that has just connected.
   [[nodiscard]] RegistryUpdate localState() const;
+  /// The servers on that node that drain or have signed off.
+  [[nodiscard]] ServersUpdate departuresOn(const NodeName& node) const;
   /// Restores a server whose departure is recorded on disk.
   void restore(const ServerRecord& served) { registry_.update(served); }
   /// Removes expired entries. Returns the removed servers that had announced their departure.
--- a/tests/departures_test.cpp
+++ b/tests/departures_test.cpp
@@ -6,6 +6,7 @@
 #include <string>
 #include <variant>
 
+#include "control_requests.hpp"
 #include "mesh/balancing/server_pool.hpp"
 #include "mesh/control/messages.hpp"
 #include "mesh/registry/registry.hpp"
@@ -120,6 +121,28 @@
   }
 }
 
+TEST_CASE("a sidecar that connects learns which of its servers depart from any control process that knows") {
+  test::ControlCluster cluster = test::foundedCluster(3);
+  ServersUpdate report;
+  report.record = 1;
+  ServerRecord drains = servedOnNode(7);
+  drains.draining = true;
+  report.servers = {{drains, true}, {served("i9"), true}};
+  const std::uint64_t first = cluster.connectSidecar(test::name(0), "n");
+  cluster.sendMessage(first, report);
+  cluster.run(100ms);
+  for (const std::string& at : test::names(3)) {
+    INFO("control process " << at);
+    // It does not follow any service yet.
+    const std::uint64_t session = cluster.connectSidecar(at, "n");
+    const auto* const update = cluster.last<ServersUpdate>(session);
+    REQUIRE(update != nullptr);
+    REQUIRE(update->servers.size() == 1);
+    CHECK(update->servers[0].served.id == InstanceId{"i1"});
+    CHECK(update->servers[0].served.draining);
+  }
+}
+
 TEST_CASE("a server that announced its departure gets no new requests after its sidecar restarted") {
   Admission here = admissionWithVoters();
   SECTION("its first heartbeat to the new sidecar reports that it drains") {
