Draw the balancer's random numbers alike on x86-64 and arm64

Cause: "one of a thousand balancers does not always have an execution in flight when responses are late" failed each time on arm64 (109 of 120 sent, bound 100). std::generate_canonical<double, 24> takes the logarithm of the generator's range as long double: with the 128 bits of arm64 it truncates to 23, so each number took two draws there (shown by a counting generator) instead of one. Change: a number is one draw divided by the range, which is what the template does with one draw. Not run on x86-64 here; by the template's definition one draw there gives the same number as before.

--- a/src/decide/balancer.cpp
+++ b/src/decide/balancer.cpp
@@ -289,7 +289,8 @@
 
  private:
   static double statsTime(Span now) { return std::clamp(seconds(now), 1.0, seconds(kBucket) * kBuckets); }
-  double draw() { return std::generate_canonical<double, 24>(random_); }
+  // In [0, 1). std::generate_canonical takes one or two numbers here, depending on the size of long double.
+  double draw() { return static_cast<double>(random_()) / (1.0 + decltype(random_)::max()); }
   [[nodiscard]] const UseCase& useCase(const QueryState& query) const {
     return config_.useCases[query.request.useCase.value];
   }
