--- a/src/decide/balancer.cpp
+++ b/src/decide/balancer.cpp
@@ -289,8 +289,7 @@
 
  private:
   static double statsTime(Span now) { return std::clamp(seconds(now), 1.0, seconds(kBucket) * kBuckets); }
-  // In [0, 1). std::generate_canonical takes one or two numbers here, depending on the size of long double.
-  double draw() { return static_cast<double>(random_()) / (1.0 + decltype(random_)::max()); }
+  double draw() { return static_cast<double>(random_()) / (1.0 + decltype(random_)::max()); }  // in [0, 1)
   [[nodiscard]] const UseCase& useCase(const QueryState& query) const {
     return config_.useCases[query.request.useCase.value];
   }
