Put back reasons behind constants that the rewording of comments had dropped

Need: the rewording of the code's comments deleted some that gave the reason for a constant or a rule. No code changed: the sources without comments and white space are the same before and after (compared file by file).

--- a/src/decide/balancer.cpp
+++ b/src/decide/balancer.cpp
@@ -24,46 +24,46 @@
 
 constexpr std::uint32_t kFailuresToEject = 5;  // consecutive failures of a server
 constexpr std::uint32_t kErrorsToExclude = 2;  // consecutive errors of one use case at a server
-constexpr Span kEjectTime = 10s;
-constexpr double kEjectJitter = 0.3;       // of the eject time, so that trials are spread
-constexpr double kMaxExcludedShare = 0.5;  // of the pool
-constexpr double kWeightStep = 0.1;        // regained per success; full weight is 1
-constexpr double kMinWeight = 0.05;
+constexpr Span kEjectTime = 10s;               // failures of servers last 5 s to 35 s
+constexpr double kEjectJitter = 0.3;           // of the eject time, so that trials are spread
+constexpr double kMaxExcludedShare = 0.5;      // of the pool
+constexpr double kWeightStep = 0.1;            // regained per success; full weight is 1
+constexpr double kMinWeight = 0.05;            // keeps a failing server in sight
 constexpr double kSlowFactor = 1.25;        // of the pool's mean expected latency; slower servers are skipped
 constexpr double kOwnZonePreference = 6.0;  // weight factor of servers in the own zone
-constexpr std::size_t kHomesPerKey = 2;     // servers that a key is sent to
+constexpr std::size_t kHomesPerKey = 2;     // servers of a key; the second takes what the first cannot
 constexpr double kHomeFactor = 1.2;         // relative to kSlowFactor, for a key's home
 constexpr double kMaxListedLoad = 6;        // mean queries per core; limits shrink above it
-constexpr double kListedLoadExponent = 0.5;
-constexpr double kMaxSpeed = 2;             // of the mean speed; its inverse is the minimum
+constexpr double kListedLoadExponent = 0.5;  // below 1, as the list shows the load late
+constexpr double kMaxSpeed = 2;  // of the mean speed; its inverse is the minimum, as reports are noisy
 constexpr double kSuspectDropShare = 0.5;   // a complete list that drops more servers is confirmed first
-constexpr double kColdSafetyFactor = 0.65;  // of the load that overloads a cold server
+constexpr double kColdSafetyFactor = 0.65;  // of a cold server's overload; work varies about twofold
 constexpr double kInitialLimit = 4.0;       // concurrent executions per server, of all balancers
 constexpr double kMinLimit = 0.2;           // likewise
 constexpr double kLimitStep = 0.07;         // per fast response
-constexpr double kLimitCut = 0.7;           // factor per slow response
-constexpr double kFastResponse = 0.5;       // of the SLO time
-constexpr double kOverdueFactor = 3.0;      // of the mean latency
-constexpr double kSlowResponse = 0.6;       // of the SLO time
+constexpr double kLimitCut = 0.7;           // factor per slow response; two in a row halve the limit
+constexpr double kFastResponse = 0.5;       // of the SLO time; slower ones mean a queue at the server
+constexpr double kOverdueFactor = 3.0;      // of the mean latency; healthy servers stay below it
+constexpr double kSlowResponse = 0.6;       // of the SLO time; leaves the rest for the queue here
 constexpr double kMinConcurrency = 2.4;     // limits stay above this multiple of what recent throughput needs
 constexpr double kMinListedConcurrency = 1.2;  // likewise, if the list reports load
 constexpr double kMinSamples = 5;              // for a mean
-constexpr double kMinSubset = 3;               // servers
-constexpr double kMinUsers = 8;                // balancers that have a server in their subset
-constexpr double kResponsesPerMember = 32;     // in a statistics window; the subset grows with them
-constexpr double kMaxSaved = 3;                // mean executions that may be saved up below the limits
-constexpr Span kCallTime = 100ms;
-constexpr Span kMaxCallSpread = 4s;  // for the first discovery calls of all balancers
-constexpr Span kMinBackoff = 250ms;
-constexpr Span kMaxBackoff = 4s;
+constexpr double kMinSubset = 3;               // servers; outlasts two failures and can still compare
+constexpr double kMinUsers = 8;             // balancers that have a server in their subset; fewer are uneven
+constexpr double kResponsesPerMember = 32;  // in a statistics window; the subset grows with them
+constexpr double kMaxSaved = 3;             // mean executions that may be saved up below the limits
+constexpr Span kCallTime = 100ms;           // of discovery, for a whole list of some dozen servers
+constexpr Span kMaxCallSpread = 4s;         // for the first discovery calls of all balancers
+constexpr Span kMinBackoff = 250ms;         // of failed discovery calls
+constexpr Span kMaxBackoff = 4s;            // well below the time for which a list may stay unrefreshed
 constexpr double kMinCompletedShare = 0.5;  // bounds the priority boost of a use case that is rarely served
 constexpr double kLatencyMargin = 1.5;      // factor on the mean latency when checking a deadline
-constexpr double kAccountTolerance = 1.15;  // factor on an account's share
+constexpr double kAccountTolerance = 1.15;  // factor on an account's share; a balancer sees part of the mix
 constexpr Span kMinErrorSpan = 1s;          // duration of a short run of errors that excludes a use case
-constexpr Span kFullBackoff = 400ms;
-constexpr Span kMinQueueRecheck = 20ms;
-constexpr Span kRetryAfter = 150ms;
-constexpr double kInitialLatency = 0.15;  // seconds, until the first response
+constexpr Span kFullBackoff = 400ms;        // after a refusal at capacity; the work of a few queries
+constexpr Span kMinQueueRecheck = 20ms;     // while queries wait; well below any SLO time
+constexpr Span kRetryAfter = 150ms;         // leaves a client's retry a chance within the SLO time
+constexpr double kInitialLatency = 0.15;    // seconds, until the first response
 
 double seconds(Span span) { return std::chrono::duration<double>(span).count(); }
 Span scaled(Span span, double factor) {
@@ -83,7 +83,7 @@
                                                                                 : ExecState::mayHaveExecuted;
 }
 
-bool isFailure(Outcome outcome) {
+bool isFailure(Outcome outcome) {  // a refusal at capacity is none; a cancellation says nothing
   return outcome == Outcome::error || outcome == Outcome::timeout || outcome == Outcome::connectFailed ||
          outcome == Outcome::reset;
 }
--- a/src/mesh/admission/admission.cpp
+++ b/src/mesh/admission/admission.cpp
@@ -14,15 +14,16 @@
 constexpr Span kDrainMargin = 1200ms;
 // Longest time in the queue, as a share of the route's target time.
 constexpr double kMaxWaitShare = 0.4;
-// Lower bound of that time, for routes with a short target time and for late requests.
+// Lower bound of that time, for routes with a short target time and for late requests: a few slots become
+// free within it.
 constexpr Span kMinWait = 60ms;
 // Expected execution time of a route that has not run yet, as a share of its target time.
 constexpr double kUnknownRouteShare = 0.25;
 // Factor on the value of a request that can't meet its target time any more.
 constexpr double kLateValueFactor = 0.2;
-// Timeout for a quorum of votes.
+// Timeout for a quorum of votes, which a slow disk or a large configuration under way delays.
 constexpr Span kClaimTimeout = 450ms;
-// Requests with less time left are not sent to a server.
+// Requests with less time left are not sent to a server: none answers faster.
 constexpr Span kMinTimeLeft = 15ms;
 // Time to deliver a refusal before the client's deadline.
 constexpr Span kReplyMargin = 40ms;
@@ -30,9 +31,9 @@
 constexpr double kMeanWeight = 0.1;
 // Time beyond the key window for which a completed operation is remembered.
 constexpr Span kOperationRetentionMargin = 10s;
-constexpr std::size_t kMaxRouteMeans = 10'000;
+constexpr std::size_t kMaxRouteMeans = 10'000;  // routes
 constexpr std::uint32_t kMisdirectedRequest = 421;
-constexpr std::size_t kMaxServers = 256;
+constexpr std::size_t kMaxServers = 256;  // of the machine within kServerExpiry
 // A server without heartbeats for this long is forgotten.
 constexpr Span kServerExpiry = 60s;
 
--- a/src/mesh/claims/claims.cpp
+++ b/src/mesh/claims/claims.cpp
@@ -8,7 +8,7 @@
 
 constexpr Span kUndecidedBackoff = std::chrono::milliseconds(250);  // about the time limit of a claim
 constexpr Span kSlowVoterLimit = std::chrono::milliseconds(400);  // voters undecided for longer count as down
-constexpr Span kNoQuorumBackoff = std::chrono::seconds(1);
+constexpr Span kNoQuorumBackoff = std::chrono::seconds(1);  // machines that lost power are back in 2 to 3 s
 
 /// The holder that most voters named. In a tie any of them, because none of them can have won.
 std::optional<Holder> mostNamedHolder(const std::vector<Holder>& named) {
--- a/src/mesh/control/order_proposer.cpp
+++ b/src/mesh/control/order_proposer.cpp
@@ -12,16 +12,16 @@
 using namespace std::chrono_literals;
 
 constexpr Span kBallotTimeout = 250ms;  // two round trips with a disk write each
-constexpr Span kMaxBallotTimeout = 2s;
+constexpr Span kMaxBallotTimeout = 2s;  // after failures, for large orders on slow disks
 constexpr Span kInitialBackoff = 20ms;  // upper bound of the random delay; doubles with each failure
 constexpr Span kMaxBackoff = 640ms;
-constexpr Span kBlockedTimeout = 500ms;
-constexpr Span kLaterVersionWait = 60ms;  // for the decision or the items of a later version
-constexpr unsigned kMaxLaterVersionWaits = 8;
+constexpr Span kBlockedTimeout = 500ms;        // for an accepted order that is completed first
+constexpr Span kLaterVersionWait = 60ms;       // for the decision or the items of a later version
+constexpr unsigned kMaxLaterVersionWaits = 8;  // within the time of an operator's call
 constexpr std::size_t kMaxCallProposals = 64;  // proposals started by calls; bounds memory and contention
 constexpr std::size_t kMaxProposals = 128;     // including those that complete accepted orders
-constexpr std::uint64_t kRoundsPerReservation = 1024;
-constexpr std::uint64_t kMaxPlausibleCounter = kCounterMask / 2;
+constexpr std::uint64_t kRoundsPerReservation = 1024;             // with one disk write
+constexpr std::uint64_t kMaxPlausibleCounter = kCounterMask / 2;  // no process reaches it
 
 Span doubled(Span first, unsigned times, Span limit) {
   constexpr unsigned kMaxDoublings = 16;  // prevents overflow of the shift
--- a/src/mesh/control/peer_sessions.cpp
+++ b/src/mesh/control/peer_sessions.cpp
@@ -8,9 +8,9 @@
 
 using namespace std::chrono_literals;
 
-constexpr Span kSessionTimeout = 1700ms;  // several heartbeat intervals
-constexpr Span kRedialDelay = 150ms;      // after a failed dial or a closed session
-constexpr Span kDialTimeout = 450ms;
+constexpr Span kSessionTimeout = 1700ms;        // several heartbeat intervals
+constexpr Span kRedialDelay = 150ms;            // after a failed dial or a closed session
+constexpr Span kDialTimeout = 450ms;            // a hanging dial is given up
 constexpr Span kForgetAfter = 30s;              // for unreachable addresses of neither voters nor seeds
 constexpr std::size_t kMaxOtherAddresses = 32;  // besides the voters and the seeds
 
--- a/src/mesh/routing/request_router.cpp
+++ b/src/mesh/routing/request_router.cpp
@@ -15,12 +15,12 @@
 constexpr std::size_t kAssumedProcesses = 100;
 // Refusals after which a request is given up.
 constexpr std::uint32_t kMaxRefusals = 4;
-// Requests with less time left are not sent.
+// Requests with less time left are not sent: none is answered faster.
 constexpr Span kMinTimeLeft = 20ms;
-constexpr Span kMinRetryAfter = 50ms;
-constexpr Span kMaxRetryAfter = 400ms;
-constexpr Span kNoServerRetryAfter = 300ms;
-constexpr Span kOutcomeUnknownRetryAfter = 1s;
+constexpr Span kMinRetryAfter = 50ms;        // the shortest time in which a queue shrinks
+constexpr Span kMaxRetryAfter = 400ms;       // clients wait at most a third of the time that they have left
+constexpr Span kNoServerRetryAfter = 300ms;  // about the time until an update of the servers arrives
+constexpr Span kOutcomeUnknownRetryAfter = 1s;  // the outcome of an earlier run is not known
 // A hedged attempt starts after this multiple of the mean answer time, and not before this share of the
 // target time.
 constexpr double kHedgeMeanFactor = 3;
--- a/src/mesh/sidecar/shutdown_deadline.hpp
+++ b/src/mesh/sidecar/shutdown_deadline.hpp
@@ -71,7 +71,8 @@
   static constexpr Span kMinReserve = std::chrono::milliseconds(400);      // of the grace period
   static constexpr Span kResponseMargin = std::chrono::milliseconds(150);  // for the response to be sent
   static constexpr Span kHalfMargin = std::chrono::milliseconds(400);      // maximum delay from a client
-  static constexpr int kReserveShare = 8;  // 1/n of the grace period is reserved, if that is more
+  static constexpr int kReserveShare =
+      8;  // 1/n of the grace period, if that is more: a pass over many sockets
   /// Times the lateness is reserved: for the last loop iteration and the exit.
   static constexpr int kLatenessFactor = 2;
 
--- a/src/mesh/sidecar/sidecar_program.cpp
+++ b/src/mesh/sidecar/sidecar_program.cpp
@@ -30,7 +30,7 @@
 
 using namespace std::chrono_literals;
 
-constexpr Span kForwardDialTimeout = 300ms;  // to another sidecar
+constexpr Span kForwardDialTimeout = 300ms;  // to another sidecar; many round trips
 constexpr Span kServerDialTimeout = 500ms;   // to the local server, whose accept queue may be full
 constexpr Span kForwardIdleTimeout = 20s;    // shorter than the other side's kInboundIdleTimeout
 constexpr Span kServerIdleTimeout = 4s;      // to the server, unless it sends Keep-Alive
--- a/src/mesh/transport/compression.cpp
+++ b/src/mesh/transport/compression.cpp
@@ -7,8 +7,8 @@
 namespace rackroute::mesh {
 namespace {
 
-constexpr std::size_t kMinSize = 4096;  // bytes
-constexpr int kLevel = 3;               // zlib compression level
+constexpr std::size_t kMinSize = 4096;  // bytes; smaller messages fit a few packets as they are
+constexpr int kLevel = 3;  // of zlib; the next levels take twice the time for a tenth of the bytes
 
 }  // namespace
 
--- a/src/mesh/transport/http_client.cpp
+++ b/src/mesh/transport/http_client.cpp
@@ -18,7 +18,7 @@
 using http::ParseStatus;
 using sidecar::CloseReason;
 
-constexpr Span kKeepAliveMargin = 700ms;  // before the idle timeout that a peer announced
+constexpr Span kKeepAliveMargin = 700ms;  // before the idle timeout that a peer announced: its clock, a trip
 constexpr int kKeepAliveSeconds = 1;      // idle time before, and interval between, TCP keepalive probes
 
 /// The timeout of a Keep-Alive header, either timeout=N or a bare number of seconds.
--- a/src/mesh/transport/listener.cpp
+++ b/src/mesh/transport/listener.cpp
@@ -15,7 +15,7 @@
 
 using namespace std::chrono_literals;
 
-constexpr int kBacklog = 512;
+constexpr int kBacklog = 512;           // holds a burst of connections between two turns of the loop
 constexpr int kMaxAcceptsPerTurn = 32;  // so that a burst of connections does not delay requests
 constexpr Span kAcceptPause = 20ms;     // when no file descriptors are left
 
--- a/src/mesh/transport/session_connection.cpp
+++ b/src/mesh/transport/session_connection.cpp
@@ -17,7 +17,7 @@
 
 using sidecar::CloseReason;
 
-constexpr std::size_t kMaxMessage = 16 << 20;                 // bytes
+constexpr std::size_t kMaxMessage = 16 << 20;                 // bytes; the largest configuration
 constexpr std::size_t kMaxBacklog = 24 << 20;                 // bytes waiting to be sent to a peer
 constexpr int kUserTimeoutMs = 2500;                          // TCP_USER_TIMEOUT, milliseconds
 constexpr Span kMessagePause = std::chrono::milliseconds(1);  // between two compressed messages
