Keep a closing connection open until its bytes are written, and a stopping sidecar too

What callers saw: a large answer over a slow link was cut a second after it was queued, if the sidecar was stopping or the client asked to close (LOST). Cause: the second for which a closing connection waits for its peer ran from the call and not from the last byte written, and its end closes the socket. A stopping sidecar counted a request as done once its answer was queued, and exited. Change: the wait counts from the last byte written. Before, each piece that the peer takes restarts a bound of 5 s, so a peer that takes nothing still ends. A stopping sidecar is idle only when all answers have been passed to the system. It holds for client connections, those between sidecars and the balancer's program, which use the same class.

--- a/src/mesh/sidecar/sidecar_program.cpp
+++ b/src/mesh/sidecar/sidecar_program.cpp
@@ -379,7 +379,8 @@
 
   void checkShutdown() {
     const Span now = loop_.now();
-    const bool idle = calls_.empty() && inbound_.empty() && lastRequestAt_ + kIdleBeforeExit <= now;
+    const bool idle = calls_.empty() && inbound_.empty() && lastRequestAt_ + kIdleBeforeExit <= now &&
+                      clientListener_->allWritten() && forwardListener_->allWritten();
     if (idle && stopStartedAt_ + kMinDrain <= now) exit("idle");
     if (deadline_.exitAt() <= now) exit("deadline");
     loop_.at(now + kShutdownCheckInterval, [this, due = now + kShutdownCheckInterval] {
@@ -389,7 +390,7 @@
   }
 
   // Exits without another pass over the connections and without destroying them, which can exceed the grace
-  // period on a slow machine. All responses have been written; the kernel delivers them.
+  // period on a slow machine. The system delivers what has been written.
   [[noreturn]] void exit(const char* reason) {
     log(LogLevel::info, "stop", "", "stopped",
         {{"reason", reason},
--- a/src/mesh/transport/http_server_connection.hpp
+++ b/src/mesh/transport/http_server_connection.hpp
@@ -3,6 +3,7 @@
 // A server-side HTTP connection. Reads requests one at a time, each with its complete body, and writes the
 // responses. Invariant: a response is never sent to a request that it does not belong to.
 
+#include <algorithm>
 #include <functional>
 #include <map>
 #include <memory>
@@ -28,6 +29,11 @@
     bool draining = false;  // each connection is closed after its next response
     /// All open connections.
     std::map<const HttpServerConnection*, std::shared_ptr<HttpServerConnection>> connections{};
+    /// Whether the bytes of all responses have been passed to the system.
+    [[nodiscard]] bool allWritten() const {
+      return std::all_of(connections.begin(), connections.end(),
+                         [](const auto& entry) { return entry.second->Connection::allWritten(); });
+    }
   };
   HttpServerConnection(sidecar::Loop& loop, std::shared_ptr<ListenerContext> context,
                        Poco::Net::StreamSocket socket, std::string peer);
--- a/src/sidecar/connection.cpp
+++ b/src/sidecar/connection.cpp
@@ -90,10 +90,18 @@
   pauseReading(false);
   finishing_ = true;
   finishReason_ = reason;
-  lingerTimer_ = loop_.after(lingerTimeout_, [this] { end(finishReason_); });
+  startLingerTimer();
   if (out_.empty()) write();
 }
 
+// The time for the peer to close counts from the last byte written. Before, each progress of a slow peer
+// restarts the timer.
+void Connection::startLingerTimer() {
+  loop_.cancel(lingerTimer_);
+  const Span timeout = out_.empty() ? lingerTimeout_ : writeStallTimeout_;
+  lingerTimer_ = loop_.after(timeout, [this] { end(finishReason_); });
+}
+
 void Connection::end(CloseReason reason) {
   if (ended_) return;
   ended_ = true;
@@ -191,6 +199,7 @@
     if (size < 0) return setWriteInterest(true);
     bytesOut_ += static_cast<std::uint64_t>(size);
     out_.written(static_cast<std::size_t>(size));
+    if (finishing_) startLingerTimer();
   }
   setWriteInterest(false);
   written();
--- a/src/sidecar/connection.hpp
+++ b/src/sidecar/connection.hpp
@@ -86,6 +86,8 @@
     maxDiscardedBytes_ = maxDiscarded;
     lingerTimeout_ = timeout;
   }
+  /// Limits how long finish() waits for a peer that takes none of the queued bytes.
+  void setWriteStallTimeout(Span timeout) { writeStallTimeout_ = timeout; }
   /// Closes with a TCP reset, so that the peer detects a truncated message.
   void endWithReset(CloseReason reason);
   [[nodiscard]] int descriptor() const { return socket_.impl()->sockfd(); }
@@ -103,6 +105,7 @@
   void write();
   void setWriteInterest(bool interested);
   void endLater(CloseReason reason);
+  void startLingerTimer();
 
   std::string_view side_;
   std::string peer_;
@@ -115,6 +118,7 @@
   CloseReason finishReason_ = CloseReason::done;
   std::size_t maxDiscardedBytes_ = 64 * 1024;
   Span lingerTimeout_ = std::chrono::seconds(1);
+  Span writeStallTimeout_ = std::chrono::seconds(5);  // longer than a lost packet is sent again
   bool registered_ = false;
   bool paused_ = false;
   bool dialing_ = false;
