Refuse a change that is nested too deeply while it is read, without recursion

What callers saw: a change that is cut short within 200,000 nested lists or more ended the control process that read it, and each one that the operator tried next (Fault); at 80,000 levels the process was busy for about 30 s. Cause: the parser called itself for each level, and so did what reads its tree. The bound on nesting was checked after both. Change: the text is read iteratively, and the bound is checked at each list or object that begins, before a tree exists. The answer is 400 with the place. The checker of configurations, which parsed and copied before the check, reads its text the same way. Other texts of peers were looked at by reading only: messages between processes are parsed iteratively, but an item's value is copied before its depth is checked.

--- a/src/mesh/checker/explain.cpp
+++ b/src/mesh/checker/explain.cpp
@@ -7,6 +7,7 @@
 
 #include "mesh/configuration/duration_text.hpp"
 #include "mesh/configuration/route_table.hpp"
+#include "mesh/configuration/schema.hpp"
 
 namespace rackroute::mesh {
 namespace {
@@ -37,6 +38,7 @@
 }  // namespace
 
 Result<std::vector<Item>> parseConfiguration(std::string_view text) {
+  if (auto valid = validateNesting(text); !valid) return std::move(valid).error();
   const json parsed = json::parse(text, nullptr, false);
   const bool isItems =
       parsed.is_object() && !parsed.contains("upsert") && !parsed.contains("remove") && !parsed.empty();
--- a/src/mesh/configuration/item_check.cpp
+++ b/src/mesh/configuration/item_check.cpp
@@ -9,10 +9,6 @@
 
 using nlohmann::json;
 
-/// Maximum depth of arrays and objects in one value. The JSON library copies and serializes recursively, so a
-/// deeper value could exhaust the stack.
-constexpr std::size_t kMaxNesting = 256;
-
 enum class Type { text, number, list };
 
 bool hasType(Type type, const json& value) {
--- a/src/mesh/configuration/schema.cpp
+++ b/src/mesh/configuration/schema.cpp
@@ -1,17 +1,27 @@
 #include "mesh/configuration/schema.hpp"
 
 #include <rapidjson/document.h>
+#include <rapidjson/encodedstream.h>
 #include <rapidjson/error/en.h>
+#include <rapidjson/memorystream.h>
+#include <rapidjson/reader.h>
 #include <rapidjson/schema.h>
 #include <rapidjson/stringbuffer.h>
 
+#include <cstddef>
+#include <cstdint>
 #include <memory>
 #include <stdexcept>
 #include <string>
 
+#include "mesh/configuration/item_check.hpp"
+
 namespace rackroute::mesh {
 namespace {
 
+// Levels of arrays and objects of a change around the value of an item.
+constexpr std::size_t kNestingOfItems = 5;
+
 constexpr std::string_view kSettings = R"({
   "type": "object",
   "required": ["node_name", "ip", "zone", "zones", "listen_addrs", "port_range", "seed_list", "bound_map"],
@@ -96,16 +106,71 @@
   return schema == Schema::settings ? *settings : *change;
 }
 
+/// Passes the parser's events on to the document, and stops the parser at a value that is nested too deeply,
+/// before a tree of it exists: the document and the JSON library read, copy and serialize trees recursively.
+class NestingLimit {
+ public:
+  NestingLimit(rapidjson::Document& document, std::size_t maxLevels)
+      : document_(document), maxLevels_(maxLevels) {}
+
+  using Size = rapidjson::SizeType;
+  bool Null() { return document_.Null(); }
+  bool Bool(bool value) { return document_.Bool(value); }
+  bool Int(int value) { return document_.Int(value); }
+  bool Uint(unsigned value) { return document_.Uint(value); }
+  bool Int64(std::int64_t value) { return document_.Int64(value); }
+  bool Uint64(std::uint64_t value) { return document_.Uint64(value); }
+  bool Double(double value) { return document_.Double(value); }
+  bool RawNumber(const char* text, Size size, bool copy) { return document_.RawNumber(text, size, copy); }
+  bool String(const char* text, Size size, bool copy) { return document_.String(text, size, copy); }
+  bool Key(const char* text, Size size, bool copy) { return document_.Key(text, size, copy); }
+  bool StartObject() { return enter() && document_.StartObject(); }
+  bool EndObject(Size members) {
+    --levels_;
+    return document_.EndObject(members);
+  }
+  bool StartArray() { return enter() && document_.StartArray(); }
+  bool EndArray(Size elements) {
+    --levels_;
+    return document_.EndArray(elements);
+  }
+
+ private:
+  bool enter() { return ++levels_ <= maxLevels_; }
+
+  rapidjson::Document& document_;
+  std::size_t maxLevels_;
+  std::size_t levels_ = 0;
+};
+
+/// Parses without recursion. The result and the position of an error are those of the document's own parser.
+rapidjson::ParseResult parse(std::string_view text, rapidjson::Document& document) {
+  rapidjson::Reader reader;
+  rapidjson::MemoryStream bytes(text.data(), text.size());
+  rapidjson::EncodedInputStream<rapidjson::UTF8<>, rapidjson::MemoryStream> stream(bytes);
+  rapidjson::ParseResult result;
+  const auto generate = [&](rapidjson::Document& target) {
+    NestingLimit limit(target, kMaxNesting + kNestingOfItems);
+    result = reader.Parse<rapidjson::kParseIterativeFlag>(stream, limit);
+    return !result.IsError();
+  };
+  document.Populate(generate);
+  return result;
+}
+
+std::string describe(const rapidjson::ParseResult& result) {
+  const bool stopped = result.Code() == rapidjson::kParseErrorTermination;
+  return std::string(stopped ? "nested too deeply" : rapidjson::GetParseError_En(result.Code())) +
+         " at byte " + std::to_string(result.Offset());
+}
+
 }  // namespace
 
 Result<void> validateJson(Schema schema, std::string_view text) {
   const std::string step = schema == Schema::settings ? "settings" : "change";
   rapidjson::Document document;
-  document.Parse(text.data(), text.size());
-  if (document.HasParseError()) {
-    return failure(step, std::string(rapidjson::GetParseError_En(document.GetParseError())) + " at byte " +
-                             std::to_string(document.GetErrorOffset()));
-  }
+  const rapidjson::ParseResult parsed = parse(text, document);
+  if (parsed.IsError()) return failure(step, describe(parsed));
   rapidjson::SchemaValidator validator(schemaOf(schema));
   if (document.Accept(validator)) return boost::outcome_v2::success();
   rapidjson::StringBuffer where;
@@ -114,4 +179,11 @@
                  std::string(where.GetString()) + " violates \"" + validator.GetInvalidSchemaKeyword() + '"');
 }
 
+Result<void> validateNesting(std::string_view text) {
+  rapidjson::Document document;
+  const rapidjson::ParseResult parsed = parse(text, document);
+  if (parsed.IsError()) return failure("change", describe(parsed));
+  return boost::outcome_v2::success();
+}
+
 }  // namespace rackroute::mesh
--- a/tests/mesh_test.cpp
+++ b/tests/mesh_test.cpp
@@ -537,6 +537,27 @@
   CHECK_FALSE(decompress(std::string_view(*packed).substr(0, packed->size() / 2), text->size()));
 }
 
+TEST_CASE("a change that is nested without end is refused with the place, and does not end the process") {
+  constexpr std::size_t kLevels = 1'000'000;
+  const std::string lists(kLevels, '[');
+  std::string objects = R"({"upsert":{"limits":)";
+  for (std::size_t i = 0; i < kLevels; ++i) objects += R"({"a":)";
+  const std::string whole =
+      R"({"upsert":{"limits":{"generation":"r1","deep":)" + lists + std::string(kLevels, ']') + "}}}";
+  for (const std::string& text : {lists, objects, R"({"upsert":{"host_map":)" + lists, whole}) {
+    const auto read = parseChange(text);
+    REQUIRE_FALSE(read);
+    CHECK(read.error().what.find("nested too deeply at byte") != std::string::npos);
+    CHECK_FALSE(parseConfiguration(text));
+  }
+  // All items, as the checker reads them, have one level less.
+  CHECK_FALSE(parseConfiguration(R"({"limits":)" + lists));
+  // The bound leaves room for what an item's value may have.
+  const std::string allowed(200, '[');
+  CHECK(parseChange(R"({"upsert":{"limits":{"generation":"r1","deep":)" + allowed + std::string(200, ']') +
+                    "}}}"));
+}
+
 TEST_CASE("a large configuration is sent in parts and takes effect after the last one") {
   Items items;
   std::vector<Item> list;
