Log what an exit cuts, with its age, and what follows from a lost forward

They count the requests that a stopping sidecar cuts, but not whether it had accepted them after SIGTERM; and nothing tells why a caller did not retry a forward that was lost. Change: the exit's line lists up to eight requests and eight executions that it cuts, with route, age and time left. A caller logs up to five lost forwards in 5 s, with what follows: sent again, or the status that the client gets.

--- a/src/mesh/admission/admission.cpp
+++ b/src/mesh/admission/admission.cpp
@@ -637,6 +637,15 @@
   return actions;
 }
 
+std::vector<OpenWork> Admission::openWork(Span now) const {
+  std::vector<OpenWork> open;
+  for (const auto& [no, job] : jobs_) {
+    if (job.stage != Stage::running) continue;
+    open.push_back({job.request.route, job.request.instance.value, now - job.startedAt, job.deadline - now});
+  }
+  return open;
+}
+
 std::vector<ServerRecord> Admission::servers() const {
   std::vector<ServerRecord> all;
   for (const auto& [id, server] : servers_) all.push_back(server.announced);
--- a/src/mesh/admission/admission.hpp
+++ b/src/mesh/admission/admission.hpp
@@ -19,6 +19,7 @@
 
 #include "mesh/claims/claims.hpp"
 #include "mesh/forwarding/forwarding.hpp"
+#include "mesh/forwarding/open_work.hpp"
 
 namespace rackroute::mesh {
 
@@ -104,6 +105,8 @@
   AdmissionActions leave(Span now);
   [[nodiscard]] LifeNo life() const { return config_.life; }
   [[nodiscard]] std::size_t inFlight() const { return jobs_.size(); }
+  /// The executions at the local servers.
+  [[nodiscard]] std::vector<OpenWork> openWork(Span now) const;
   /// Whether new requests for the server are admitted.
   [[nodiscard]] bool admits(Span now, const InstanceId& id) const;
   [[nodiscard]] std::vector<ServerRecord> servers() const;
--- a/src/mesh/routing/request_router.cpp
+++ b/src/mesh/routing/request_router.cpp
@@ -369,6 +369,15 @@
   return actions;
 }
 
+std::vector<OpenWork> RequestRouter::openWork(Span now) const {
+  std::vector<OpenWork> open;
+  for (const auto& [no, call] : calls_) {
+    const std::string at = call.pending.empty() ? "" : call.pending.begin()->second.at.value;
+    open.push_back({call.route->name, at, now - call.started, call.deadline - now});
+  }
+  return open;
+}
+
 std::optional<Span> RequestRouter::nextTick() const {
   std::optional<Span> next;
   for (const auto& [no, call] : calls_) {
--- a/src/mesh/routing/request_router.hpp
+++ b/src/mesh/routing/request_router.hpp
@@ -18,6 +18,7 @@
 #include "mesh/balancing/retry_budget.hpp"
 #include "mesh/balancing/server_pool.hpp"
 #include "mesh/forwarding/forwarding.hpp"
+#include "mesh/forwarding/open_work.hpp"
 
 namespace rackroute::mesh {
 
@@ -85,6 +86,7 @@
   [[nodiscard]] const RouteTable& routes() const { return table_; }
   [[nodiscard]] const ServerPool& servers() const { return pool_; }
   [[nodiscard]] std::size_t inFlight() const { return calls_.size(); }
+  [[nodiscard]] std::vector<OpenWork> openWork(Span now) const;
 
  private:
   struct Attempt {
--- a/src/mesh/sidecar/sidecar_program.cpp
+++ b/src/mesh/sidecar/sidecar_program.cpp
@@ -44,8 +44,10 @@
 constexpr Span kRestartTime = 900ms;     // from the exit of a process until its successor accepts requests
 constexpr Span kSendMargin = 20ms;       // before the client's deadline, when requests are no longer sent
 constexpr Span kShutdownCheckInterval = 50ms;
-constexpr Span kCountsInterval = 5s;       // between log lines with forward counts
-constexpr Span kInboundIdleTimeout = 60s;  // connections from other sidecars, which close them first
+constexpr Span kCountsInterval = 5s;             // between log lines with forward counts
+constexpr std::size_t kMaxLostForwardLines = 5;  // in that interval
+constexpr std::size_t kMaxLoggedWork = 8;        // requests, and executions, that an exit cuts
+constexpr Span kInboundIdleTimeout = 60s;        // connections from other sidecars, which close them first
 
 class SidecarProgram {
  public:
@@ -105,6 +107,12 @@
     std::shared_ptr<HttpServerConnection> connection;
     std::shared_ptr<const http::Message> request;
   };
+  struct Forward {
+    HttpClient::RequestHandle handle;
+    Address to;
+    Span sentAt{};
+    Span left{};  // when it was sent, until the client's deadline
+  };
 
   template <class OnRequest>
   void listen(const Address& at, ListenerContextPtr& context, HttpServerConnection::ListenerContext settings,
@@ -245,6 +253,7 @@
   void logForwardCounts() {
     const nlohmann::json received = receivedCounts_.take();
     const nlohmann::json sent = sentCounts_.take();
+    lostForwardLines_ = 0;
     if (!received.is_null() || !sent.is_null())
       log(LogLevel::info, "forwards", "", "counted", {{"received", received}, {"sent", sent}});
     loop_.after(kCountsInterval, [this] { logForwardCounts(); });
@@ -270,13 +279,17 @@
   void cancelForward(const RoutingAction& action) {
     const auto forward = forwards_.find(action.attempt);
     if (forward == forwards_.end()) return;
-    forward->second.cancel();
+    forward->second.handle.cancel();
     forwards_.erase(forward);
   }
 
   void forward(const OpenRequest& open, const RoutingAction& action) {
     const Span now = loop_.now();
-    forwards_[action.attempt] = forwardClient_.send(
+    Forward& sent = forwards_[action.attempt];
+    sent.to = action.at;
+    sent.sentAt = now;
+    sent.left = action.forward.left;
+    sent.handle = forwardClient_.send(
         action.at, forwardMessage(open.request, action.forward), {}, open.request->startLinePart(0) == "HEAD",
         now + action.forward.left + kServerMargin + kForwardMargin,
         [this, call = action.call, attempt = action.attempt](RequestOutcome outcome, RequestRef response) {
@@ -286,11 +299,27 @@
   }
 
   void forwardCompleted(CallNo call, AttemptNo attempt, RequestOutcome outcome, RequestRef response) {
-    forwards_.erase(attempt);
+    const auto ended = forwards_.extract(attempt);
     const ForwardCompletion completion = forwardCompletion(outcome, response.get());
     sentCounts_.count(completion.reply.verdict);
-    execute(sidecar_.forwardCompleted(loop_.now(), call, attempt, completion.result, completion.reply,
-                                      completion.status, std::move(response)));
+    SidecarActions actions =
+        sidecar_.forwardCompleted(loop_.now(), call, attempt, completion.result, completion.reply,
+                                  completion.status, std::move(response));
+    if (completion.result == ForwardResult::connectionLost && !ended.empty())
+      logLostForward(ended.mapped(), actions.routing);
+    execute(std::move(actions));
+  }
+
+  // Logs a forward whose connection ended without a response, and what follows from that for the client.
+  void logLostForward(const Forward& lost, const RoutingActions& next) {
+    if (++lostForwardLines_ > kMaxLostForwardLines) return;
+    const Span age = loop_.now() - lost.sentAt;
+    nlohmann::json fields{{"age_ms", age / 1ms}, {"left_ms", (lost.left - age) / 1ms}};
+    for (const RoutingAction& action : next) {
+      if (action.kind == RoutingAction::Kind::send) fields["sent_again_to"] = action.at.value;
+      if (action.kind == RoutingAction::Kind::answer) fields["status"] = action.status;
+    }
+    log(LogLevel::info, "forward", lost.to.value, "lost", std::move(fields));
   }
 
   void execute(AdmissionAction& action) {
@@ -397,7 +426,9 @@
          {"stopping_ms", (loop_.now() - stopStartedAt_) / 1ms},
          {"lateness_ms", deadline_.lateness() / 1ms},
          {"open_requests", calls_.size()},
-         {"open_executions", executions_.size()}});
+         {"open_executions", executions_.size()},
+         {"requests", describe(sidecar_.router().openWork(loop_.now()), kMaxLoggedWork)},
+         {"executions", describe(sidecar_.admission().openWork(loop_.now()), kMaxLoggedWork)}});
     std::quick_exit(0);
   }
 
@@ -414,7 +445,7 @@
   std::map<CallNo, OpenRequest> calls_;
   std::map<InboundRequestId, OpenRequest> inbound_;
   std::map<ServerCallNo, std::shared_ptr<HttpServerConnection>> serverCalls_;  // not answered yet
-  std::map<AttemptNo, HttpClient::RequestHandle> forwards_;                    // to other sidecars
+  std::map<AttemptNo, Forward> forwards_;                                      // to other sidecars
   std::map<InboundRequestId, HttpClient::RequestHandle> executions_;           // at the local server
   sidecar::Loop::TimerId tickTimer_;
   Span nextTickAt_{};
@@ -423,8 +454,9 @@
   Span lastRequestAt_{};
   ShutdownDeadline deadline_;
   Span stopStartedAt_{};
-  ForwardCounts receivedCounts_;  // from other sidecars
-  ForwardCounts sentCounts_;      // to other sidecars
+  ForwardCounts receivedCounts_;      // from other sidecars
+  ForwardCounts sentCounts_;          // to other sidecars
+  std::size_t lostForwardLines_ = 0;  // since the counts were logged
   std::uint64_t lastCall_ = 0;
   std::uint64_t lastInbound_ = 0;
   std::uint64_t lastServerCall_ = 0;
