--- a/src/mesh/admission/admission.cpp
+++ b/src/mesh/admission/admission.cpp
@@ -627,6 +627,8 @@
   return next;
 }
 
+AdmissionActions Admission::completeBy(Span /*now*/, Span /*latest*/) { return {}; }
+
 AdmissionActions Admission::leave(Span now) {
   leaving_ = true;
   AdmissionActions actions = tick(now);
--- a/src/mesh/admission/admission.hpp
+++ b/src/mesh/admission/admission.hpp
@@ -101,6 +101,8 @@
   /// The latest time for the next tick(); none: no deadline is pending.
   [[nodiscard]] std::optional<Span> nextTick() const;
   Claims& claims() { return claims_; }
+  /// This process exits soon: every request that it starts from now on must end by `latest`.
+  AdmissionActions completeBy(Span now, Span latest);
   /// Starts the shutdown of this process: no new request is admitted.
   AdmissionActions leave(Span now);
   [[nodiscard]] LifeNo life() const { return config_.life; }
