Start nothing in a stopping sidecar that its exit would cut off

What callers saw: after a rolling stop, a request at which its server was at work for 4 to 5 s ended with 502 some 0.2 s before its deadline, or its connection closed (LOST). Cause: a stopping sidecar admitted forwards from other sidecars for 1.2 s, whatever time they had left. Only requests of its own clients were compared with its exit, 5.25 s after SIGTERM. What came 0.25 to 1.2 s after the signal with 5 s left outlasted it. Change: once the signal has come, admission starts only what ends before the exit by its deadline. The rest is refused at once as not run, queued requests and won claims too, so that the caller takes another server. Shorter requests are admitted as before. Repeats of operations that ran here are still answered.

--- a/src/lab/mesh/world_faults.cpp
+++ b/src/lab/mesh/world_faults.cpp
@@ -133,7 +133,7 @@
   Machine& m = machines_[sidecar];
   if (m.incarnation == 0 || m.stopping) return then();
   m.stopping = true;
-  execute(sidecar, sidecarOn(sidecar).sidecar->startDrain(now_));
+  execute(sidecar, sidecarOn(sidecar).sidecar->startDrain(now_, now_ + kGracePeriod - kKillMargin));
   finishDrain(sidecar, m.incarnation, now_, then);
 }
 
--- a/src/mesh/admission/admission.cpp
+++ b/src/mesh/admission/admission.cpp
@@ -290,7 +290,7 @@
     answer(replyFor(now, Verdict::noQuorum, &server));
     return actions;
   }
-  if (request.left < kMinTimeLeft) {
+  if (request.left < kMinTimeLeft || !endsBeforeExit(now + request.left)) {
     answer(replyFor(now, Verdict::overloaded, &server));
     return actions;
   }
@@ -425,11 +425,12 @@
   const auto at = servers_.find(job.request.instance);
   Server* server = at == servers_.end() ? nullptr : &at->second;
   const bool stillOpen = server != nullptr && isOpen(now, *server) && job.deadline - now >= kMinTimeLeft;
-  if (ended.won && stillOpen) {
+  const bool inTime = endsBeforeExit(job.deadline);
+  if (ended.won && stillOpen && inTime) {
     startOrEnqueue(now, job, *server, actions);
   } else {
     // The request did not run here and never will, so its claim is released.
-    const Verdict verdict = ended.won      ? Verdict::draining
+    const Verdict verdict = ended.won      ? (inTime ? Verdict::draining : Verdict::overloaded)
                             : ended.holder ? Verdict::keyClaimed
                                            : Verdict::noQuorum;
     refuse(now, no, verdict, server, actions, ended.won ? std::nullopt : ended.holder);
@@ -627,7 +628,17 @@
   return next;
 }
 
-AdmissionActions Admission::completeBy(Span /*now*/, Span /*latest*/) { return {}; }
+AdmissionActions Admission::completeBy(Span now, Span latest) {
+  AdmissionActions actions;
+  latestEnd_ = latest;
+  for (auto& [id, server] : servers_) {
+    const std::deque<InboundRequestId> waiting = server.waiting;
+    for (const InboundRequestId no : waiting) {
+      if (!endsBeforeExit(jobs_.at(no).deadline)) refuse(now, no, Verdict::overloaded, &server, actions);
+    }
+  }
+  return actions;
+}
 
 AdmissionActions Admission::leave(Span now) {
   leaving_ = true;
--- a/src/mesh/admission/admission.hpp
+++ b/src/mesh/admission/admission.hpp
@@ -101,7 +101,8 @@
   /// The latest time for the next tick(); none: no deadline is pending.
   [[nodiscard]] std::optional<Span> nextTick() const;
   Claims& claims() { return claims_; }
-  /// This process exits soon: every request that it starts from now on must end by `latest`.
+  /// This process exits soon: it starts no more requests with a deadline after `latest`, as its exit would
+  /// cut them off. Called again when `latest` changes.
   AdmissionActions completeBy(Span now, Span latest);
   /// Starts the shutdown of this process: no new request is admitted.
   AdmissionActions leave(Span now);
@@ -172,6 +173,8 @@
   void forgetOperation(Span now, const KeyHash& key, AdmissionActions& actions);
   void settle(Span now, InboundRequestId no, AdmissionActions& actions);
   [[nodiscard]] bool isOpen(Span now, const Server& server) const;
+  /// Whether a request with this deadline surely ends before this process exits.
+  [[nodiscard]] bool endsBeforeExit(Span deadline) const { return deadline <= latestEnd_; }
   [[nodiscard]] Span estimatedWait(const Server& server) const;
   [[nodiscard]] double expectedSeconds(const ForwardRequest& request) const;
   [[nodiscard]] ForwardReply replyFor(Span now, Verdict verdict, const Server* server) const;
@@ -196,6 +199,7 @@
   std::pair<LifeNo, std::uint64_t> adoptedVersion_{};  // of the last announcement that was adopted
   bool heartbeatSeen_ = false;                         // in this run
   bool leaving_ = false;
+  Span latestEnd_ = Span::max();  // of requests that are started
 };
 
 }  // namespace rackroute::mesh
--- a/src/mesh/sidecar/shutdown_deadline.hpp
+++ b/src/mesh/sidecar/shutdown_deadline.hpp
@@ -44,15 +44,17 @@
   [[nodiscard]] bool stopping() const { return startedAt_ != Span::max(); }
   /// When to exit. At least half of the grace period is used, counted from when the signal was handled.
   [[nodiscard]] Span exitAt() const { return std::max(startedAt_ + grace_ / 2, requestedAt_ + usable()); }
+  /// The latest end of a request that is accepted now: its response must still be sent before this process
+  /// exits, or is killed. The latter may come before exitAt() if the loop stalled while the signal arrived,
+  /// so the earliest possible time of the signal counts here.
+  [[nodiscard]] Span latestEnd() const { return earliestRequestAt_ + usable() - kResponseMargin; }
   /// Whether to accept a request with the given typical and maximum durations. In the first half of the grace
   /// period the typical duration must fit; going by the client's timeout would reject all requests with long
-  /// timeouts. In the second half the maximum must fit, so that no accepted request is cut off. The process
-  /// may be killed before exitAt() if the loop stalled while the signal arrived, so the earliest possible
-  /// time of the signal counts here.
+  /// timeouts. In the second half the maximum must fit, so that no accepted request is cut off.
   [[nodiscard]] bool accepts(Span now, Span typical, Span maximum) const {
     if (!stopping()) return true;
     const bool firstHalf = now < earliestRequestAt_ + grace_ / 2 - kHalfMargin;
-    return now + (firstHalf ? typical : maximum) + kResponseMargin <= earliestRequestAt_ + usable();
+    return now + (firstHalf ? typical : maximum) <= latestEnd();
   }
   /// How late timers run as a rule: the median of the last turns of the loop in which timers were due.
   [[nodiscard]] Span lateness() const {
--- a/src/mesh/sidecar/sidecar.cpp
+++ b/src/mesh/sidecar/sidecar.cpp
@@ -282,10 +282,12 @@
   return out;
 }
 
-SidecarActions Sidecar::startDrain(Span now) {
+SidecarActions Sidecar::startDrain(Span now, Span latestEnd) {
+  SidecarActions out;
   draining_ = true;
   if (!admissionClosesAt_) admissionClosesAt_ = now + kAdmissionDrainDelay;
-  return tick(now);
+  handle(now, admission_.completeBy(now, latestEnd), out);
+  return out;
 }
 
 Span Sidecar::nextTick(Span now) const {
--- a/src/mesh/sidecar/sidecar.hpp
+++ b/src/mesh/sidecar/sidecar.hpp
@@ -63,8 +63,9 @@
   SidecarActions handleMessage(Span now, const Address& control, const nlohmann::json& text);
   void markAlive(Span now, const Address& control) { controlClient_.markAlive(now, control); }
   SidecarActions tick(Span now);
-  /// Starts the shutdown: reports not ready from now on, and stops admitting requests after a delay.
-  SidecarActions startDrain(Span now);
+  /// Starts the shutdown: reports not ready from now on, and stops admitting requests after a delay. Until
+  /// then only requests are admitted that end by `latestEnd`. Called again when `latestEnd` changes.
+  SidecarActions startDrain(Span now, Span latestEnd);
   SidecarActions setSeeds(Span now, std::vector<Address> seeds);
   /// When tick() must be called at the latest.
   [[nodiscard]] Span nextTick(Span now) const;
--- a/src/mesh/sidecar/sidecar_program.cpp
+++ b/src/mesh/sidecar/sidecar_program.cpp
@@ -402,7 +402,6 @@
     deadline_.start(stopStartedAt_);
     log(LogLevel::info, "stop", "", "leaving");
     clientListener_->draining = forwardListener_->draining = true;
-    execute(sidecar_.startDrain(loop_.now()));
     checkShutdown();
   }
 
@@ -412,6 +411,7 @@
                       clientListener_->allWritten() && forwardListener_->allWritten();
     if (idle && stopStartedAt_ + kMinDrain <= now) exit("idle");
     if (deadline_.exitAt() <= now) exit("deadline");
+    execute(sidecar_.startDrain(now, deadline_.latestEnd()));
     loop_.at(now + kShutdownCheckInterval, [this, due = now + kShutdownCheckInterval] {
       deadline_.recordLateness(loop_.now(), loop_.now() - due);
       checkShutdown();
