Soak real processes with long requests and stops after freezes, and read what stops cut

Need: neither cause of the LOST incident showed in the soak: no request took half of the grace period, no stop came just after a freeze, and only a connection closed to a client counted, not an execution cut at a server's sidecar. After a run the log of each sidecar is read: work that a process accepted after its stop signal and cut, or cut before the last sixth of grace, is LOST. The emulator judges stops of sidecars likewise.

--- a/src/lab/mesh/day.cpp
+++ b/src/lab/mesh/day.cpp
@@ -83,6 +83,8 @@
   day.disconnectShare = top.number("leaving", day.disconnectShare, 0, 1);
   day.slots = top.integer("slots", day.slots, 1, 10000);
   day.meanServiceTime = top.number("work_s", day.meanServiceTime, 0.001, 100);
+  day.longShare = top.number("long_share", day.longShare, 0, 1);
+  day.longServiceTime = top.number("long_s", day.longServiceTime, 0.001, 100);
   day.syncTime = top.number("sync_s", day.syncTime, 0, 10);
   day.crossZoneDelay = top.number("across_s", day.crossZoneDelay, 0, 10);
   day.keyWindow = top.number("key_window_s", day.keyWindow, 1, kMaxDurationSeconds);
@@ -127,9 +129,11 @@
        << "\nsidecars = " << day.sidecars << "\nlength_s = " << day.seconds << "\nper_s = " << day.requestRate
        << "\nkeyed = " << day.keyedShare << "\neffectful = " << day.effectfulShare
        << "\nagain = " << day.repeatShare << "\nleaving = " << day.disconnectShare
-       << "\nslots = " << day.slots << "\nwork_s = " << day.meanServiceTime << "\nsync_s = " << day.syncTime
-       << "\nacross_s = " << day.crossZoneDelay << "\nkey_window_s = " << day.keyWindow
-       << "\nidle_routes = " << day.idleRoutes << "\nleast_served = " << day.minServedShare
+       << "\nslots = " << day.slots << "\nwork_s = " << day.meanServiceTime
+       << "\nlong_share = " << day.longShare << "\nlong_s = " << day.longServiceTime
+       << "\nsync_s = " << day.syncTime << "\nacross_s = " << day.crossZoneDelay
+       << "\nkey_window_s = " << day.keyWindow << "\nidle_routes = " << day.idleRoutes
+       << "\nleast_served = " << day.minServedShare
        << "\nclients_stay = " << (day.keepConnections ? "true" : "false") << "\nclosing = \""
        << std::find_if(kClosingFaults.begin(), kClosingFaults.end(),
                        [&](const auto& e) { return e.second == day.closing; })
--- a/src/lab/mesh/process_children.hpp
+++ b/src/lab/mesh/process_children.hpp
@@ -29,16 +29,21 @@
   void reload(std::uint32_t machine);
   /// When the process was last killed, or the end of its last freeze.
   [[nodiscard]] Span disturbedAt(std::uint32_t machine) const { return disturbedAt_[machine]; }
+  /// When a process on the machine last got its first stop signal.
+  [[nodiscard]] Span stoppedAt(std::uint32_t machine) const { return stoppedAt_[machine]; }
   [[nodiscard]] bool hasExited(std::uint32_t machine) { return children_.gone(machine); }
   [[nodiscard]] pid_t idAt(std::uint32_t machine) const { return children_.idAt(machine); }
   /// Reports processes that exited without a signal from the lab.
   void checkExits();
+  /// Reports requests that the exits of sidecars cut off, according to their logs.
+  void checkStops() const;
 
  private:
   [[nodiscard]] nlohmann::json settings(std::uint32_t machine, bool firstBoot) const;
   [[nodiscard]] std::string dataFolderOf(std::uint32_t machine) const {
     return folder_ + '/' + context_.machines.nameOf(machine);
   }
+  [[nodiscard]] std::string logFileOf(std::uint32_t machine) const;
 
   ProcessContext& context_;
   const ProcessRunOptions& options_;
@@ -47,6 +52,8 @@
   Children children_;
   std::vector<Span> disturbedAt_;
   std::vector<Span> startedAt_;
+  std::vector<Span> stoppedAt_;
+  std::vector<std::uint64_t> logStart_;  // sizes of the log files when this run began
 };
 
 }  // namespace rackroute::lab::mesh
--- a/src/lab/mesh/process_clients.hpp
+++ b/src/lab/mesh/process_clients.hpp
@@ -18,15 +18,19 @@
 
 class ProcessClients {
  public:
-  /// When the process on a machine was last killed or frozen.
-  using DisturbedAt = std::function<Span(std::uint32_t machine)>;
+  /// What was last done to the process on a machine.
+  struct Interventions {
+    Span disturbedAt{};  // killed, or the end of a freeze
+    Span stoppedAt{};    // the first stop signal to a process
+  };
+  using InterventionsOf = std::function<Interventions(std::uint32_t machine)>;
   ProcessClients(ProcessContext& context, const ProcessServers& servers, RandomEngine& arrivalRng,
-                 RandomEngine& rng, DisturbedAt disturbedAt)
+                 RandomEngine& rng, InterventionsOf interventionsOf)
       : context_(context),
         servers_(servers),
         arrivalRng_(arrivalRng),
         rng_(rng),
-        disturbedAt_(std::move(disturbedAt)) {}
+        interventionsOf_(std::move(interventionsOf)) {}
 
   /// Schedules the next arrival and sends one request, until the end of the run.
   void scheduleArrival();
@@ -59,7 +63,7 @@
   const ProcessServers& servers_;
   RandomEngine& arrivalRng_;
   RandomEngine& rng_;
-  DisturbedAt disturbedAt_;
+  InterventionsOf interventionsOf_;
   std::map<std::uint64_t, InFlight> inFlight_;        // by attempt
   std::map<std::uint64_t, std::uint32_t> machineOf_;  // by attempt
   std::set<std::uint32_t> excluded_;
--- a/src/lab/mesh/process_servers.cpp
+++ b/src/lab/mesh/process_servers.cpp
@@ -16,6 +16,7 @@
 constexpr Span kCallTimeout = 1s;
 constexpr std::string_view kNotRunField = "Rackroute-Not-Run: 1\r\n";
 
+constexpr std::string_view kLongPrefix = kRoutes[kLongRoute].prefix;
 constexpr std::uint64_t kUnframedInterval = 12;  // one of this many responses has no Content-Length
 
 void respondUntilClose(const std::shared_ptr<HttpServerConnection>& connection, const std::string& fields,
@@ -133,7 +134,8 @@
   checkUnchanged(*attempt, request);
   context_.judge.requestArrived(context_.now(), *attempt, context_.machines.serviceOf(machine));
   const Work work{*attempt, request.field(kOperationKeyHeader).has_value(),
-                  context_.now() + std::chrono::milliseconds(remaining.value_or(10'000))};
+                  context_.now() + std::chrono::milliseconds(remaining.value_or(10'000)),
+                  request.startLinePart(1).substr(0, kLongPrefix.size()) == kLongPrefix};
   if (server.busy < context_.day.slots) {
     ++server.busy;
     return execute(machine, connection, work);
@@ -164,20 +166,27 @@
   context_.judge.executionStarted(context_.now(), work.attempt, context_.machines.serviceOf(machine), seal,
                                   server.drainAcked);
   runs_[seal] = {work.attempt, server.id + " on " + context_.machines.nameOf(machine)};
+  executing_.insert(work.attempt);
   if (work.keyed) ++server.keyed;
-  const Distribution serviceTime{Shape::lognormal, context_.day.meanServiceTime, 0.6};
   const Span wait = std::chrono::duration_cast<Span>(
-      std::chrono::duration<double>(serviceTime.draw(rng_) * server.slowdown));
+      std::chrono::duration<double>(drawServiceTime(work) * server.slowdown));
   const Span done = context_.now() + wait;
   const double sample = uniform01(rng_);
   context_.loop.at(context_.startTime + std::min(done, work.deadline),
                    [this, machine, connection, work, seal, sample, instanceNo = server.instanceNo,
                     inTime = done <= work.deadline] {
+                     executing_.erase(work.attempt);
                      if (servers_.at(machine).instanceNo != instanceNo) return;
                      finish(machine, connection, work, seal, inTime, sample);
                    });
 }
 
+double ProcessServers::drawServiceTime(const Work& work) {
+  const Day& day = context_.day;
+  if (work.onLongRoute && day.longShare > 0 && uniform01(rng_) < day.longShare) return day.longServiceTime;
+  return Distribution{Shape::lognormal, day.meanServiceTime, 0.6}.draw(rng_);
+}
+
 void ProcessServers::finish(std::uint32_t machine, const ConnectionRef& connection, const Work& work,
                             std::uint64_t seal, bool inTime, double sample) {
   Server& server = servers_.at(machine);
--- a/src/lab/mesh/process_servers.hpp
+++ b/src/lab/mesh/process_servers.hpp
@@ -8,6 +8,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 
 #include "lab/mesh/process_context.hpp"
@@ -43,6 +44,9 @@
     return servers_.at(machine).keyed;
   }
 
+  /// Whether a server executes the attempt now.
+  [[nodiscard]] bool isExecuting(std::uint64_t attempt) const { return executing_.count(attempt) > 0; }
+
   struct Run {
     std::uint64_t attempt = 0;
     std::string location;
@@ -70,6 +74,7 @@
     std::uint64_t attempt = 0;
     bool keyed = false;
     Span deadline{};
+    bool onLongRoute = false;
   };
 
   void sendHeartbeat(std::uint32_t machine, std::uint64_t instanceNo);
@@ -77,6 +82,7 @@
   void serve(std::uint32_t machine, const ConnectionRef& connection, const http::Message& request);
   void checkUnchanged(std::uint64_t attempt, const http::Message& request);
   void execute(std::uint32_t machine, const ConnectionRef& connection, const Work& work);
+  [[nodiscard]] double drawServiceTime(const Work& work);
   void finish(std::uint32_t machine, const ConnectionRef& connection, const Work& work, std::uint64_t seal,
               bool inTime, double sample);
 
@@ -85,6 +91,7 @@
   std::function<int(std::uint64_t)> callerOf_;
   std::map<std::uint32_t, Server> servers_;  // by machine
   std::map<std::uint64_t, Run> runs_;        // by seal
+  std::set<std::uint64_t> executing_;        // attempts
   std::uint64_t seals_ = 0;
 };
 
--- a/src/lab/mesh/processes.cpp
+++ b/src/lab/mesh/processes.cpp
@@ -91,7 +91,10 @@
                  httpClient_, machines_, [this](const std::string& line) { logEvent(line); }},
         servers_(context_, rng_, [this](std::uint64_t attempt) { return clients_.callerOf(attempt); }),
         clients_(context_, servers_, arrivalRng_, rng_,
-                 [this](std::uint32_t machine) { return children_.disturbedAt(machine); }),
+                 [this](std::uint32_t machine) {
+                   return ProcessClients::Interventions{children_.disturbedAt(machine),
+                                                        children_.stoppedAt(machine)};
+                 }),
         operators_(context_),
         children_(context_, options, hasResetFaults(day)) {}
 
@@ -254,6 +257,7 @@
   context_.loadEnd = kWarmUp + spanOf(day_.seconds);
   loop_.runGuarded([this] { begin(); });
   loop_.run();
+  children_.checkStops();
   ProcessRunResult result;
   result.figures = finishDay(judge_, operators_.table(), day_.minServedShare, context_.now());
   result.violations = judge_.violations();
--- a/src/lab/mesh/workload.hpp
+++ b/src/lab/mesh/workload.hpp
@@ -17,6 +17,8 @@
 inline constexpr Span kDrainTime = std::chrono::milliseconds(2500);
 inline constexpr Span kApplyTime = std::chrono::milliseconds(2500);
 inline constexpr Span kGracePeriod = std::chrono::seconds(6);
+/// From a stop signal until clients send no more requests that may outlast the process.
+inline constexpr Span kClientsInformed = std::chrono::seconds(3);
 inline constexpr Span kHeartbeatInterval = std::chrono::milliseconds(1300);  // of servers to their sidecar
 inline constexpr Span kRetryWindow = std::chrono::seconds(10);
 inline constexpr double kRetryRatio = 0.2;
@@ -39,6 +41,8 @@
      {"list", "/list/", RequestKind::pure, 1, 2.0, 5.0, 2},
      {"note", "/note/", RequestKind::effectful, 1, 0.6, 1.5, 1}}};
 
+inline constexpr std::size_t kLongRoute = 3;  // has the longest timeout
+
 std::string serviceName(int service);
 /// The route in the form that operators send.
 nlohmann::json routeValue(const RouteSpec& route, std::uint64_t generation);
--- a/src/lab/mesh/world_faults.cpp
+++ b/src/lab/mesh/world_faults.cpp
@@ -146,6 +146,10 @@
     return runAfter(kDrainPollInterval, [this, sidecar, incarnation, since, then] {
       finishDrain(sidecar, incarnation, since, then);
     });
+  for (const OpenWork& work : sidecarOn(sidecar).sidecar->admission().openWork(now_)) {
+    if (work.age < now_ - since && work.left > Span{0})
+      judge_.reportLoss(now_, "a stop cuts off an execution that began after it, on route " + work.route);
+  }
   kill(sidecar, false);
   restart(sidecar, kRestartDelay);
   runAfter(kRestartDelay, then);
--- a/tests/stopping_sidecar_test.cpp
+++ b/tests/stopping_sidecar_test.cpp
@@ -4,13 +4,16 @@
 #include <cstdint>
 #include <memory>
 #include <optional>
+#include <sstream>
 #include <string>
 
+#include "lab/mesh/stop_log.hpp"
 #include "mesh/admission/admission.hpp"
 #include "mesh_fixtures.hpp"
 
 using namespace rackroute;
 using namespace rackroute::mesh;
+using rackroute::lab::mesh::findRequestsCutByStops;
 using namespace std::chrono_literals;
 
 namespace {
@@ -98,3 +101,25 @@
       admission.handleRequest(kSignal + 1s, {2}, requestWithTimeLeft(10s, RouteKind::keyed), "key");
   CHECK(verdictOf(repeat) == Verdict::executed);
 }
+
+TEST_CASE("a log of a stop that cut off a request accepted after the signal is recognized") {
+  const auto findings = [](const std::string& fields) {
+    std::istringstream log("not JSON\n{\"what\":\"leaving\"}\n{\"what\":\"stopped\"," + fields + "}\n");
+    return findRequestsCutByStops(log, 6s).size();
+  };
+  const std::string late = R"("stopping_ms":5250,)";
+  CHECK(findings(late + R"("executions":[{"route":"r","age_ms":4770,"left_ms":230}])") == 1);
+  CHECK(findings(late + R"("requests":[{"route":"r","age_ms":2000,"left_ms":230}])") == 1);
+  const std::string early = R"("stopping_ms":3000,)";
+  CHECK(findings(early + R"("executions":[{"route":"r","age_ms":4770,"left_ms":230}])") == 1);
+  SECTION("work from before the signal, and requests of the first seconds, may outlast the process") {
+    CHECK(findings(late + R"("executions":[{"route":"r","age_ms":5770,"left_ms":230}])") == 0);
+    CHECK(findings(late + R"("requests":[{"route":"r","age_ms":4770,"left_ms":230}])") == 0);
+  }
+  SECTION("work whose deadline has passed may be cut off") {
+    CHECK(findings(late + R"("executions":[{"route":"r","age_ms":4770,"left_ms":-10}])") == 0);
+  }
+  SECTION("an early exit without work cuts off nothing") {
+    CHECK(findings(early + R"("executions":[])") == 0);
+  }
+}
