Answer the operators' open calls before a stopping control process exits

What callers saw: an operator whose change was under way when a control process got SIGTERM had its connection closed 50 ms later, without an answer; the change could come into force all the same. Cause: the same class as in the sidecar: the process exited a fixed time after the signal, whatever it had accepted, and accepted more in between. Found by looking for that class elsewhere; no operator has reported it. The class moves to transport/, as both programs use it. Both log lines of the stop have the number of open calls. The lab: SIGTERM to control processes (term_control), and an operator's call that is closed without a response is LOST, unless its process was killed or frozen.

--- a/src/lab/mesh/day.cpp
+++ b/src/lab/mesh/day.cpp
@@ -10,7 +10,7 @@
 namespace rackroute::lab::mesh {
 namespace {
 
-constexpr std::array<std::pair<std::string_view, FaultKind>, 41> kFaultKinds{{
+constexpr std::array<std::pair<std::string_view, FaultKind>, 42> kFaultKinds{{
     {"kill_sidecar", FaultKind::killSidecar},
     {"kill_control", FaultKind::killControl},
     {"power_control", FaultKind::powerControl},
@@ -52,6 +52,7 @@
     {"new_service", FaultKind::newService},
     {"reset_forwards", FaultKind::resetForwards},
     {"hang_up", FaultKind::hangUp},
+    {"term_control", FaultKind::termControl},
 }};
 constexpr std::array<std::pair<std::string_view, Closing>, 4> kClosingFaults{
     {{"none", Closing::none},
@@ -117,7 +118,8 @@
 std::vector<FaultKind> emulatedFaultKinds() {
   std::vector<FaultKind> kinds;
   for (const auto& entry : kFaultKinds) {
-    const bool processesOnly = entry.second == FaultKind::resetForwards || entry.second == FaultKind::hangUp;
+    const bool processesOnly = entry.second == FaultKind::resetForwards ||
+                               entry.second == FaultKind::hangUp || entry.second == FaultKind::termControl;
     if (!processesOnly) kinds.push_back(entry.second);
   }
   return kinds;
--- a/src/lab/mesh/day.hpp
+++ b/src/lab/mesh/day.hpp
@@ -53,6 +53,7 @@
   newService,             // a service; once it is acknowledged, a route to it at another control node
   resetForwards,          // `magnitude` of the connections to one sidecar are reset; real processes only
   hangUp,                 // SIGHUP to a control or sidecar process; real processes only
+  termControl,            // SIGTERM, then a restart; real processes only
 };
 
 /// A fault or operator action injected during a day.
--- a/src/lab/mesh/process_operators.cpp
+++ b/src/lab/mesh/process_operators.cpp
@@ -12,6 +12,7 @@
 
 constexpr Span kCallTimeout = 1s;
 constexpr Span kRetryInterval = 200ms;
+constexpr Span kCloseRace = 50ms;  // younger calls may cross the close of their connection
 
 }  // namespace
 
@@ -20,8 +21,17 @@
   http::GatherBuffer pieces;
   pieces.text(method + " /rackroute/config HTTP/1.1\r\nHost: control\r\nContent-Type: application/json\r\n" +
               "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body);
-  context_.httpClient.send(context_.machines.addressOf(control, Port::control), std::move(pieces), "", false,
-                           context_.loop.now() + kCallTimeout, std::move(done));
+  context_.httpClient.send(
+      context_.machines.addressOf(control, Port::control), std::move(pieces), "", false,
+      context_.loop.now() + kCallTimeout,
+      [this, control, sentAt = context_.now(), done = std::move(done)](
+          RequestOutcome outcome, const std::shared_ptr<const http::Message>& response) {
+        const bool lost = outcome == RequestOutcome::connectionLost;
+        if (lost && context_.now() > sentAt + kCloseRace && disturbedAt_(control) < sentAt)
+          context_.judge.reportLoss(context_.now(), context_.machines.nameOf(control) +
+                                                        " closed an operator's call without a response");
+        done(outcome, response);
+      });
 }
 
 void ProcessOperators::applyInitialConfig() {
--- a/src/lab/mesh/process_operators.hpp
+++ b/src/lab/mesh/process_operators.hpp
@@ -13,7 +13,9 @@
 
 class ProcessOperators {
  public:
-  explicit ProcessOperators(ProcessContext& context) : context_(context) {}
+  /// disturbedAt: when a control process was last killed, or the end of its last freeze.
+  ProcessOperators(ProcessContext& context, std::function<Span(std::uint32_t control)> disturbedAt)
+      : context_(context), disturbedAt_(std::move(disturbedAt)) {}
 
   /// Sends the initial configuration.
   void applyInitialConfig();
@@ -28,6 +30,7 @@
             rackroute::mesh::HttpClient::Callback done);
 
   ProcessContext& context_;
+  std::function<Span(std::uint32_t control)> disturbedAt_;
   OperatorRecord table_;
 };
 
--- a/src/lab/mesh/processes.cpp
+++ b/src/lab/mesh/processes.cpp
@@ -95,7 +95,7 @@
                    return ProcessClients::Interventions{children_.disturbedAt(machine),
                                                         children_.stoppedAt(machine)};
                  }),
-        operators_(context_),
+        operators_(context_, [this](std::uint32_t control) { return children_.disturbedAt(control); }),
         children_(context_, options, hasResetFaults(day)) {}
 
   ProcessRunResult run();
@@ -190,6 +190,8 @@
       return children_.freeze(control, until);
     case FaultKind::termSidecar:
       return terminate(sidecar);
+    case FaultKind::termControl:
+      return terminate(control);
     case FaultKind::hangUp:
       return children_.reload(fault.target % (day_.controls + day_.sidecars));
     case FaultKind::resetForwards:
--- a/src/mesh/control/main.cpp
+++ b/src/mesh/control/main.cpp
@@ -24,6 +24,7 @@
 #include "mesh/transport/log.hpp"
 #include "mesh/transport/process_start.hpp"
 #include "mesh/transport/session_connection.hpp"
+#include "mesh/transport/shutdown_deadline.hpp"
 #include "sidecar/signals.hpp"
 
 namespace rackroute::mesh {
@@ -35,7 +36,8 @@
 constexpr Span kDialTimeout = 400ms;        // shorter than the interval between dials
 constexpr auto kOpenRetryDelay = 300ms;     // after the store could not be opened
 constexpr Span kUnsettledLogInterval = 2s;  // between log lines without contact with a majority
-constexpr Span kShutdownGrace = 50ms;       // for sending pending answers
+constexpr Span kShutdownCheckInterval = 20ms;
+constexpr Span kMinShutdownTime = 50ms;  // for calls whose bytes have arrived but are not read yet
 
 class ControlProgram {
  public:
@@ -44,6 +46,7 @@
         port_(settings.firstPort),
         signals_(loop_),
         options_(std::move(options)),
+        deadline_(settings.grace),
         store_(settings.dataFolder) {}
 
   int run(const Settings& settings) {
@@ -69,7 +72,7 @@
     });
     log(LogLevel::info, "start", "", "listening", {{"holds_state", node_->holdsState()}});
     loop_.run();
-    log(LogLevel::info, "stop", "", "stopped");
+    log(LogLevel::info, "stop", "", "stopped", {{"open_calls", calls_.size()}});
     // Does not join the store's thread, which may be blocked by a hanging disk. Nothing is lost, because
     // nothing is acknowledged before its sync.
     std::quick_exit(0);
@@ -118,6 +121,7 @@
       const auto called = findApiEndpoint(ApiListener::control, MachineRole::core, request->startLinePart(0),
                                           request->startLinePart(1), known);
       if (!called) return connection->respond(known ? 405 : 404, "", "");
+      if (deadline_.stopping()) return connection->respond(503, "Retry-After: 0.1\r\n", "");
       const OperatorCallNo no{++lastCall_};
       calls_[no] = connection;
       perform(called->endpoint->kind == ApiCall::changeItems ? node_->change(loop_.now(), no, request->body())
@@ -240,8 +244,21 @@
   }
 
   void stop() {
+    if (deadline_.stopping()) return;
+    stopStartedAt_ = loop_.now();
+    deadline_.start(stopStartedAt_);
+    log(LogLevel::info, "stop", "", "leaving", {{"open_calls", calls_.size()}});
     if (shared_) shared_->draining = true;
-    loop_.after(kShutdownGrace, [this] { loop_.stop(); });
+    checkShutdown();
+  }
+
+  // Takes part in agreements until the operators' calls that are open have been answered.
+  void checkShutdown() {
+    const Span now = loop_.now();
+    const bool answered = calls_.empty() && (!shared_ || shared_->allWritten());
+    if ((answered && stopStartedAt_ + kMinShutdownTime <= now) || deadline_.exitAt() <= now)
+      return loop_.stop();
+    loop_.after(kShutdownCheckInterval, [this] { checkShutdown(); });
   }
 
   EventLoop loop_;
@@ -256,6 +273,8 @@
   std::shared_ptr<HttpServerConnection::ListenerContext> shared_;
   std::map<SessionNo, std::shared_ptr<SessionConnection>> sessions_;
   std::map<OperatorCallNo, std::shared_ptr<HttpServerConnection>> calls_;
+  ShutdownDeadline deadline_;
+  Span stopStartedAt_{};
   json loggedStatus_;  // as last logged
   Span unsettledLoggedAt_{};
   std::uint64_t lastSession_ = 0;
--- a/src/mesh/sidecar/sidecar_program.cpp
+++ b/src/mesh/sidecar/sidecar_program.cpp
@@ -15,7 +15,6 @@
 #include "mesh/sidecar/control_sessions.hpp"
 #include "mesh/sidecar/request_messages.hpp"
 #include "mesh/sidecar/server_heartbeat.hpp"
-#include "mesh/sidecar/shutdown_deadline.hpp"
 #include "mesh/transport/api_endpoints.hpp"
 #include "mesh/transport/event_loop.hpp"
 #include "mesh/transport/http_client.hpp"
@@ -23,6 +22,7 @@
 #include "mesh/transport/listener.hpp"
 #include "mesh/transport/log.hpp"
 #include "mesh/transport/process_start.hpp"
+#include "mesh/transport/shutdown_deadline.hpp"
 #include "sidecar/signals.hpp"
 
 namespace rackroute::mesh {
--- a/tests/forwarding_test.cpp
+++ b/tests/forwarding_test.cpp
@@ -16,7 +16,7 @@
 #include "mesh/admission/admission.hpp"
 #include "mesh/forwarding/forward_outcomes.hpp"
 #include "mesh/routing/request_router.hpp"
-#include "mesh/sidecar/shutdown_deadline.hpp"
+#include "mesh/transport/shutdown_deadline.hpp"
 
 using namespace rackroute;
 using namespace rackroute::mesh;
