Read a majority before a route to an existing service is accepted

Cause: the process looked up the service in its own copy and read from a majority only if the service was missing there. A copy that lacks a removal says that all is well. Change: an order whose routes refer to services that it does not add itself waits for a majority read first, whichever way the own copy differs. An order that is already decided is acknowledged again as before.

--- a/src/mesh/configuration/items.cpp
+++ b/src/mesh/configuration/items.cpp
@@ -241,6 +241,18 @@
   return out;
 }
 
+bool Items::refersToOtherServices(const std::vector<Item>& change) {
+  const auto adds = [&](const std::string& service) {
+    return std::any_of(change.begin(), change.end(), [&](const Item& item) {
+      return item.key == ItemKey{ItemKind::service, service} && !item.dropped;
+    });
+  };
+  return std::any_of(change.begin(), change.end(), [&](const Item& item) {
+    const std::vector<std::string> services = servicesOf(item);
+    return !std::all_of(services.begin(), services.end(), adds);
+  });
+}
+
 std::optional<std::string> Items::unknownService(const std::vector<Item>& change) const {
   std::set<std::string> added;
   std::set<std::string> dropped;
--- a/src/mesh/configuration/items.hpp
+++ b/src/mesh/configuration/items.hpp
@@ -66,6 +66,8 @@
   [[nodiscard]] std::vector<Item> newerThan(const nlohmann::json& versions) const;
   /// All items that are not dropped, in the form of a change's `upsert`.
   [[nodiscard]] nlohmann::json activeAsJson() const;
+  /// Whether the change's routes refer to services that it does not add itself.
+  [[nodiscard]] static bool refersToOtherServices(const std::vector<Item>& change);
   /// The first service that the change's routes refer to and that would not exist after it.
   [[nodiscard]] std::optional<std::string> unknownService(const std::vector<Item>& change) const;
 
--- a/src/mesh/control/operator_calls.cpp
+++ b/src/mesh/control/operator_calls.cpp
@@ -36,8 +36,8 @@
   Call& pending = calls_[call];
   pending.order = makeOrder(std::move(read).value());
   pending.until = now + kCallTimeout + kTimeoutPerItem * pending.order->items.size();
-  // The service may be missing from this process's copy only, so a majority is read first.
-  if (unknownService(*pending.order)) {
+  // This process's copy may lack a service, or its removal, so a majority is read first.
+  if (!agreement_.isDecided(*pending.order) && Items::refersToOtherServices(pending.order->items)) {
     pending.read = reads_.request(now, set, effects);
     return;
   }
--- a/tests/control_node_test.cpp
+++ b/tests/control_node_test.cpp
@@ -151,6 +151,22 @@
   }
 }
 
+TEST_CASE("a route to a service is refused by a control process that missed the service's removal") {
+  ControlCluster cluster = foundedCluster(4);
+  const json service{{"name", "extra"}, {"generation", "r2"}};
+  const json removed{{"name", "extra"}, {"generation", "r3"}};
+  REQUIRE(send(cluster, name(0), json{{"upsert", {{"service_list", {service}}}}}.dump()) == 200);
+  cluster.run(200ms);
+  cluster.isolate(name(3));
+  REQUIRE(send(cluster, name(0), json{{"remove", {{"service_list", {removed}}}}}.dump()) == 200);
+  cluster.isolate(name(3), false);
+  json route = routeValue("more", 5, "900ms");
+  route["target"] = "extra";
+  CHECK(send(cluster, name(3), changeOf({route})) == 400);
+  cluster.run(1s);
+  for (const std::string& at : names(4)) CHECK(routeAt(cluster, at, "more") == nullptr);
+}
+
 TEST_CASE("a decided order is acknowledged again after its service was removed, and a new one is refused") {
   ControlCluster cluster = foundedCluster(3);
   const auto serviceOf = [](const char* version) { return json{{"name", "extra"}, {"generation", version}}; };
