End the connections of the lab's servers that are open when a run is over

Connections that are open when a run ends were never ended; with the soak's long requests some are. Change: the lab's servers end their connections when they are destroyed, as in a crash.

--- a/src/lab/mesh/process_servers.cpp
+++ b/src/lab/mesh/process_servers.cpp
@@ -53,6 +53,15 @@
       });
 }
 
+ProcessServers::~ProcessServers() {
+  for (auto& [machine, server] : servers_) cutConnections(server);
+}
+
+void ProcessServers::cutConnections(Server& server) {
+  for (const auto& entry : std::map(server.listenerContext->connections))
+    entry.second->end(sidecar::CloseReason::cut);
+}
+
 void ProcessServers::startInstance(std::uint32_t machine) {
   Server& server = servers_.at(machine);
   ++server.instanceNo;
@@ -70,8 +79,7 @@
   Server& server = servers_.at(machine);
   ++server.instanceNo;
   server.up = false;
-  for (const auto& entry : std::map(server.listenerContext->connections))
-    entry.second->end(sidecar::CloseReason::cut);
+  cutConnections(server);
 }
 
 const ProcessServers::Run* ProcessServers::runOf(std::uint64_t seal) const {
--- a/src/lab/mesh/process_servers.hpp
+++ b/src/lab/mesh/process_servers.hpp
@@ -24,6 +24,10 @@
   ProcessServers(ProcessContext& context, RandomEngine& rng,
                  std::function<int(std::uint64_t attempt)> callerOf)
       : context_(context), rng_(rng), callerOf_(std::move(callerOf)) {}
+  ProcessServers(const ProcessServers&) = delete;
+  ProcessServers& operator=(const ProcessServers&) = delete;
+  /// Ends the open connections, which own each other with their listener's context.
+  ~ProcessServers();
 
   /// Opens the listener, which all instances on the machine share; throws Poco exceptions if binding fails.
   void listen(std::uint32_t machine);
@@ -77,6 +81,7 @@
     bool onLongRoute = false;
   };
 
+  static void cutConnections(Server& server);
   void sendHeartbeat(std::uint32_t machine, std::uint64_t instanceNo);
   void deregister(std::uint32_t machine, std::uint64_t instanceNo);
   void serve(std::uint32_t machine, const ConnectionRef& connection, const http::Message& request);
